--- /dev/null
+++ b/Makefile
@@ -0,0 +1,11 @@
+# make demo [STAY=1] | make test | make measure
+.PHONY: build demo test measure lint
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -timeout 20m ./...
+
+lint:
+	./tools/lint
--- /dev/null
+++ b/clemconfig/state.go
@@ -0,0 +1,235 @@
+// Package clemconfig holds the configuration of the fleet: the state that a
+// sequence of changes folds into, the checks that a change must pass, and the
+// generation log in the platform's table that orders the changes.
+package clemconfig
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// name identifies an entity within the configuration.
+type name struct {
+	kind clemwire.EntityKind
+	name string
+}
+
+// State is the configuration at one generation. It never changes; Apply
+// returns the next one.
+type State struct {
+	generation uint64
+	entities   map[name]*clemwire.Entity
+	digests    map[string]string
+	models     map[string]*clemwire.Pool
+	rules      map[[2]string]*clemwire.Rule
+}
+
+// Empty returns the state of generation 0.
+func Empty() *State {
+	return newState(0, map[name]*clemwire.Entity{})
+}
+
+func newState(generation uint64, entities map[name]*clemwire.Entity) *State {
+	s := &State{
+		generation: generation, entities: entities,
+		digests: map[string]string{}, models: map[string]*clemwire.Pool{}, rules: map[[2]string]*clemwire.Rule{},
+	}
+	for _, entity := range entities {
+		s.index(entity)
+	}
+	return s
+}
+
+func (s *State) index(entity *clemwire.Entity) {
+	if o := entity.GetOrganisation(); o != nil {
+		for _, key := range o.GetKeys() {
+			s.digests[string(key.GetDigest())] = o.GetName()
+		}
+	}
+	if p := entity.GetPool(); p.GetModel() != "" {
+		s.models[p.GetModel()] = p
+	}
+	if r := entity.GetRule(); r != nil {
+		s.rules[[2]string{r.GetService(), r.GetCall()}] = r
+	}
+}
+
+// FromSnapshot returns the state of a snapshot.
+func FromSnapshot(snapshot *clemwire.Snapshot) *State {
+	entities := make(map[name]*clemwire.Entity, len(snapshot.GetEntities()))
+	for _, entity := range snapshot.GetEntities() {
+		entities[nameOf(entity)] = entity
+	}
+	return newState(snapshot.GetGeneration(), entities)
+}
+
+// Snapshot returns the whole state in its wire form, sorted.
+func (s *State) Snapshot() *clemwire.Snapshot {
+	snapshot := &clemwire.Snapshot{Generation: s.generation}
+	for kind := range clemwire.EntityKind_name {
+		snapshot.Entities = append(snapshot.Entities, s.List(clemwire.EntityKind(kind))...)
+	}
+	slices.SortStableFunc(snapshot.Entities, func(a, b *clemwire.Entity) int {
+		return int(nameOf(a).kind) - int(nameOf(b).kind)
+	})
+	return snapshot
+}
+
+// Generation returns the generation of the state.
+func (s *State) Generation() uint64 { return s.generation }
+
+// List returns the entities of one kind, sorted by name.
+func (s *State) List(kind clemwire.EntityKind) []*clemwire.Entity {
+	var entities []*clemwire.Entity
+	for n, entity := range s.entities {
+		if n.kind == kind {
+			entities = append(entities, entity)
+		}
+	}
+	slices.SortFunc(entities, func(a, b *clemwire.Entity) int {
+		if nameOf(a).name < nameOf(b).name {
+			return -1
+		}
+		return 1
+	})
+	return entities
+}
+
+// Entity returns the entity of the kind and name, or nil.
+func (s *State) Entity(kind clemwire.EntityKind, n string) *clemwire.Entity {
+	return s.entities[name{kind, n}]
+}
+
+// Organisation returns the organisation, or nil.
+func (s *State) Organisation(n string) *clemwire.Organisation {
+	return s.Entity(clemwire.EntityKind_ENTITY_KIND_ORGANISATION, n).GetOrganisation()
+}
+
+// Holder returns the organisation that holds the key of the given SHA-256 digest, or nil.
+func (s *State) Holder(digest []byte) *clemwire.Organisation {
+	n, ok := s.digests[string(digest)]
+	if !ok {
+		return nil
+	}
+	return s.Organisation(n)
+}
+
+// Pool returns the pool, or nil.
+func (s *State) Pool(n string) *clemwire.Pool {
+	return s.Entity(clemwire.EntityKind_ENTITY_KIND_POOL, n).GetPool()
+}
+
+// Model returns the pool that serves a model, or nil.
+func (s *State) Model(model string) *clemwire.Pool { return s.models[model] }
+
+// Service returns the plain service, or nil.
+func (s *State) Service(n string) *clemwire.Service {
+	return s.Entity(clemwire.EntityKind_ENTITY_KIND_SERVICE, n).GetService()
+}
+
+// Engine returns the declared traits of a backend server, or nil.
+func (s *State) Engine(n string) *clemwire.Engine {
+	return s.Entity(clemwire.EntityKind_ENTITY_KIND_ENGINE, n).GetEngine()
+}
+
+// Drained reports whether operators drained the backend server.
+func (s *State) Drained(server string) bool {
+	return s.Entity(clemwire.EntityKind_ENTITY_KIND_DRAIN, server) != nil
+}
+
+// Rule returns the rule of a call: the one that names it, else the service's
+// "*" rule, else nil, which means at-most-once.
+func (s *State) Rule(service, call string) *clemwire.Rule {
+	if r := s.rules[[2]string{service, call}]; r != nil {
+		return r
+	}
+	return s.rules[[2]string{service, "*"}]
+}
+
+// Scope returns the generation of the newest change among the entities that
+// decide about a piece of work. An offer older than its scope is stale; one
+// that lacks only unrelated changes is not.
+func (s *State) Scope(offer *clemwire.Offer) uint64 {
+	newest := max(s.Organisation(offer.GetOrganisation()).GetGeneration(), s.Pool(offer.GetPool()).GetGeneration())
+	if offer.GetService() == "" {
+		return newest
+	}
+	rule := s.Rule(offer.GetService(), offer.GetCall())
+	return max(newest, s.Service(offer.GetService()).GetGeneration(), rule.GetGeneration())
+}
+
+// Apply returns the state after the change, which must be of the next
+// generation. It does not check the change; Check does. Errors: KindConflict.
+func (s *State) Apply(change *clemwire.Change) (*State, error) {
+	if change.GetGeneration() != s.generation+1 {
+		return nil, clementineturn.Errorf(clementineturn.KindConflict, "change of generation %d cannot follow generation %d", change.GetGeneration(), s.generation)
+	}
+	entities := maps.Clone(s.entities)
+	entity := proto.CloneOf(change.GetEntity())
+	if change.GetAction() == clemwire.Action_ACTION_DELETE {
+		delete(entities, nameOf(entity))
+	} else {
+		setGeneration(entity, change.GetGeneration())
+		entities[nameOf(entity)] = entity
+	}
+	return newState(change.GetGeneration(), entities), nil
+}
+
+func nameOf(entity *clemwire.Entity) name {
+	switch k := entity.GetKind().(type) {
+	case *clemwire.Entity_Organisation:
+		return name{clemwire.EntityKind_ENTITY_KIND_ORGANISATION, k.Organisation.GetName()}
+	case *clemwire.Entity_Pool:
+		return name{clemwire.EntityKind_ENTITY_KIND_POOL, k.Pool.GetName()}
+	case *clemwire.Entity_Engine:
+		return name{clemwire.EntityKind_ENTITY_KIND_ENGINE, k.Engine.GetName()}
+	case *clemwire.Entity_Service:
+		return name{clemwire.EntityKind_ENTITY_KIND_SERVICE, k.Service.GetName()}
+	case *clemwire.Entity_Rule:
+		return name{clemwire.EntityKind_ENTITY_KIND_RULE, k.Rule.GetName()}
+	case *clemwire.Entity_Drain:
+		return name{clemwire.EntityKind_ENTITY_KIND_DRAIN, k.Drain.GetServer()}
+	}
+	return name{}
+}
+
+// Generation returns the generation of an entity's last change.
+func Generation(entity *clemwire.Entity) uint64 {
+	switch k := entity.GetKind().(type) {
+	case *clemwire.Entity_Organisation:
+		return k.Organisation.GetGeneration()
+	case *clemwire.Entity_Pool:
+		return k.Pool.GetGeneration()
+	case *clemwire.Entity_Engine:
+		return k.Engine.GetGeneration()
+	case *clemwire.Entity_Service:
+		return k.Service.GetGeneration()
+	case *clemwire.Entity_Rule:
+		return k.Rule.GetGeneration()
+	case *clemwire.Entity_Drain:
+		return k.Drain.GetGeneration()
+	}
+	return 0
+}
+
+func setGeneration(entity *clemwire.Entity, generation uint64) {
+	switch k := entity.GetKind().(type) {
+	case *clemwire.Entity_Organisation:
+		k.Organisation.Generation = generation
+	case *clemwire.Entity_Pool:
+		k.Pool.Generation = generation
+	case *clemwire.Entity_Engine:
+		k.Engine.Generation = generation
+	case *clemwire.Entity_Service:
+		k.Service.Generation = generation
+	case *clemwire.Entity_Rule:
+		k.Rule.Generation = generation
+	case *clemwire.Entity_Drain:
+		k.Drain.Generation = generation
+	}
+}
--- /dev/null
+++ b/clemevent/claim.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var claimEvents = map[Event]Info{}
--- /dev/null
+++ b/clemevent/entry.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var entryEvents = map[Event]Info{}
--- /dev/null
+++ b/clemevent/member.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var memberEvents = map[Event]Info{}
--- /dev/null
+++ b/clemevent/operator.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var operatorEvents = map[Event]Info{}
--- /dev/null
+++ b/clemevent/order.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var orderEvents = map[Event]Info{}
--- /dev/null
+++ b/clemevent/relay.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var relayEvents = map[Event]Info{}
--- /dev/null
+++ b/clemevent/sidecar.go
@@ -0,0 +1,3 @@
+package clemevent
+
+var sidecarEvents = map[Event]Info{}
