--- /dev/null
+++ b/clemrpc/client.go
@@ -0,0 +1,315 @@
+package clemrpc
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	dialTimeout = time.Second
+	// redialDelay is the time for which a failed dial answers for later ones.
+	redialDelay = 200 * time.Millisecond
+	// callTimeout bounds calls whose context has no deadline.
+	callTimeout = 10 * time.Second
+	idlePerHost = 64
+)
+
+// ClientConfig describes the Peers to construct.
+type ClientConfig struct {
+	// Key is the fleet's shared key.
+	Key string
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// Dial opens a connection; nil takes TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Peers keeps one connection for calls per peer and a pool for streams.
+type Peers struct {
+	key  string
+	tls  *tls.Config
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	http *http.Client
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// NewPeers returns the peers that the configuration describes.
+func NewPeers(c ClientConfig) *Peers {
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	transport := &http.Transport{DialContext: c.Dial, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
+	return &Peers{key: c.Key, tls: c.TLS, dial: c.Dial, http: &http.Client{Transport: transport}, peers: map[string]*peer{}}
+}
+
+// Peer implements clementineturn.Peers.
+func (p *Peers) Peer(address string) clementineturn.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if found, ok := p.peers[address]; ok {
+		return found
+	}
+	made := &peer{peers: p, address: address}
+	p.peers[address] = made
+	return made
+}
+
+// Close closes every connection.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		peer.close()
+	}
+	p.http.CloseIdleConnections()
+}
+
+// peer implements clementineturn.Peer for one address. mu guards client and is
+// held while dialling, so that callers share one connection.
+type peer struct {
+	peers   *Peers
+	address string
+
+	mu     sync.Mutex
+	client *rpc.Client
+	failed time.Time
+	cause  error
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != nil {
+		_ = p.client.Close()
+		p.client = nil
+	}
+}
+
+// connect returns the open connection or dials one. Its errors say not run.
+func (p *peer) connect(ctx context.Context) (*rpc.Client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != nil {
+		return p.client, nil
+	}
+	// Callers that queued behind a failed dial share its result: each would
+	// otherwise wait for a dial of its own to a frozen peer.
+	if time.Since(p.failed) < redialDelay {
+		return nil, p.cause
+	}
+	client, err := p.dial(ctx)
+	if err != nil {
+		p.failed, p.cause = time.Now(), clementineturn.Refuse(clementineturn.KindUnavailable, "peer %s: %w", p.address, err)
+		return nil, p.cause
+	}
+	p.client = client
+	return client, nil
+}
+
+func (p *peer) dial(ctx context.Context) (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReader(conn)
+	if err := p.shake(ctx, conn, reader); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return rpc.NewClientWithCodec(&clientCodec{newStream(conn, reader)}), nil
+}
+
+func (p *peer) open(ctx context.Context) (net.Conn, error) {
+	conn, err := p.peers.dial(ctx, "tcp", p.address)
+	if err != nil || p.peers.tls == nil {
+		return conn, err
+	}
+	config := p.peers.tls.Clone()
+	if config.ServerName == "" {
+		host, _, _ := net.SplitHostPort(p.address)
+		config.ServerName = host
+	}
+	secure := tls.Client(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// shake asks the server to switch the connection to net/rpc.
+func (p *peer) shake(ctx context.Context, conn net.Conn, reader *bufio.Reader) error {
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	request := fmt.Sprintf("CONNECT %s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s%s\r\n\r\n", rpcPath, p.address, bearer, p.peers.key)
+	if _, err := io.WriteString(conn, request); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.New(response.Status)
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// call runs one call. A broken connection is dropped; the call is not repeated,
+// since the other side may have received it.
+func (p *peer) call(ctx context.Context, method string, args, result proto.Message) error {
+	client, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	pending := client.Go(serviceName+"."+method, args, result, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, ctx.Err())
+	case <-pending.Done:
+	}
+	if pending.Error == nil {
+		return nil
+	}
+	var served rpc.ServerError
+	if errors.As(pending.Error, &served) {
+		return decodeError(served)
+	}
+	p.drop(client)
+	return clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, pending.Error)
+}
+
+func (p *peer) drop(client *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client == client {
+		_ = client.Close()
+		p.client = nil
+	}
+}
+
+// Offer implements clementineturn.Peer.
+func (p *peer) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	verdict := &clemwire.Verdict{}
+	return verdict, p.call(ctx, "Offer", offer, verdict)
+}
+
+// Cancel implements clementineturn.Peer.
+func (p *peer) Cancel(ctx context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error) {
+	cancelled := &clemwire.Cancelled{}
+	return cancelled, p.call(ctx, "Cancel", cancel, cancelled)
+}
+
+// Void implements clementineturn.Peer.
+func (p *peer) Void(ctx context.Context, void *clemwire.Void) (*clemwire.Voided, error) {
+	voided := &clemwire.Voided{}
+	return voided, p.call(ctx, "Void", void, voided)
+}
+
+// Pull implements clementineturn.Peer.
+func (p *peer) Pull(ctx context.Context, pull *clemwire.Pull) (*clemwire.Pulled, error) {
+	pulled := &clemwire.Pulled{}
+	return pulled, p.call(ctx, "Pull", pull, pulled)
+}
+
+// Beat implements clementineturn.Peer.
+func (p *peer) Beat(ctx context.Context, beat *clemwire.Beat) (*clemwire.BeatReply, error) {
+	back := &clemwire.BeatReply{}
+	return back, p.call(ctx, "Beat", beat, back)
+}
+
+// Probe implements clementineturn.Peer.
+func (p *peer) Probe(ctx context.Context) (*clemwire.Probed, error) {
+	probed := &clemwire.Probed{}
+	return probed, p.call(ctx, "Probe", &clemwire.Probe{}, probed)
+}
+
+// Gather implements clementineturn.Peer.
+func (p *peer) Gather(ctx context.Context) (*clemwire.Gathered, error) {
+	gathered := &clemwire.Gathered{}
+	return gathered, p.call(ctx, "Gather", &clemwire.Gather{}, gathered)
+}
+
+// Fetch implements clementineturn.Peer. A stream that ends without an end
+// frame is KindCut.
+func (p *peer) Fetch(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
+	response, err := p.get(ctx, fetch)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return clementineturn.Errorf(clementineturn.KindCut, "peer %s: %s", p.address, response.Status)
+	}
+	reader := bufio.NewReader(response.Body)
+	frame := &clemwire.Frame{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	for {
+		proto.Reset(frame)
+		if err := options.UnmarshalFrom(reader, frame); err != nil {
+			if ctx.Err() != nil {
+				return clementineturn.AsError(ctx.Err())
+			}
+			return clementineturn.Errorf(clementineturn.KindCut, "peer %s: answer without an end: %w", p.address, err)
+		}
+		if frame.GetAttempt() == "" && frame.GetEnd() != nil {
+			return clementineturn.FromRefusal(frame.GetEnd().GetRefusal())
+		}
+		if err := handler(frame); err != nil || frame.GetEnd() != nil {
+			return err
+		}
+	}
+}
+
+func (p *peer) get(ctx context.Context, fetch *clemwire.Fetch) (*http.Response, error) {
+	scheme := "http"
+	if p.peers.tls != nil {
+		scheme = "https"
+	}
+	query := url.Values{
+		"request": {fetch.GetRequest()}, "attempt": {fetch.GetAttempt()},
+		"organisation": {fetch.GetOrganisation()}, "from": {strconv.FormatUint(fetch.GetFrom(), 10)},
+	}
+	target := url.URL{Scheme: scheme, Host: p.address, Path: answersPath, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, clementineturn.Errorf(clementineturn.KindInternal, "peer %s: %w", p.address, err)
+	}
+	request.Header.Set("Authorization", bearer+p.peers.key)
+	response, err := p.peers.http.Do(request)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, clementineturn.AsError(ctx.Err())
+		}
+		return nil, clementineturn.Errorf(clementineturn.KindCut, "peer %s: %w", p.address, err)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/clemrpc/codec.go
@@ -0,0 +1,140 @@
+// Package clemrpc carries messages between the fleet's own processes: net/rpc
+// with protobuf bodies for calls, and HTTP for answer streams.
+package clemrpc
+
+import (
+	"bufio"
+	"net"
+	"net/rpc"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	// writeTimeout bounds a write to a peer that no longer reads, for example one that is frozen.
+	writeTimeout = 2 * time.Second
+	// maxMessage is the size in bytes of the largest message that is read.
+	maxMessage = 32 << 20
+)
+
+// stream reads and writes length-delimited protobuf messages.
+type stream struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+}
+
+func newStream(conn net.Conn, reader *bufio.Reader) *stream {
+	return &stream{conn: conn, reader: reader, writer: bufio.NewWriter(conn)}
+}
+
+func (s *stream) read(message proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(s.reader, message)
+}
+
+// skip reads and drops one message.
+func (s *stream) skip() error { return s.read(&clemwire.Probe{}) }
+
+func (s *stream) write(head *clemwire.Head, body proto.Message) error {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := protodelim.MarshalTo(s.writer, head); err != nil {
+		return err
+	}
+	if _, err := protodelim.MarshalTo(s.writer, body); err != nil {
+		return err
+	}
+	return s.writer.Flush()
+}
+
+// Close closes the connection.
+func (s *stream) Close() error { return s.conn.Close() }
+
+func asMessage(body any) (proto.Message, error) {
+	message, ok := body.(proto.Message)
+	if !ok {
+		return nil, clementineturn.Errorf(clementineturn.KindInternal, "%T is no protobuf message", body)
+	}
+	return message, nil
+}
+
+// clientCodec implements rpc.ClientCodec.
+type clientCodec struct {
+	*stream
+}
+
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	message, err := asMessage(body)
+	if err != nil {
+		return err
+	}
+	if err := c.write(&clemwire.Head{Method: r.ServiceMethod, Seq: r.Seq}, message); err != nil {
+		// A request that was written in part leaves the connection unusable.
+		_ = c.conn.Close()
+		return err
+	}
+	return nil
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	head := &clemwire.Head{}
+	if err := c.read(head); err != nil {
+		return err
+	}
+	r.ServiceMethod, r.Seq, r.Error = head.GetMethod(), head.GetSeq(), head.GetError()
+	return nil
+}
+
+func (c *clientCodec) ReadResponseBody(body any) error {
+	if body == nil {
+		return c.skip()
+	}
+	message, err := asMessage(body)
+	if err != nil {
+		return err
+	}
+	return c.read(message)
+}
+
+// serverCodec implements rpc.ServerCodec.
+type serverCodec struct {
+	*stream
+}
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	head := &clemwire.Head{}
+	if err := c.read(head); err != nil {
+		return err
+	}
+	r.ServiceMethod, r.Seq = head.GetMethod(), head.GetSeq()
+	return nil
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error {
+	if body == nil {
+		return c.skip()
+	}
+	message, err := asMessage(body)
+	if err != nil {
+		return err
+	}
+	return c.read(message)
+}
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	message, ok := body.(proto.Message)
+	if !ok || r.Error != "" {
+		message = &clemwire.Probe{}
+	}
+	if err := c.write(&clemwire.Head{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, message); err != nil {
+		_ = c.conn.Close()
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/clemrpc/server.go
@@ -0,0 +1,184 @@
+package clemrpc
+
+import (
+	"bufio"
+	"context"
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"net/rpc"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	rpcPath     = "/rpc"
+	answersPath = "/answers"
+	serviceName = "Peer"
+	bearer      = "Bearer "
+)
+
+// ServerConfig describes a Server to construct.
+type ServerConfig struct {
+	// Context ends the calls that run when the process stops.
+	Context context.Context
+	// Key is the fleet's shared key.
+	Key  string
+	Peer clementineturn.Peer
+}
+
+// Server answers the calls of other processes of the fleet.
+type Server struct {
+	key  string
+	peer clementineturn.Peer
+	rpc  *rpc.Server
+}
+
+// NewServer returns the server that the configuration describes.
+func NewServer(c ServerConfig) *Server {
+	s := &Server{key: c.Key, peer: c.Peer, rpc: rpc.NewServer()}
+	methods := &methods{ctx: c.Context, peer: c.Peer}
+	if err := s.rpc.RegisterName(serviceName, methods); err != nil {
+		panic(err) // The method set is fixed at compile time.
+	}
+	return s
+}
+
+// Mount adds the server's paths to the router.
+func (s *Server) Mount(router chi.Router) {
+	router.With(s.authenticate).Connect(rpcPath, s.connect)
+	router.With(s.authenticate).Get(answersPath, s.answer)
+}
+
+// authenticate admits holders of the fleet's key only.
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	want := []byte(bearer + s.key)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) connect(w http.ResponseWriter, _ *http.Request) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.rpc.ServeCodec(&serverCodec{newStream(conn, buffered.Reader)})
+}
+
+// answer streams the frames of one answer, each length-delimited.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	controller := http.NewResponseController(w)
+	writer := bufio.NewWriter(w)
+	fetch := &clemwire.Fetch{
+		Request: query.Get("request"), Attempt: query.Get("attempt"),
+		Organisation: query.Get("organisation"), From: from,
+	}
+	err = s.peer.Fetch(r.Context(), fetch, func(frame *clemwire.Frame) error {
+		if _, err := protodelim.MarshalTo(writer, frame); err != nil {
+			return err
+		}
+		if err := writer.Flush(); err != nil {
+			return err
+		}
+		return controller.Flush()
+	})
+	if err == nil {
+		return
+	}
+	// An error of the fetch itself travels as an end frame without an attempt.
+	end := &clemwire.Frame{End: &clemwire.End{Refusal: clementineturn.AsError(err).Refusal()}}
+	if _, err := protodelim.MarshalTo(writer, end); err == nil {
+		_ = writer.Flush()
+	}
+}
+
+// methods adapts a Peer to the method form of net/rpc.
+type methods struct {
+	ctx  context.Context
+	peer clementineturn.Peer
+}
+
+// Offer serves Peer.Offer.
+func (m *methods) Offer(offer *clemwire.Offer, verdict *clemwire.Verdict) error {
+	got, err := m.peer.Offer(m.ctx, offer)
+	return reply(verdict, got, err)
+}
+
+// Cancel serves Peer.Cancel.
+func (m *methods) Cancel(cancel *clemwire.Cancel, cancelled *clemwire.Cancelled) error {
+	got, err := m.peer.Cancel(m.ctx, cancel)
+	return reply(cancelled, got, err)
+}
+
+// Void serves Peer.Void.
+func (m *methods) Void(void *clemwire.Void, voided *clemwire.Voided) error {
+	got, err := m.peer.Void(m.ctx, void)
+	return reply(voided, got, err)
+}
+
+// Pull serves Peer.Pull.
+func (m *methods) Pull(pull *clemwire.Pull, pulled *clemwire.Pulled) error {
+	got, err := m.peer.Pull(m.ctx, pull)
+	return reply(pulled, got, err)
+}
+
+// Beat serves Peer.Beat.
+func (m *methods) Beat(beat *clemwire.Beat, back *clemwire.BeatReply) error {
+	got, err := m.peer.Beat(m.ctx, beat)
+	return reply(back, got, err)
+}
+
+// Probe serves Peer.Probe.
+func (m *methods) Probe(_ *clemwire.Probe, probed *clemwire.Probed) error {
+	got, err := m.peer.Probe(m.ctx)
+	return reply(probed, got, err)
+}
+
+// Gather serves Peer.Gather.
+func (m *methods) Gather(_ *clemwire.Gather, gathered *clemwire.Gathered) error {
+	got, err := m.peer.Gather(m.ctx)
+	return reply(gathered, got, err)
+}
+
+// callError carries an error of the closed list through net/rpc's error string.
+type callError string
+
+func (e callError) Error() string { return string(e) }
+
+func encodeError(err error) error {
+	text, marshalErr := protojson.Marshal(clementineturn.AsError(err).Refusal())
+	if marshalErr != nil {
+		return err
+	}
+	return callError(text)
+}
+
+func decodeError(err rpc.ServerError) error {
+	refusal := &clemwire.Refusal{}
+	if protojson.Unmarshal([]byte(err), refusal) != nil {
+		return clementineturn.Errorf(clementineturn.KindInternal, "%s", string(err))
+	}
+	return clementineturn.FromRefusal(refusal)
+}
--- /dev/null
+++ b/clemrpc/unsupported.go
@@ -0,0 +1,56 @@
+package clemrpc
+
+import (
+	"context"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// Unsupported answers every call with KindNotFound. A role embeds it and
+// implements the calls that it serves.
+type Unsupported struct{}
+
+func unsupported(method string) error {
+	return clementineturn.Refuse(clementineturn.KindNotFound, "this process does not serve %s", method)
+}
+
+// Offer implements clementineturn.Peer.
+func (Unsupported) Offer(context.Context, *clemwire.Offer) (*clemwire.Verdict, error) {
+	return nil, unsupported("Offer")
+}
+
+// Cancel implements clementineturn.Peer.
+func (Unsupported) Cancel(context.Context, *clemwire.Cancel) (*clemwire.Cancelled, error) {
+	return nil, unsupported("Cancel")
+}
+
+// Void implements clementineturn.Peer.
+func (Unsupported) Void(context.Context, *clemwire.Void) (*clemwire.Voided, error) {
+	return nil, unsupported("Void")
+}
+
+// Fetch implements clementineturn.Peer.
+func (Unsupported) Fetch(context.Context, *clemwire.Fetch, func(*clemwire.Frame) error) error {
+	return unsupported("Fetch")
+}
+
+// Pull implements clementineturn.Peer.
+func (Unsupported) Pull(context.Context, *clemwire.Pull) (*clemwire.Pulled, error) {
+	return nil, unsupported("Pull")
+}
+
+// Beat implements clementineturn.Peer.
+func (Unsupported) Beat(context.Context, *clemwire.Beat) (*clemwire.BeatReply, error) {
+	return nil, unsupported("Beat")
+}
+
+// Probe implements clementineturn.Peer.
+func (Unsupported) Probe(context.Context) (*clemwire.Probed, error) {
+	return nil, unsupported("Probe")
+}
+
+// Gather implements clementineturn.Peer.
+func (Unsupported) Gather(context.Context) (*clemwire.Gathered, error) {
+	return nil, unsupported("Gather")
+}
--- /dev/null
+++ b/clemsidecar/sidecar.go
@@ -0,0 +1,414 @@
+// Package clemsidecar is the process beside a backend server. It sees all of
+// its server's traffic, so it alone decides what the server runs: admission,
+// queueing, the at-most-once claim, cancellation and drain.
+package clemsidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemanswer"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemclaim"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemgate"
+	"github.com/clementineturn/clementineturn/clemrpc"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	tickInterval   = 100 * time.Millisecond
+	defaultTimeout = 2 * time.Minute
+	// claimTimeout bounds the write of a claim, so that a slow table refuses work in time.
+	claimTimeout = 5 * time.Second
+)
+
+// Relay is what the sidecar asks of the relay tree.
+type Relay interface {
+	Pull(ctx context.Context, pull *clemwire.Pull) (*clemwire.Pulled, error)
+	Beat(ctx context.Context, beat *clemwire.Beat) (*clemwire.BeatReply, error)
+	Learn(changes []*clemwire.Change)
+}
+
+// Config describes a Sidecar to construct.
+type Config struct {
+	Server      string
+	Pool        string
+	Incarnation uint64
+	Board       *clemboard.Board
+	Gate        *clemgate.Gate
+	Keeper      *clemclaim.Keeper
+	Answers     *clemanswer.Store
+	Backend     clementineturn.Backend
+	Relay       Relay
+	Events      *clemevent.Logger
+}
+
+// Sidecar implements clementineturn.Peer beside one backend server. Lock
+// order: Sidecar.mu before the locks of gate, answers and keeper; none of
+// those is held when it calls them.
+type Sidecar struct {
+	clemrpc.Unsupported
+	server      string
+	pool        string
+	incarnation uint64
+	board       *clemboard.Board
+	gate        *clemgate.Gate
+	keeper      *clemclaim.Keeper
+	answers     *clemanswer.Store
+	backend     clementineturn.Backend
+	relay       Relay
+	events      *clemevent.Logger
+
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	running  sync.WaitGroup
+}
+
+// attempt is one offer between its arrival and its end.
+type attempt struct {
+	offer   *clemwire.Offer
+	cancel  context.CancelFunc
+	decided chan struct{}
+	verdict *clemwire.Verdict
+	stopped bool
+}
+
+// New returns the sidecar that the configuration describes.
+func New(c Config) *Sidecar {
+	return &Sidecar{
+		server: c.Server, pool: c.Pool, incarnation: c.Incarnation, board: c.Board, gate: c.Gate,
+		keeper: c.Keeper, answers: c.Answers, backend: c.Backend, relay: c.Relay, events: c.Events,
+		attempts: map[string]*attempt{},
+	}
+}
+
+// Start runs the periodic work until the context ends: limits follow the
+// board, waiting work expires, orphaned answers are stopped.
+func (s *Sidecar) Start(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		ticker := time.NewTicker(tickInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				s.tick(time.Now())
+			case <-ctx.Done():
+				done <- nil
+				return
+			}
+		}
+	}()
+	return done
+}
+
+func (s *Sidecar) tick(now time.Time) {
+	s.refreshLimits(now)
+	s.gate.Expire(now)
+	if s.board.Drain().Get().Active() {
+		s.gate.Drain(now)
+	}
+	for _, id := range s.answers.Orphans(now) {
+		s.stop(id)
+	}
+	s.answers.Sweep(now)
+}
+
+// refreshLimits passes configuration and pool load to the gate.
+func (s *Sidecar) refreshLimits(now time.Time) {
+	state := s.board.Config().Get()
+	if state == nil {
+		return
+	}
+	pool := state.Pool(s.pool)
+	if pool == nil {
+		return
+	}
+	load, known := s.board.Loads().Get().Pool(s.pool)
+	s.gate.SetLimits(now, clemgate.NewLimits(clemgate.LimitsConfig{
+		Slots: int(pool.GetSlots()), Bound: pool.GetBound(),
+		LongCost: pool.GetLongCost(), LongShare: pool.GetLongShare(),
+		Load: load, Known: known,
+	}))
+}
+
+// Loads returns the sidecar's own report for the relay tree.
+func (s *Sidecar) Loads() []*clemwire.PoolLoad {
+	report := s.gate.Report()
+	return []*clemwire.PoolLoad{{
+		Pool: s.pool, Servers: 1, Load: report.Load(),
+		Speeds: clemboard.SpeedHistogram(report.Speed()), Age: durationpb.New(0),
+	}}
+}
+
+// Offer implements clementineturn.Peer. Every refusal it returns says that
+// the work was not run and never will be.
+func (s *Sidecar) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	if err := s.check(ctx, offer); err != nil {
+		return s.refuse(offer, err), nil
+	}
+	a, fresh := s.enter(offer)
+	if !fresh {
+		return s.await(ctx, a)
+	}
+	timeout := offer.GetTimeout().AsDuration()
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	// The work outlives the call: the deadline is the caller's, not the connection's.
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	a.cancel = cancel
+	err := s.admit(runCtx, a)
+	a.verdict = s.verdict(offer, err)
+	close(a.decided)
+	if err != nil {
+		cancel()
+		s.forget(a)
+	}
+	return a.verdict, nil
+}
+
+// check refuses offers that must not even queue.
+func (s *Sidecar) check(ctx context.Context, offer *clemwire.Offer) error {
+	if s.board.Drain().Get().Active() {
+		return clementineturn.Refuse(clementineturn.KindDraining, "%s is draining", s.server)
+	}
+	if len(offer.GetChanges()) > 0 {
+		s.relay.Learn(offer.GetChanges())
+	}
+	state := s.board.Config().Get()
+	if state == nil {
+		return clementineturn.Refuse(clementineturn.KindUnready, "%s holds no configuration", s.server)
+	}
+	if offer.GetAttempt() == "" || offer.GetRequest() == "" {
+		return clementineturn.Invalid("attempt", "request and attempt ids are needed")
+	}
+	if offer.GetGeneration() > state.Generation() {
+		return clementineturn.Refuse(clementineturn.KindStale, "%s holds generation %d, the offer rests on %d", s.server, state.Generation(), offer.GetGeneration())
+	}
+	if scope := state.Scope(offer); offer.GetGeneration() < scope {
+		return clementineturn.Refuse(clementineturn.KindStale, "the offer rests on generation %d, its scope changed at %d", offer.GetGeneration(), scope)
+	}
+	if offer.GetPool() != s.pool || state.Pool(s.pool) == nil {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "%s serves pool %q, not %q", s.server, s.pool, offer.GetPool())
+	}
+	if state.Organisation(offer.GetOrganisation()) == nil {
+		return clementineturn.Refuse(clementineturn.KindNotFound, "no organisation %q", offer.GetOrganisation())
+	}
+	return ctx.Err()
+}
+
+// enter registers the attempt. A repeat of an attempt that is known finds the first one.
+func (s *Sidecar) enter(offer *clemwire.Offer) (*attempt, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, ok := s.attempts[offer.GetAttempt()]; ok {
+		return a, false
+	}
+	a := &attempt{offer: offer, decided: make(chan struct{})}
+	s.attempts[offer.GetAttempt()] = a
+	return a, true
+}
+
+func (s *Sidecar) await(ctx context.Context, a *attempt) (*clemwire.Verdict, error) {
+	select {
+	case <-a.decided:
+		return a.verdict, nil
+	case <-ctx.Done():
+		return nil, clementineturn.AsError(ctx.Err())
+	}
+}
+
+func (s *Sidecar) forget(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.attempts, a.offer.GetAttempt())
+}
+
+// admit takes the offer through queue and claim and dispatches it. An error
+// says that it was not run.
+func (s *Sidecar) admit(ctx context.Context, a *attempt) error {
+	ticket, err := s.queue(ctx, a)
+	if err != nil {
+		return err
+	}
+	grant, err := s.claim(ctx, a.offer)
+	if err != nil {
+		s.gate.Leave(time.Now(), ticket)
+		return err
+	}
+	answer, err := s.answers.Open(a.offer, time.Now())
+	if err != nil {
+		s.gate.Leave(time.Now(), ticket)
+		return clementineturn.Refuse(clementineturn.KindConflict, "attempt %s ran before", a.offer.GetAttempt())
+	}
+	if outcome := grant.replay(); outcome != nil {
+		s.gate.Leave(time.Now(), ticket)
+		return s.replay(a, answer, outcome)
+	}
+	if err := s.begin(ctx, a, grant); err != nil {
+		s.gate.Leave(time.Now(), ticket)
+		s.answers.Close(answer, err, time.Now())
+		return err
+	}
+	s.running.Add(1)
+	go s.run(ctx, &job{attempt: a, ticket: ticket, grant: grant, answer: answer})
+	return nil
+}
+
+// queue waits for the gate's decision.
+func (s *Sidecar) queue(ctx context.Context, a *attempt) (*clemgate.Ticket, error) {
+	offer := a.offer
+	organisation := s.board.Config().Get().Organisation(offer.GetOrganisation())
+	deadline, _ := ctx.Deadline()
+	ticket, err := s.gate.Enter(time.Now(), clemgate.NewItem(clemgate.ItemConfig{
+		Organisation: organisation.GetName(), Weight: organisation.GetWeight(), Queue: organisation.GetQueue(),
+		Prompt: offer.GetPrompt(), Output: offer.GetOutput(), Deadline: deadline, Hedge: offer.GetHedge(),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-ticket.Decided():
+	case <-ctx.Done():
+		if s.gate.Withdraw(time.Now(), ticket) {
+			return nil, s.withdrawn(ctx, a)
+		}
+		<-ticket.Decided()
+	}
+	return ticket, ticket.Err()
+}
+
+func (s *Sidecar) withdrawn(ctx context.Context, a *attempt) error {
+	if s.isStopped(a) {
+		return clementineturn.Refuse(clementineturn.KindCancelled, "cancelled while waiting")
+	}
+	return clementineturn.Refuse(clementineturn.KindExpired, "deadline passed while waiting: %w", ctx.Err())
+}
+
+// begin is the point of no return: from here on the work may have run.
+func (s *Sidecar) begin(ctx context.Context, a *attempt, grant *grant) error {
+	if s.isStopped(a) || ctx.Err() != nil {
+		grant.abandon(ctx)
+		return s.withdrawn(ctx, a)
+	}
+	return grant.begin()
+}
+
+// Cancel implements clementineturn.Peer. Running at-most-once work goes on.
+func (s *Sidecar) Cancel(_ context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error) {
+	s.mu.Lock()
+	a := s.attempts[cancel.GetAttempt()]
+	s.mu.Unlock()
+	if a == nil || a.offer.GetOrganisation() != cancel.GetOrganisation() {
+		return &clemwire.Cancelled{Status: s.status()}, nil
+	}
+	s.stop(cancel.GetAttempt())
+	select {
+	case <-a.decided:
+		return &clemwire.Cancelled{NotRun: a.verdict.GetRefusal().GetNotRun(), Status: s.status()}, nil
+	default:
+		return &clemwire.Cancelled{Status: s.status()}, nil
+	}
+}
+
+// stop ends an attempt that waits, or runs and is idempotent.
+func (s *Sidecar) stop(id string) {
+	s.mu.Lock()
+	a := s.attempts[id]
+	var cancel context.CancelFunc
+	if a != nil && a.cancel != nil && a.offer.GetMode() != clemwire.Mode_MODE_AT_MOST_ONCE {
+		a.stopped = true
+		cancel = a.cancel
+	}
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (s *Sidecar) isStopped(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return a.stopped
+}
+
+// Void implements clementineturn.Peer.
+func (s *Sidecar) Void(_ context.Context, void *clemwire.Void) (*clemwire.Voided, error) {
+	voided := s.keeper.Void(void)
+	voided.Status = s.status()
+	return voided, nil
+}
+
+// Fetch implements clementineturn.Peer.
+func (s *Sidecar) Fetch(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
+	return s.answers.Fetch(ctx, fetch, handler)
+}
+
+// Pull implements clementineturn.Peer.
+func (s *Sidecar) Pull(ctx context.Context, pull *clemwire.Pull) (*clemwire.Pulled, error) {
+	return s.relay.Pull(ctx, pull)
+}
+
+// Beat implements clementineturn.Peer.
+func (s *Sidecar) Beat(ctx context.Context, beat *clemwire.Beat) (*clemwire.BeatReply, error) {
+	return s.relay.Beat(ctx, beat)
+}
+
+// Probe implements clementineturn.Peer.
+func (s *Sidecar) Probe(context.Context) (*clemwire.Probed, error) {
+	return &clemwire.Probed{
+		Node: s.server, Role: "sidecar", Generation: s.generation(), Incarnation: s.incarnation,
+		Ready: s.board.Config().Get() != nil, Draining: s.board.Drain().Get().Active(),
+	}, nil
+}
+
+// Idle reports whether nothing runs, no outcome waits to be recorded and no
+// answer waits for its reader.
+func (s *Sidecar) Idle() bool {
+	report := s.gate.Report()
+	return report.Running() == 0 && report.Waiting() == 0 && s.keeper.Pending() == 0 && s.answers.Unread() == 0
+}
+
+// Wait returns when every dispatched piece of work has ended.
+func (s *Sidecar) Wait() { s.running.Wait() }
+
+func (s *Sidecar) generation() uint64 {
+	if state := s.board.Config().Get(); state != nil {
+		return state.Generation()
+	}
+	return 0
+}
+
+func (s *Sidecar) status() *clemwire.Status {
+	return &clemwire.Status{
+		Server: s.server, Incarnation: s.incarnation, Generation: s.generation(),
+		Draining: s.board.Drain().Get().Active(), Load: s.gate.Report().Load(),
+	}
+}
+
+func (s *Sidecar) verdict(offer *clemwire.Offer, err error) *clemwire.Verdict {
+	if err != nil {
+		return s.refuse(offer, err)
+	}
+	return &clemwire.Verdict{Status: s.status()}
+}
+
+// refuse returns the refusal as a verdict, with the changes that a stale offer lacked.
+func (s *Sidecar) refuse(offer *clemwire.Offer, err error) *clemwire.Verdict {
+	e := clementineturn.AsError(err)
+	verdict := &clemwire.Verdict{Refusal: e.Refusal(), Status: s.status()}
+	if e.Kind() == clementineturn.KindStale && offer.GetGeneration() < s.generation() {
+		if pulled, err := s.relay.Pull(context.Background(), &clemwire.Pull{Generation: offer.GetGeneration()}); err == nil {
+			verdict.Changes = pulled.GetChanges()
+		}
+	}
+	s.events.Emit(clemevent.OfferRefused, zap.String("request", offer.GetRequest()), zap.String("attempt", offer.GetAttempt()), zap.Error(e))
+	return verdict
+}
