clemgate: admission at the sidecar

A first whole version: load bound on the sidecar's own count, start-time fair queueing over organisations, size classes, deadlines, slowness and drain.

--- /dev/null
+++ b/clemgate/gate.go
@@ -0,0 +1,308 @@
+// Package clemgate admits work at the sidecar beside a backend server. The
+// server's load is the sidecar's own count of estimated tokens in flight, and
+// it stays within a multiple of the pool's mean. Work that has to wait is
+// queued fairly over organisations, short before long. The package takes the
+// time as an argument and starts no goroutine.
+package clemgate
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
+
+const (
+	// agedAfter is the wait after which a long item goes before short ones.
+	agedAfter = 2 * time.Second
+	// boundPatience is how long an item waits for the bound once a slot is free.
+	boundPatience = 200 * time.Millisecond
+	// hedgeShare is the share of the slots up to which hedges are admitted.
+	hedgeShare = 0.75
+)
+
+// Config describes a Gate to construct.
+type Config struct {
+	// Server is the name of the backend server, used in refusals.
+	Server string
+}
+
+// Gate admits work to one backend server. It is safe for concurrent use.
+type Gate struct {
+	server string
+
+	mu       sync.Mutex
+	limits   Limits
+	backlog  *backlog
+	meter    meter
+	history  history
+	load     uint64
+	busy     uint64
+	running  int
+	long     int
+	factor   float64
+	draining bool
+}
+
+// New returns a gate without slots; SetLimits opens it.
+func New(c Config) *Gate {
+	return &Gate{server: c.Server, backlog: newBacklog(), factor: 1}
+}
+
+// SetLimits replaces the limits and grants what they allow.
+func (g *Gate) SetLimits(now time.Time, l Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits = l
+	g.tick(now)
+}
+
+// SetBusy sets the work, in tokens, that the engine still runs for an earlier
+// incarnation of the sidecar.
+func (g *Gate) SetBusy(now time.Time, load uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy = load
+	g.tick(now)
+}
+
+// Enter asks for admission. The ticket is granted at once or waits; an error
+// refuses the item and says that it was not run. Errors: KindOverloaded,
+// KindDraining, KindExpired, KindSlow.
+func (g *Gate) Enter(now time.Time, item Item) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(now, item); err != nil {
+		return nil, err
+	}
+	t := &Ticket{item: item, index: absent, entered: now, latest: g.latest(item), cost: item.cost(), mark: now, decided: make(chan struct{})}
+	t.setClass(g.classOf(t.cost))
+	t.flow = g.backlog.flow(item)
+	if g.backlog.active[t.class].Len() == 0 && g.hasSlot(now, t) && g.fits(now, t.cost) {
+		g.backlog.enter(t.flow)
+		g.grant(now, t)
+		return t, nil
+	}
+	if err := g.checkQueue(now, t); err != nil {
+		g.backlog.forget(t.flow)
+		return nil, err
+	}
+	g.backlog.push(t)
+	g.dispatch(now)
+	return t, nil
+}
+
+// Withdraw takes back an item. It returns true if the item still waited and
+// now never runs.
+func (g *Gate) Withdraw(now time.Time, t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != stateWaiting {
+		return t.state == stateRefused
+	}
+	g.refuse(t, clementineturn.Refuse(clementineturn.KindCancelled, "withdrawn"))
+	g.dispatch(now)
+	return true
+}
+
+// Progress tells the output, in tokens, that a granted item has produced so far.
+func (g *Gate) Progress(now time.Time, t *Ticket, tokens uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != stateGranted || tokens <= t.produced {
+		return
+	}
+	if t.produced > 0 {
+		g.meter.add(now, now.Sub(t.mark), tokens-t.produced)
+	}
+	t.produced, t.mark = tokens, now
+	g.outrun(now, t)
+}
+
+// Leave ends a granted item.
+func (g *Gate) Leave(now time.Time, t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != stateGranted {
+		return
+	}
+	if t.produced == 0 {
+		g.meter.add(now, now.Sub(t.mark), t.cost)
+	}
+	t.state = stateLeft
+	g.setLoad(now, g.load-t.cost)
+	g.running--
+	if t.class == classLong {
+		g.long--
+	}
+	t.flow.running--
+	g.backlog.leave(t.flow)
+	g.dispatch(now)
+}
+
+// Expire refuses waiting items whose deadline has passed or cannot be met,
+// and grants what the limits allow at this time.
+func (g *Gate) Expire(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tick(now)
+}
+
+// Drain refuses waiting and new work for good.
+func (g *Gate) Drain(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	g.tick(now)
+}
+
+// Report returns the state of the gate.
+func (g *Gate) Report() Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Report{
+		load: g.load + g.busy, running: g.running, waiting: g.backlog.waiting,
+		speed: g.meter.speed(), slowness: g.meter.slowness(g.limits.load.Median()),
+	}
+}
+
+// fits reports whether the bound allows the cost, in tokens. The mean is
+// the pool's total as reported, with the server's own part of it replaced by
+// its count of now and the new cost added, over the servers in the sum. An
+// idle server takes any one item. Without a fresh mean the slots alone limit.
+func (g *Gate) fits(now time.Time, cost uint64) bool {
+	load := g.load + g.busy
+	if load == 0 || !g.limits.isFresh(now) {
+		return true
+	}
+	mean := (g.total(now) + float64(cost)) / float64(g.limits.load.Servers())
+	return float64(load+cost) <= math.Ceil(g.limits.bound*g.factor*mean)
+}
+
+// total returns the pool's work in flight, with this server's part as of now.
+func (g *Gate) total(now time.Time) float64 {
+	own := g.history.at(now, g.limits.load.Time(), g.load+g.busy)
+	others := float64(g.limits.load.Total()) - float64(own)
+	return max(0, others) + float64(g.load+g.busy)
+}
+
+// slots returns the number of items that may run now.
+func (g *Gate) slots(now time.Time) int {
+	slots := g.limits.slots
+	if g.busy > 0 || !g.limits.isFresh(now) {
+		slots = scale(slots, safeShare)
+	}
+	if g.factor < 1 {
+		slots = scale(slots, g.factor)
+	}
+	return slots
+}
+
+// hasSlot reports whether a slot is free for the ticket. Long items hold a
+// limited share, and an organisation above its fair share leaves some free.
+func (g *Gate) hasSlot(now time.Time, t *Ticket) bool {
+	slots := g.slots(now)
+	if t.class == classLong && g.long >= scale(slots, g.limits.longShare) {
+		return false
+	}
+	if t.item.hedge {
+		slots = scale(slots, hedgeShare)
+	}
+	if g.isAboveShare(t.flow, slots) {
+		slots -= int(float64(slots) * reserveShare)
+	}
+	return g.running < slots
+}
+
+// isAboveShare reports whether the flow holds its fair share of the slots or
+// more. Shares are by weight over the organisations with work.
+func (g *Gate) isAboveShare(f *flow, slots int) bool {
+	if g.backlog.weight <= f.weight {
+		return false
+	}
+	return float64(f.running)*g.backlog.weight >= float64(slots)*f.weight
+}
+
+func (g *Gate) classOf(tokens uint64) class {
+	if g.limits.isLong(tokens) {
+		return classLong
+	}
+	return classShort
+}
+
+// dispatch grants waiting items while the limits allow.
+func (g *Gate) dispatch(now time.Time) {
+	for g.backlog.waiting > 0 && g.dispatchOne(now) {
+		continue
+	}
+}
+
+// dispatchOne grants or refuses one waiting item and reports whether it did.
+func (g *Gate) dispatchOne(now time.Time) bool {
+	for _, c := range g.order(now) {
+		t := g.next(now, c)
+		if t == nil {
+			continue
+		}
+		if g.fits(now, t.cost) {
+			g.backlog.pull(t)
+			g.grant(now, t)
+			return true
+		}
+		if now.Sub(t.entered) >= boundPatience {
+			g.refuse(t, clementineturn.Refuse(clementineturn.KindOverloaded, "%s is at its load bound", g.server))
+			return true
+		}
+	}
+	return false
+}
+
+// order returns the classes in the order of service: short first, unless the
+// long item that is next has aged.
+func (g *Gate) order(now time.Time) [classCount]class {
+	if g.backlog.active[classLong].Len() > 0 {
+		head := g.backlog.active[classLong].first().head(classLong)
+		if now.Sub(head.entered) >= agedAfter {
+			return [classCount]class{classLong, classShort}
+		}
+	}
+	return [classCount]class{classShort, classLong}
+}
+
+// next returns the class's item that is to be served next, or nil if no slot is free for it.
+func (g *Gate) next(now time.Time, c class) *Ticket {
+	if g.backlog.active[c].Len() == 0 {
+		return nil
+	}
+	t := g.backlog.active[c].first().head(c)
+	if !g.hasSlot(now, t) {
+		return nil
+	}
+	return t
+}
+
+// grant lets the item run.
+func (g *Gate) grant(now time.Time, t *Ticket) {
+	g.backlog.serve(t.flow, t.cost)
+	t.flow.running++
+	g.running++
+	if t.class == classLong {
+		g.long++
+	}
+	g.setLoad(now, g.load+t.cost)
+	t.mark = now
+	t.decide(stateGranted, nil)
+}
+
+// refuse ends a waiting item.
+func (g *Gate) refuse(t *Ticket, err error) {
+	g.backlog.pull(t)
+	g.backlog.leave(t.flow)
+	t.decide(stateRefused, err)
+}
+
+func (g *Gate) setLoad(now time.Time, load uint64) {
+	g.load = load
+	g.history.add(now, g.load+g.busy)
+}
