Clients of the platform and of backend servers

First working versions over HTTP. clemhttp holds what both need: a request that net/http cannot replay, and whether a byte of it may have been sent. Conditional requests map to the closed list of error kinds.

--- /dev/null
+++ b/clembackend/order.go
@@ -0,0 +1,62 @@
+package clembackend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemhttp"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// maxExcerpt bounds the bytes of a backend server's answer that an error quotes.
+const maxExcerpt = 512
+
+// loadOrder is the JSON body of an order.
+type loadOrder struct {
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Fence    uint64   `json:"fence"`
+}
+
+// Order implements clementineturn.Backend. Plain services take no orders, so
+// there it does nothing. Errors: KindConflict if the engine has seen a higher
+// fence, KindUnavailable if the order had no effect, KindUnknown if it may have.
+func (b *Backend) Order(ctx context.Context, pool *clemwire.Pool, fence uint64) error {
+	if b.plain {
+		return nil
+	}
+	body, err := json.Marshal(loadOrder{Version: pool.GetVersion(), Adapters: pool.GetAdapters(), Fence: fence})
+	if err != nil {
+		return clementineturn.Errorf(clementineturn.KindInternal, "order: %w", err)
+	}
+	req, err := clemhttp.NewRequest(ctx, http.MethodPost, b.url+"/v1/load", body)
+	if err != nil {
+		return clementineturn.Refuse(clementineturn.KindInvalid, "order: %v", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, sent, err := clemhttp.Do(b.single, req)
+	if err != nil {
+		return sendError(ctx, err, sent)
+	}
+	defer resp.Body.Close()
+	return orderError(resp)
+}
+
+func orderError(resp *http.Response) error {
+	kind := clementineturn.KindUnknown
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted, http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		kind = clementineturn.KindConflict
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		kind = clementineturn.KindUnavailable
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusUnprocessableEntity:
+		kind = clementineturn.KindInvalid
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxExcerpt))
+	return clementineturn.Errorf(kind, "the engine answered the order with %d: %s", resp.StatusCode, text)
+}
--- /dev/null
+++ b/clembackend/relay.go
@@ -0,0 +1,104 @@
+package clembackend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"sync"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	bufferSize = 32 << 10
+	// tailSize holds the end of a stream: the marker and the line ends around it.
+	tailSize    = 32
+	eventStream = "text/event-stream"
+)
+
+var endMarker = []byte("data: [DONE]")
+
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+// relay passes the answer to the sink as it is read.
+func relay(ctx context.Context, offer *clemwire.Offer, resp *http.Response, sink clementineturn.Sink) error {
+	media := resp.Header.Get("Content-Type")
+	if err := sink.Start(&clemwire.Start{Status: uint32(resp.StatusCode), Media: media}); err != nil {
+		return err
+	}
+	base, _, _ := mime.ParseMediaType(media)
+	marked := offer.GetService() == "" && base == eventStream
+	var end tail
+	if err := end.copy(ctx, resp.Body, sink); err != nil {
+		return err
+	}
+	if marked {
+		return end.check()
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1 {
+		return clementineturn.Errorf(clementineturn.KindCut, "the answer has no length, so that its end cannot be told from a cut")
+	}
+	return nil
+}
+
+// tail keeps the last bytes of an answer.
+type tail struct {
+	bytes [tailSize]byte
+	size  int
+}
+
+func (t *tail) copy(ctx context.Context, from io.Reader, sink clementineturn.Sink) error {
+	buffer := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(buffer)
+	for {
+		n, err := from.Read(buffer[:])
+		if n > 0 {
+			t.add(buffer[:n])
+			if err := sink.Data(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return readError(ctx, err)
+		}
+	}
+}
+
+func (t *tail) add(data []byte) {
+	if len(data) >= tailSize {
+		t.size = copy(t.bytes[:], data[len(data)-tailSize:])
+		return
+	}
+	if drop := t.size + len(data) - tailSize; drop > 0 {
+		t.size = copy(t.bytes[:], t.bytes[drop:t.size])
+	}
+	t.size += copy(t.bytes[t.size:], data)
+}
+
+// check reports a stream that ended without its marker. An engine that dies
+// may still end its HTTP body in order.
+func (t *tail) check() error {
+	if bytes.HasSuffix(bytes.TrimRight(t.bytes[:t.size], "\r\n"), endMarker) {
+		return nil
+	}
+	return clementineturn.Errorf(clementineturn.KindCut, "the stream ended without [DONE]")
+}
+
+// readError returns the error of an answer that could not be read to its end.
+func readError(ctx context.Context, err error) error {
+	if ended := ctx.Err(); ended != nil {
+		kind := clementineturn.KindCancelled
+		if errors.Is(ended, context.DeadlineExceeded) {
+			kind = clementineturn.KindTimeout
+		}
+		return clementineturn.Errorf(kind, "reading the answer: %w", err)
+	}
+	return clementineturn.Errorf(clementineturn.KindCut, "the answer ended early: %w", err)
+}
