--- /dev/null
+++ b/clementry/http.go
@@ -0,0 +1,213 @@
+package clementry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemburn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const bearer = "Bearer "
+
+// Mount adds the callers' paths to the router.
+func (e *Entry) Mount(router chi.Router) {
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Get("/readyz", e.ready)
+	router.Method(http.MethodGet, "/metrics", e.Metrics.Text())
+	router.Method(http.MethodGet, "/metrics.json", e.Metrics.JSON())
+	router.Get("/v1/models", e.caller(e.models))
+	router.Post("/v1/chat/completions", e.caller(e.chat))
+	router.Post("/v1/services/{service}/{call}", e.caller(e.service))
+	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, clementineturn.Refuse(clementineturn.KindNotFound, "no path %s", r.URL.Path))
+	})
+	router.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, clementineturn.Refuse(clementineturn.KindNotFound, "no method %s on %s", r.Method, r.URL.Path))
+	})
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if e.Board.Config().Get() == nil || e.Board.Members().Get() == nil || e.Board.Drain().Get().Active() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// call is one caller's request: who asks, and what is known of it for the records.
+type call struct {
+	organisation *clemwire.Organisation
+	pool         string
+	request      string
+	w            http.ResponseWriter
+	r            *http.Request
+	begun        time.Time
+	out          *output
+}
+
+// caller authenticates and records a request around its handler.
+func (e *Entry) caller(handle func(ctx context.Context, c *call) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		c := &call{w: w, r: r, begun: time.Now(), out: newOutput(w)}
+		organisation, err := e.authenticate(r)
+		if err == nil {
+			c.organisation = organisation
+			err = handle(r.Context(), c)
+		}
+		e.finish(c, err)
+	}
+}
+
+// authenticate returns the organisation whose key the request carries.
+func (e *Entry) authenticate(r *http.Request) (*clemwire.Organisation, error) {
+	state := e.Board.Config().Get()
+	if state == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnready, "no configuration is held yet")
+	}
+	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok {
+		return nil, clementineturn.Refuse(clementineturn.KindUnauthenticated, "an Authorization header with a bearer key is needed")
+	}
+	digest := sha256.Sum256([]byte(secret))
+	organisation := state.Holder(digest[:])
+	if organisation == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnauthenticated, "no organisation holds the key")
+	}
+	return organisation, nil
+}
+
+// finish answers an error, if nothing was sent, and records the request.
+func (e *Entry) finish(c *call, err error) {
+	failure := clementineturn.AsError(err)
+	if failure != nil {
+		c.fail(failure)
+	}
+	now := time.Now()
+	kind := "ok"
+	if failure != nil {
+		kind = failure.Kind().String()
+	}
+	e.Metrics.Counter("requests", "kind", kind).Inc(1)
+	e.Metrics.Timer("request_time").Update(now.Sub(c.begun))
+	if c.organisation != nil && c.pool != "" {
+		e.record(c, failure, now)
+	}
+	e.Events.Emit(clemevent.RequestEnded, zap.String("request", c.request), zap.String("organisation", c.organisation.GetName()),
+		zap.String("pool", c.pool), zap.String("kind", kind), zap.Duration("took", now.Sub(c.begun)), zap.NamedError("error", errorOrNil(failure)))
+}
+
+// record counts the request for the service-level report. What the caller
+// caused, a malformed request or a hang-up, is no failure of the service.
+func (e *Entry) record(c *call, failure *clementineturn.Error, now time.Time) {
+	failed := false
+	if failure != nil {
+		status := failure.Kind().Info().Status()
+		if failure.Kind() == clementineturn.KindCancelled || (status < http.StatusInternalServerError && status != http.StatusTooManyRequests) {
+			return
+		}
+		failed = true
+	}
+	first := c.out.first
+	if first.IsZero() {
+		first = now
+	}
+	objective := clemburn.Objective(e.Board.Config().Get(), c.organisation.GetName(), c.pool)
+	e.Burn.Record(now, c.organisation.GetName(), c.pool, failed, first.Sub(c.begun), objective.GetFirst().AsDuration())
+}
+
+// fail tells the caller of an error. After a part of the answer was sent an
+// event stream gets an error event and no [DONE]; anything else is cut off.
+func (c *call) fail(e *clementineturn.Error) {
+	if !c.out.sent {
+		c.w.Header().Set(headerRequest, c.request)
+		writeError(c.w, e)
+		return
+	}
+	if !c.out.events {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(c.w, "data: %s\n\n", errorBody(e))
+	_ = c.out.controller.Flush()
+}
+
+// openAIError is the error form of the OpenAI API.
+type openAIError struct {
+	Error openAIErrorBody `json:"error"`
+}
+
+type openAIErrorBody struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	NotRun  bool    `json:"not_run"`
+}
+
+func errorBody(e *clementineturn.Error) []byte {
+	body := openAIErrorBody{Message: e.Message(), Type: e.Kind().Info().Family(), Code: e.Kind().String(), NotRun: e.NotRun()}
+	if field := e.Field(); field != "" {
+		body.Param = &field
+	}
+	text, err := json.Marshal(openAIError{body})
+	if err != nil {
+		return []byte(`{"error":{"message":"internal","type":"server_error","param":null,"code":"internal"}}`)
+	}
+	return text
+}
+
+func writeError(w http.ResponseWriter, e *clementineturn.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	if retry := e.Retry(); retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(max(1, retry.Round(time.Second)/time.Second))))
+	}
+	w.WriteHeader(e.Kind().Info().Status())
+	_, _ = w.Write(errorBody(e))
+}
+
+func errorOrNil(e *clementineturn.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
+
+// body reads the request's body up to the limit.
+func (e *Entry) body(c *call) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.Body))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, clementineturn.Refuse(clementineturn.KindTooLarge, "the body is larger than %d bytes", large.Limit)
+	case err != nil:
+		return nil, clementineturn.Invalid("body", "reading failed: %v", err)
+	}
+	return data, nil
+}
+
+// run serves the task within its deadline.
+func (e *Entry) run(ctx context.Context, c *call, t *task, timeout time.Duration) error {
+	if timeout <= 0 {
+		timeout = e.Deadline
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.request = t.request
+	c.w.Header().Set(headerRequest, t.request)
+	return e.router.serve(ctx, t, c.out)
+}
--- /dev/null
+++ b/clementry/plan.go
@@ -0,0 +1,59 @@
+package clementry
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// plan is a request as the configuration of one generation classifies it.
+type plan struct {
+	offer *clemwire.Offer
+	work  clementineturn.Work
+}
+
+// task is a caller's request on its way through the fleet. build classifies
+// it anew when the configuration changed under it.
+type task struct {
+	request      string
+	organisation string
+	build        func(state *clemconfig.State) (*plan, error)
+	attempts     int
+}
+
+func newTask(organisation string, build func(state *clemconfig.State) (*plan, error)) *task {
+	return &task{request: rand.Text(), organisation: organisation, build: build}
+}
+
+// nextAttempt returns the id of the task's next attempt. It carries the
+// request's id, so that both can be told from another request's.
+func (t *task) nextAttempt() string {
+	t.attempts++
+	return fmt.Sprintf("%s.%d", t.request, t.attempts)
+}
+
+// plan classifies the task by the newest configuration.
+func (t *task) plan(ctx context.Context, state *clemconfig.State) (*plan, error) {
+	if state == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnready, "no configuration is held yet")
+	}
+	p, err := t.build(state)
+	if err != nil {
+		return nil, err
+	}
+	p.offer.Request, p.offer.Organisation, p.offer.Generation = t.request, t.organisation, state.Generation()
+	if deadline, ok := ctx.Deadline(); ok {
+		p.offer.Timeout = durationpb.New(time.Until(deadline))
+	}
+	p.work = clementineturn.NewWork(p.offer.GetPool(), t.organisation, p.offer.GetConversation())
+	return p, nil
+}
+
+func (p *plan) isIdempotent() bool { return p.offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT }
--- /dev/null
+++ b/clementry/router.go
@@ -0,0 +1,167 @@
+package clementry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	// maxTries bounds the backend servers that one request is offered to.
+	maxTries = 4
+	// maxLessons bounds how often one offer is repeated to a sidecar of another generation.
+	maxLessons = 3
+)
+
+// router places requests on backend servers.
+type router struct {
+	Config
+}
+
+func newRouter(c Config) *router { return &router{c} }
+
+// session is an accepted attempt at one backend server.
+type session struct {
+	host    *clemwire.Host
+	peer    clementineturn.Peer
+	offer   *clemwire.Offer
+	started time.Time
+}
+
+// place offers the task to ranked backend servers until one accepts. tried
+// holds the servers that had their turn. Errors carry NotRun unless an offer
+// was lost on the way.
+func (r *router) place(ctx context.Context, t *task, tried map[string]bool, hedge bool) (*session, error) {
+	var last error
+	for range maxTries {
+		p, err := t.plan(ctx, r.Board.Config().Get())
+		if err != nil {
+			return nil, err
+		}
+		host := r.next(p, tried)
+		if host == nil {
+			break
+		}
+		tried[host.GetName()] = true
+		p.offer.Attempt, p.offer.Hedge = t.nextAttempt(), hedge
+		s, err := r.offer(ctx, t, p, host)
+		if err == nil {
+			return s, nil
+		}
+		last = err
+		if !r.mayGoOn(ctx, p, err) {
+			return nil, err
+		}
+	}
+	if last != nil {
+		return nil, last
+	}
+	return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "no backend server is left for the request")
+}
+
+// next returns the best ranked backend server that was not tried.
+func (r *router) next(p *plan, tried map[string]bool) *clemwire.Host {
+	members := r.Board.Members().Get()
+	if members == nil {
+		return nil
+	}
+	for _, host := range r.Ranker.Rank(p.work, members.Pool(p.offer.GetPool())) {
+		if !tried[host.GetName()] {
+			return host
+		}
+	}
+	return nil
+}
+
+// mayGoOn reports whether another backend server may get the work. A lost
+// offer of at-most-once work ends the request: its caller repeats it with the
+// same key once the claim's state is clear.
+func (r *router) mayGoOn(ctx context.Context, p *plan, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	e := clementineturn.AsError(err)
+	if e.NotRun() {
+		return e.Kind().Info().Another()
+	}
+	return p.isIdempotent()
+}
+
+// offer makes one offer. A refusal as stale exchanges the missing changes and
+// offers again; the classification may then differ.
+func (r *router) offer(ctx context.Context, t *task, p *plan, host *clemwire.Host) (*session, error) {
+	peer := r.Peers.Peer(host.GetAddress())
+	for range maxLessons {
+		verdict, err := peer.Offer(ctx, p.offer)
+		if err != nil {
+			r.Health.Failed(host.GetName(), time.Now())
+			return nil, lost(err)
+		}
+		refusal := clementineturn.FromRefusal(verdict.GetRefusal())
+		if refusal == nil {
+			r.Health.Succeeded(host.GetName(), time.Now())
+			return &session{host: host, peer: peer, offer: p.offer, started: time.Now()}, nil
+		}
+		if refusal.Kind() != clementineturn.KindStale {
+			r.Health.Refused(host.GetName(), refusal.Kind(), time.Now())
+			return nil, refusal
+		}
+		r.Events.Emit(clemevent.OfferStale, zap.String("request", t.request), zap.String("server", host.GetName()))
+		next, err := r.reconcile(ctx, t, p, verdict)
+		if err != nil {
+			return nil, err
+		}
+		p = next
+	}
+	return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "%s and this entry do not agree on a configuration", host.GetName())
+}
+
+// lost keeps a refusal that the peer's connection made and marks everything
+// else as unknown, since the offer may have arrived.
+func lost(err error) error {
+	if clementineturn.IsNotRun(err) {
+		return err
+	}
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindUnknown, Message: clementineturn.AsError(err).Message(), Cause: err,
+	})
+}
+
+// reconcile brings the lower side of a stale offer up to the higher and
+// returns the plan to offer next.
+func (r *router) reconcile(ctx context.Context, t *task, p *plan, verdict *clemwire.Verdict) (*plan, error) {
+	theirs := verdict.GetStatus().GetGeneration()
+	if theirs > p.offer.GetGeneration() {
+		r.Relay.Learn(verdict.GetChanges())
+	}
+	next, err := t.plan(ctx, r.Board.Config().Get())
+	if err != nil {
+		return nil, err
+	}
+	if next.offer.GetPool() != p.offer.GetPool() {
+		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "the request's pool changed on the way")
+	}
+	next.offer.Attempt, next.offer.Hedge = p.offer.GetAttempt(), p.offer.GetHedge()
+	if theirs < next.offer.GetGeneration() {
+		pulled, err := r.Relay.Pull(ctx, &clemwire.Pull{Generation: theirs})
+		if err != nil {
+			return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "changes since generation %d: %w", theirs, err)
+		}
+		next.offer.Changes = pulled.GetChanges()
+	}
+	return next, nil
+}
+
+// cancel withdraws an attempt whose answer nobody wants.
+func (s *session) cancel(ctx context.Context) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer stop()
+	_, _ = s.peer.Cancel(ctx, &clemwire.Cancel{
+		Request: s.offer.GetRequest(), Attempt: s.offer.GetAttempt(), Organisation: s.offer.GetOrganisation(),
+	})
+}
