clemrank, clembudget: ranking at the entry, retry and hedge budgets

Rendezvous hashing without state and four plain rankers to compare it with; share budgets and a hedge policy that stops after overload refusals.

--- /dev/null
+++ b/clembudget/budget_test.go
@@ -0,0 +1,65 @@
+package clembudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Extra work never passes the share of all work plus the burst.
+func TestBudgetKeepsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
+		burst := rapid.Float64Range(0, 100).Draw(t, "burst")
+		b := New(Config{Share: share, Burst: burst})
+		work, extra := 0.0, 0.0
+		for _, cost := range rapid.SliceOf(rapid.Float64Range(-50, 50)).Draw(t, "costs") {
+			if cost >= 0 {
+				b.Earn(cost)
+				work += cost
+			} else if b.Spend(-cost) {
+				extra -= cost
+			}
+			if extra > burst+share*work+1e-6 {
+				t.Fatalf("extra %v of work %v", extra, work)
+			}
+		}
+	})
+}
+
+func observed(t *testing.T) *Hedge {
+	t.Helper()
+	h := NewHedge(HedgeConfig{Quantile: 0.95, Burst: 10, Quiet: 5 * time.Second, Least: time.Millisecond})
+	h.Earn("p", 0.1, 1000)
+	for i := range 100 {
+		h.Observe(start, "p", time.Duration(i+1)*time.Millisecond)
+	}
+	return h
+}
+
+func TestHedgeDelayIsAQuantileOfTheLastWindow(t *testing.T) {
+	h := observed(t)
+	_, ok := h.Delay(start, "p")
+	require.False(t, ok, "the window is not over")
+	delay, ok := h.Delay(start.Add(hedgeWindow), "p")
+	require.True(t, ok)
+	require.InDelta(t, 95*time.Millisecond, delay, float64(2*time.Millisecond))
+	_, ok = h.Delay(start.Add(hedgeWindow), "other")
+	require.False(t, ok)
+}
+
+func TestHedgeStopsAfterOverload(t *testing.T) {
+	h := observed(t)
+	now := start.Add(hedgeWindow)
+	require.True(t, h.Spend(now, "p", 5))
+	h.Overloaded(now, "p")
+	_, ok := h.Delay(now.Add(4*time.Second), "p")
+	require.False(t, ok)
+	require.False(t, h.Spend(now.Add(4*time.Second), "p", 1))
+	require.True(t, h.Spend(now.Add(5*time.Second), "p", 5))
+	require.False(t, h.Spend(now.Add(5*time.Second), "p", 5), "the budget is spent")
+}
--- /dev/null
+++ b/clemrank/rank_test.go
@@ -0,0 +1,89 @@
+package clemrank
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func pool(n int) []*clemwire.Host {
+	hosts := make([]*clemwire.Host, n)
+	for i := range hosts {
+		hosts[i] = &clemwire.Host{Name: fmt.Sprintf("s%02d", i)}
+	}
+	return hosts
+}
+
+func chat(i int) clementineturn.Work {
+	return clementineturn.NewWork("p", fmt.Sprintf("o%d", i%7), uint64(i))
+}
+
+// A ranker returns every host once, whatever it is.
+func TestRankersReturnEveryHost(t *testing.T) {
+	rankers := map[string]clementineturn.Ranker{
+		"rendezvous":  New(Config{}),
+		"random":      NewRandom(1),
+		"round robin": &RoundRobin{},
+		"least":       NewLeast(LeastConfig{Load: func(string) uint64 { return 0 }}),
+		"ring":        NewRing(RingConfig{Points: 16}),
+	}
+	for name, ranker := range rankers {
+		for _, n := range []int{0, 1, 18} {
+			hosts := pool(n)
+			require.ElementsMatch(t, hosts, ranker.Rank(chat(3), hosts), "%s of %d", name, n)
+		}
+	}
+}
+
+func TestRendezvousMostIsPrefixOfAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := pool(rapid.IntRange(0, 40).Draw(t, "hosts"))
+		most := rapid.IntRange(1, 12).Draw(t, "most")
+		work := chat(rapid.IntRange(0, 1<<30).Draw(t, "chat"))
+		all := New(Config{}).Rank(work, hosts)
+		require.Equal(t, all[:min(most, len(hosts))], New(Config{Most: most}).Rank(work, hosts))
+		slices.Reverse(hosts)
+		require.Equal(t, all, New(Config{}).Rank(work, hosts), "the order of the list does not matter")
+	})
+}
+
+// Only chats of the host that left move, and they go to the second choice.
+func TestRendezvousMovesOnlyTheLeavingHostsChats(t *testing.T) {
+	const chats = 18_000
+	hosts := pool(18)
+	ranker := New(Config{Most: 2})
+	left := slices.Delete(slices.Clone(hosts), 4, 5)
+	moved := 0
+	for i := range chats {
+		before, after := ranker.Rank(chat(i), hosts), ranker.Rank(chat(i), left)
+		if before[0] != hosts[4] {
+			require.Equal(t, before[0], after[0])
+			continue
+		}
+		moved++
+		require.Equal(t, before[1], after[0])
+	}
+	require.InDelta(t, chats/18, moved, 0.1*chats/18)
+}
+
+func TestLeastPutsTheLowestReportFirst(t *testing.T) {
+	hosts := pool(3)
+	loads := map[string]uint64{"s00": 5, "s01": 1, "s02": 3}
+	ranked := NewLeast(LeastConfig{Load: func(name string) uint64 { return loads[name] }}).Rank(chat(0), hosts)
+	require.Equal(t, []*clemwire.Host{hosts[1], hosts[2], hosts[0]}, ranked)
+}
+
+func BenchmarkRendezvous(b *testing.B) {
+	hosts := pool(308)
+	ranker := New(Config{Most: 8})
+	b.ReportAllocs()
+	for i := range b.N {
+		ranker.Rank(chat(i), hosts)
+	}
+}
