Generation log finds request ids of earlier generations

Cause: Commit recognised a repeated request only when the lost answer was of the very write it was making. An operator who repeated a create after a restart, or at another entry, got already-exists, or after a delete in between a second creation. Two changes under one id, or two without an id, that raced into one row each took the row for their own. An id that stands for another change is refused as reused. A change without an id gets a random one. A lost answer is settled by comparing the whole change.

--- a/clemconfig/log.go
+++ b/clemconfig/log.go
@@ -22,11 +22,12 @@
 // never written again. One conditional insert is the whole commit, so
 // two operators cannot both make generation N and no generation can revert.
 type Log struct {
-	table clementineturn.Table
+	table   clementineturn.Table
+	repeats *repeats
 }
 
 // NewLog returns the log that the configuration describes.
-func NewLog(c LogConfig) *Log { return &Log{table: c.Table} }
+func NewLog(c LogConfig) *Log { return &Log{table: c.Table, repeats: newRepeats()} }
 
 func rowKey(generation uint64) string { return fmt.Sprintf("config/%020d", generation) }
 
@@ -41,6 +42,7 @@
 	if err := proto.Unmarshal(row.Value(), change); err != nil {
 		return nil, clementineturn.Errorf(clementineturn.KindInternal, "row %s: %w", row.Key(), err)
 	}
+	l.repeats.add(change)
 	return change, nil
 }
 
@@ -64,20 +66,28 @@
 }
 
 // Commit checks the change against the newest state and appends it. It
-// returns the state that holds the change and whether the change made the
-// newest generation; a change whose id is in the log already is not appended
-// again. A lost race is retried against the new state, so that only a change
-// that rests on an outdated entity fails. Errors: those of State.Check,
-// KindUnavailable, and KindUnknown if the write may have taken effect.
+// returns a state that holds the change and the generation that the change
+// made. A change whose id is among the last Window generations is not
+// appended again; its generation is returned. A change without an id gets a
+// random one. A lost race is retried against the new state, so that only a
+// change that rests on an outdated entity fails. Errors: those of
+// State.Check, KindKeyReused, KindUnavailable, and KindUnknown if the write
+// may have taken effect.
 func (l *Log) Commit(ctx context.Context, state *State, change *clemwire.Change) (*State, uint64, error) {
 	change = proto.CloneOf(change)
 	change.Time = timestamppb.New(time.Now())
+	if change.GetId() == "" {
+		change.Id = NewID()
+	}
 	for {
 		next, err := l.Advance(ctx, state)
 		if err != nil {
 			return next, 0, asNotRun(err)
 		}
 		state = next
+		if first, err := l.repeated(ctx, state.Generation(), change); err != nil || first > 0 {
+			return state, first, err
+		}
 		if err := state.Check(change); err != nil {
 			return state, 0, err
 		}
@@ -95,7 +105,8 @@
 }
 
 // insert writes the change's row. A write whose answer was lost is settled by
-// reading the row: it holds this change, another one, or nothing yet.
+// reading the row: it holds this change, another one, or nothing yet. The
+// whole change is compared, since a concurrent repeat has the same id.
 func (l *Log) insert(ctx context.Context, change *clemwire.Change) error {
 	value, err := proto.Marshal(change)
 	if err != nil {
@@ -109,7 +120,7 @@
 	if readErr != nil {
 		return clementineturn.Errorf(clementineturn.KindUnknown, "the write of generation %d has no known outcome: %w", change.GetGeneration(), err)
 	}
-	if found.GetId() == change.GetId() {
+	if proto.Equal(found, change) {
 		return nil
 	}
 	return clementineturn.Errorf(clementineturn.KindConflict, "generation %d is taken", change.GetGeneration())
--- /dev/null
+++ b/clemconfig/repeat_test.go
@@ -0,0 +1,141 @@
+package clemconfig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// The answer of a change is lost, other changes follow, and the operator
+// repeats the request at a process that started since.
+func TestCommitRepeatOverRestart(t *testing.T) {
+	table := clemstandin.NewTable()
+	before := NewLog(LogConfig{Table: table})
+	change := createOrganisation("1", "acme")
+	state, first, err := before.Commit(t.Context(), Empty(), change)
+	require.NoError(t, err)
+	for i := range 5 {
+		state, _, err = before.Commit(t.Context(), state, createOrganisation("", fmt.Sprintf("o%d", i)))
+		require.NoError(t, err)
+	}
+	after := NewLog(LogConfig{Table: table})
+	held := FromSnapshot(state.Snapshot())
+	next, generation, err := after.Commit(t.Context(), held, change)
+	require.NoError(t, err)
+	require.Equal(t, first, generation)
+	require.Equal(t, state.Generation(), next.Generation())
+}
+
+func TestCommitRepeatAfterDelete(t *testing.T) {
+	log := NewLog(LogConfig{Table: clemstandin.NewTable()})
+	create := createOrganisation("1", "acme")
+	state, _, err := log.Commit(t.Context(), Empty(), create)
+	require.NoError(t, err)
+	remove := proto.CloneOf(create)
+	remove.Id, remove.Action = "2", clemwire.Action_ACTION_DELETE
+	state, _, err = log.Commit(t.Context(), state, remove)
+	require.NoError(t, err)
+	state, generation, err := log.Commit(t.Context(), state, create)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, generation)
+	require.Nil(t, state.Organisation("acme"), "a late repeat must not create the organisation again")
+}
+
+func TestCommitReusedID(t *testing.T) {
+	log := NewLog(LogConfig{Table: clemstandin.NewTable()})
+	state, _, err := log.Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
+	require.NoError(t, err)
+	_, _, err = log.Commit(t.Context(), state, createOrganisation("1", "other"))
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindKeyReused), "%v", err)
+	require.True(t, clementineturn.IsNotRun(err))
+}
+
+// Repeats of one request that arrive together at several processes make one
+// generation, and all are answered with it.
+func TestCommitConcurrentRepeats(t *testing.T) {
+	table := clemstandin.NewTable()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			_, generation, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
+			require.NoError(t, err)
+			require.EqualValues(t, 1, generation)
+		})
+	}
+	wg.Wait()
+	state, err := NewLog(LogConfig{Table: table}).Advance(t.Context(), Empty())
+	require.NoError(t, err)
+	require.EqualValues(t, 1, state.Generation())
+}
+
+// Changes without an id must not pass for one another.
+func TestCommitWithoutID(t *testing.T) {
+	table := clemstandin.NewTable()
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			_, _, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("", fmt.Sprintf("o%d", i)))
+			require.NoError(t, err)
+		})
+	}
+	wg.Wait()
+	state, err := NewLog(LogConfig{Table: table}).Advance(t.Context(), Empty())
+	require.NoError(t, err)
+	require.Len(t, state.List(clemwire.EntityKind_ENTITY_KIND_ORGANISATION), 4)
+}
+
+func TestCommitRepeatTableDown(t *testing.T) {
+	table := clemstandin.NewTable()
+	state, _, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
+	require.NoError(t, err)
+	table.Inject(clemstandin.TableFaults{Down: true})
+	_, _, err = NewLog(LogConfig{Table: table}).Commit(t.Context(), state, createOrganisation("1", "acme"))
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindUnavailable), "%v", err)
+	require.True(t, clementineturn.IsNotRun(err))
+}
+
+func TestRepeatsBounded(t *testing.T) {
+	r := newRepeats()
+	const newest = 5 * Window
+	for generation := uint64(1); generation <= newest; generation++ {
+		r.add(&clemwire.Change{Generation: generation, Id: fmt.Sprint(generation)})
+	}
+	require.LessOrEqual(t, len(r.generations), 2*Window)
+	require.LessOrEqual(t, len(r.ids), 2*Window)
+	require.Empty(t, r.missing(newest))
+	require.EqualValues(t, newest-Window+1, r.find(fmt.Sprint(newest-Window+1)))
+}
+
+// racer commits a rival change just before the first write that it passes on.
+type racer struct {
+	clementineturn.Table
+	once  sync.Once
+	rival func()
+}
+
+// Put implements clementineturn.Table.
+func (r *racer) Put(ctx context.Context, key string, value []byte, version clementineturn.Version) (clementineturn.Row, error) {
+	r.once.Do(r.rival)
+	return r.Table.Put(ctx, key, value, version)
+}
+
+// Two different changes under one id race into the same row: the loser must
+// not take the winner's change for its own.
+func TestCommitRaceOfOneID(t *testing.T) {
+	table := clemstandin.NewTable()
+	rival := func() {
+		_, _, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("1", "rival"))
+		require.NoError(t, err)
+	}
+	log := NewLog(LogConfig{Table: &racer{Table: table, rival: rival}})
+	_, _, err := log.Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindKeyReused), "%v", err)
+}
