--- a/clemsidecar/run.go
+++ b/clemsidecar/run.go
@@ -32,9 +32,13 @@
 	if offer.GetKey() == "" {
 		return nil, clementineturn.Refuse(clementineturn.KindKeyMissing, "%s/%s runs at most once and needs a key", offer.GetService(), offer.GetCall())
 	}
+	h := s.held.Load()
+	if h == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "%s has no incarnation yet", s.server)
+	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	held, err := s.keeper.Acquire(ctx, offer)
+	held, err := h.keeper.Acquire(ctx, offer)
 	if err != nil {
 		return nil, err
 	}
@@ -75,7 +79,6 @@
 	defer s.running.Done()
 	defer j.attempt.cancel()
 	offer := j.attempt.offer
-	offer.Priority = int32(j.ticket.Priority())
 	begun := time.Now()
 	err := s.backend.Run(ctx, offer, &meter{Answer: j.answer, gate: s.gate, ticket: j.ticket})
 	s.gate.Leave(time.Now(), j.ticket)
@@ -127,9 +130,12 @@
 	gate   *clemgate.Gate
 	ticket *clemgate.Ticket
 	bytes  uint64
-	events uint64
 }
 
+// Priority returns the priority that the gate gives the work; engines that
+// honour priorities run lower numbers first.
+func (m *meter) Priority() int { return m.ticket.Priority() }
+
 // Data implements clementineturn.Sink.
 func (m *meter) Data(data []byte) error {
 	m.bytes += uint64(len(data))
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,7 @@
 	"github.com/clementineturn/clementineturn/clemclaim"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemgate"
+	"github.com/clementineturn/clementineturn/clemrelay"
 	"github.com/clementineturn/clementineturn/clemrpc"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -37,12 +39,10 @@
 
 // Config describes a Sidecar to construct.
 type Config struct {
-	Server      string
-	Pool        string
-	Incarnation uint64
-	Board       *clemboard.Board
-	Gate        *clemgate.Gate
-	Keeper      *clemclaim.Keeper
+	Server  string
+	Pool    string
+	Board   *clemboard.Board
+	Gate    *clemgate.Gate
 	Answers     *clemanswer.Store
 	Backend     clementineturn.Backend
 	Relay       Relay
@@ -54,22 +54,29 @@
 // those is held when it calls them.
 type Sidecar struct {
 	clemrpc.Unsupported
-	server      string
-	pool        string
-	incarnation uint64
-	board       *clemboard.Board
-	gate        *clemgate.Gate
-	keeper      *clemclaim.Keeper
+	server  string
+	pool    string
+	board   *clemboard.Board
+	gate    *clemgate.Gate
 	answers     *clemanswer.Store
 	backend     clementineturn.Backend
 	relay       Relay
 	events      *clemevent.Logger
 
+	// held is nil until the platform's table gave the sidecar an incarnation.
+	held atomic.Pointer[holder]
+
 	mu       sync.Mutex
 	attempts map[string]*attempt
 	running  sync.WaitGroup
 }
 
+// holder is the keeper of one incarnation.
+type holder struct {
+	incarnation uint64
+	keeper      *clemclaim.Keeper
+}
+
 // attempt is one offer between its arrival and its end.
 type attempt struct {
 	offer   *clemwire.Offer
@@ -82,12 +89,24 @@
 // New returns the sidecar that the configuration describes.
 func New(c Config) *Sidecar {
 	return &Sidecar{
-		server: c.Server, pool: c.Pool, incarnation: c.Incarnation, board: c.Board, gate: c.Gate,
-		keeper: c.Keeper, answers: c.Answers, backend: c.Backend, relay: c.Relay, events: c.Events,
+		server: c.Server, pool: c.Pool, board: c.Board, gate: c.Gate, answers: c.Answers, backend: c.Backend, relay: c.Relay, events: c.Events,
 		attempts: map[string]*attempt{},
 	}
 }
 
+// Hold lets the sidecar run at-most-once work under an incarnation. Until then
+// it refuses such work as not run.
+func (s *Sidecar) Hold(incarnation uint64, keeper *clemclaim.Keeper) {
+	s.held.Store(&holder{incarnation: incarnation, keeper: keeper})
+}
+
+func (s *Sidecar) incarnation() uint64 {
+	if h := s.held.Load(); h != nil {
+		return h.incarnation
+	}
+	return 0
+}
+
 // Start runs the periodic work until the context ends: limits follow the
 // board, waiting work expires, orphaned answers are stopped.
 func (s *Sidecar) Start(ctx context.Context) <-chan error {
@@ -143,7 +162,7 @@
 	report := s.gate.Report()
 	return []*clemwire.PoolLoad{{
 		Pool: s.pool, Servers: 1, Load: report.Load(),
-		Speeds: clemboard.SpeedHistogram(report.Speed()), Age: durationpb.New(0),
+		Speeds: clemrelay.Speeds(report.Speed()), Age: durationpb.New(0),
 	}}
 }
 
@@ -341,7 +360,10 @@
 
 // Void implements clementineturn.Peer.
 func (s *Sidecar) Void(_ context.Context, void *clemwire.Void) (*clemwire.Voided, error) {
-	voided := s.keeper.Void(void)
+	voided := &clemwire.Voided{State: clemwire.TokenState_TOKEN_STATE_FOREIGN}
+	if h := s.held.Load(); h != nil {
+		voided = h.keeper.Void(void)
+	}
 	voided.Status = s.status()
 	return voided, nil
 }
@@ -364,7 +386,7 @@
 // Probe implements clementineturn.Peer.
 func (s *Sidecar) Probe(context.Context) (*clemwire.Probed, error) {
 	return &clemwire.Probed{
-		Node: s.server, Role: "sidecar", Generation: s.generation(), Incarnation: s.incarnation,
+		Node: s.server, Role: "sidecar", Generation: s.generation(), Incarnation: s.incarnation(),
 		Ready: s.board.Config().Get() != nil, Draining: s.board.Drain().Get().Active(),
 	}, nil
 }
@@ -372,8 +394,11 @@
 // Idle reports whether nothing runs, no outcome waits to be recorded and no
 // answer waits for its reader.
 func (s *Sidecar) Idle() bool {
+	if h := s.held.Load(); h != nil && h.keeper.Pending() > 0 {
+		return false
+	}
 	report := s.gate.Report()
-	return report.Running() == 0 && report.Waiting() == 0 && s.keeper.Pending() == 0 && s.answers.Unread() == 0
+	return report.Running() == 0 && report.Waiting() == 0 && s.answers.Unread() == 0
 }
 
 // Wait returns when every dispatched piece of work has ended.
@@ -388,7 +413,7 @@
 
 func (s *Sidecar) status() *clemwire.Status {
 	return &clemwire.Status{
-		Server: s.server, Incarnation: s.incarnation, Generation: s.generation(),
+		Server: s.server, Incarnation: s.incarnation(), Generation: s.generation(),
 		Draining: s.board.Drain().Get().Active(), Load: s.gate.Report().Load(),
 	}
 }
