--- /dev/null
+++ b/clemnode/entry.go
@@ -0,0 +1,95 @@
+package clemnode
+
+import (
+	"context"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/dig"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemburn"
+	"github.com/clementineturn/clementineturn/clemclaim"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clementry"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmember"
+	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemops"
+	"github.com/clementineturn/clementineturn/clemrank"
+	"github.com/clementineturn/clementineturn/clemrelay"
+	"github.com/clementineturn/clementineturn/clemrpc"
+	"github.com/clementineturn/clementineturn/clemsetting"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// rankedServers is how many candidates an entry ranks for one request.
+const rankedServers = 8
+
+var entryConstructors = []any{newEntryRelay, newEntry, newOperators, newEntryProcess}
+
+func newEntryRelay(self *clemwire.Host, board *clemboard.Board, log *clemconfig.Log, objects clementineturn.Objects, peers clementineturn.Peers, events *clemevent.Logger) *clemrelay.Relay {
+	return clemrelay.New(clemrelay.Config{Self: self, Board: board, Log: log, Objects: objects, Peers: peers, Events: events})
+}
+
+func newEntry(settings *clemsetting.Settings, board *clemboard.Board, relay *clemrelay.Relay, member *clemmember.Controller, peers clementineturn.Peers, metrics *clemmetric.Registry, events *clemevent.Logger) *clementry.Entry {
+	return clementry.New(clementry.Config{
+		Name: settings.Name(), Board: board, Relay: relay, Health: member, Peers: peers,
+		Ranker: clemrank.New(clemrank.Config{Most: rankedServers}), Burn: clemburn.New(clemburn.Config{}),
+		Metrics: metrics, Events: events, Body: settings.Body(), Deadline: settings.Deadline(),
+	})
+}
+
+func newOperators(settings *clemsetting.Settings, board *clemboard.Board, log *clemconfig.Log, ledger clementineturn.Ledger, peers clementineturn.Peers, relay *clemrelay.Relay, events *clemevent.Logger) *clemops.Handler {
+	var tokens []clemops.Operator
+	for _, operator := range settings.Operators() {
+		tokens = append(tokens, clemops.NewOperator(operator.Name(), operator.Digest()))
+	}
+	return clemops.New(clemops.Config{
+		Board: board, Log: log, Ledger: ledger, Peers: peers, Learn: relay.Adopt, Tokens: tokens, Events: events,
+	})
+}
+
+// entryParts are the parts that an entry's process runs.
+type entryParts struct {
+	dig.In
+
+	Context   context.Context
+	Settings  *clemsetting.Settings
+	Board     *clemboard.Board
+	Events    *clemevent.Logger
+	Relay     *clemrelay.Relay
+	Member    *clemmember.Controller
+	Ledger    *clemclaim.Ledger
+	Entry     *clementry.Entry
+	Operators *clemops.Handler
+	Peers     *clemrpc.Peers
+}
+
+func newEntryProcess(parts entryParts) (*process, error) {
+	router := chi.NewRouter()
+	parts.Entry.Mount(router)
+	clemrpc.NewServer(clemrpc.ServerConfig{Context: parts.Context, Key: parts.Settings.Fleet(), Peer: parts.Entry}).Mount(router)
+	callers, err := listen(parts.Context, parts.Settings, parts.Settings.Listen(), router)
+	if err != nil {
+		return nil, err
+	}
+	callers.ReadTimeout = parts.Settings.Read()
+	servers := []*server{callers}
+	if address := parts.Settings.Admin(); address != "" {
+		adminRouter := chi.NewRouter()
+		parts.Operators.Mount(adminRouter)
+		admin, err := listen(parts.Context, parts.Settings, address, adminRouter)
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, admin)
+	}
+	return &process{
+		settings: parts.Settings, board: parts.Board, events: parts.Events,
+		controllers: []controller{parts.Member, parts.Relay, parts.Ledger}, servers: servers,
+		settle: parts.Settings.Settle(),
+		idle:   func() bool { return parts.Entry.Active() == 0 },
+		close:  parts.Peers.Close,
+	}, nil
+}
--- /dev/null
+++ b/clemnode/node.go
@@ -0,0 +1,153 @@
+// Package clemnode assembles the processes of the fleet from their settings
+// and runs them from start to graceful shutdown.
+package clemnode
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemclaim"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmember"
+	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemplatform"
+	"github.com/clementineturn/clementineturn/clemrpc"
+	"github.com/clementineturn/clementineturn/clemsetting"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	platformTimeout = 5 * time.Second
+	// drainPoll is how often a leaving process looks whether its work has ended.
+	drainPoll = 50 * time.Millisecond
+	// reasonShutdown is the drain reason of a process that was told to stop.
+	reasonShutdown = "shutdown"
+)
+
+// Run runs the process that the settings describe until stop delivers a
+// signal and the work has ended, or until it fails. Further signals change
+// nothing: a graceful shutdown is bounded by the grace setting alone.
+func Run(ctx context.Context, settings *clemsetting.Settings, stop <-chan os.Signal) error {
+	container := dig.New()
+	constructors := []any{
+		func() *clemsetting.Settings { return settings },
+		func() context.Context { return ctx },
+		newLogger, newSelf, newPlatform, newPeers, newLog, newLedger, newMember,
+		clemboard.New, clemmetric.New,
+		func(c *clemplatform.Client) clementineturn.Table { return c.Table() },
+		func(c *clemplatform.Client) clementineturn.Hosts { return c.Hosts() },
+		func(c *clemplatform.Client) clementineturn.Objects { return c.Objects() },
+		func(p *clemrpc.Peers) clementineturn.Peers { return p },
+		func(l *clemclaim.Ledger) clementineturn.Ledger { return l },
+	}
+	constructors = append(constructors, roleConstructors[settings.Role()]...)
+	for _, constructor := range constructors {
+		if err := container.Provide(constructor); err != nil {
+			return err
+		}
+	}
+	return container.Invoke(func(p *process) error { return p.run(ctx, stop) })
+}
+
+// roleConstructors holds what each role adds; both end in a *process.
+var roleConstructors = map[string][]any{
+	clemsetting.RoleEntry:   entryConstructors,
+	clemsetting.RoleSidecar: sidecarConstructors,
+}
+
+func newLogger(settings *clemsetting.Settings) (*clemevent.Logger, error) {
+	level, err := zapcore.ParseLevel(settings.Level())
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(level)
+	config.Sampling = nil
+	config.DisableCaller, config.DisableStacktrace = true, true
+	logger, err := config.Build()
+	if err != nil {
+		return nil, err
+	}
+	return clemevent.New(logger.With(zap.String("node", settings.Name()))), nil
+}
+
+func newSelf(settings *clemsetting.Settings) *clemwire.Host {
+	return &clemwire.Host{
+		Name: settings.Name(), Address: settings.Address(), Region: settings.Region(), Centre: settings.Centre(),
+		Role: settings.Role(), Pool: settings.Pool(), Admin: settings.Admin(),
+	}
+}
+
+func newPlatform(settings *clemsetting.Settings) *clemplatform.Client {
+	return clemplatform.New(clemplatform.Config{URL: settings.Platform(), Timeout: platformTimeout})
+}
+
+func newPeers(settings *clemsetting.Settings) *clemrpc.Peers {
+	var config *tls.Config
+	if t := settings.TLS(); t != nil {
+		config = t.Client()
+	}
+	return clemrpc.NewPeers(clemrpc.ClientConfig{Key: settings.Fleet(), TLS: config})
+}
+
+func newLog(table clementineturn.Table) *clemconfig.Log {
+	return clemconfig.NewLog(clemconfig.LogConfig{Table: table})
+}
+
+func newLedger(settings *clemsetting.Settings, table clementineturn.Table, events *clemevent.Logger) *clemclaim.Ledger {
+	return clemclaim.NewLedger(clemclaim.LedgerConfig{
+		Table: table, Buckets: settings.ClaimBuckets(), Interval: settings.ClaimInterval(),
+		Retention: settings.ClaimRetention(), Events: events,
+	})
+}
+
+func newMember(settings *clemsetting.Settings, hosts clementineturn.Hosts, board *clemboard.Board, events *clemevent.Logger) *clemmember.Controller {
+	return clemmember.New(clemmember.Config{Hosts: hosts, Board: board, Events: events, Self: settings.Name()})
+}
+
+// controller is a part of the process with goroutines of its own.
+type controller interface {
+	Start(ctx context.Context) <-chan error
+}
+
+// server is one listener of the process.
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+// listen opens a listener. TLS is on if the settings name its files.
+func listen(ctx context.Context, settings *clemsetting.Settings, address string, handler http.Handler) (*server, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, clementineturn.Errorf(clementineturn.KindUnavailable, "listen: %w", err)
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Header(), IdleTimeout: time.Minute}
+	if s.ReadHeaderTimeout == 0 {
+		s.ReadHeaderTimeout = platformTimeout
+	}
+	if t := settings.TLS(); t != nil {
+		config := t.Server()
+		// The switch of a connection to net/rpc needs HTTP/1.1.
+		config.NextProtos = []string{"http/1.1"}
+		listener = tls.NewListener(listener, config)
+	}
+	return &server{Server: s, listener: listener}, nil
+}
+
+func (s *server) start() <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(s.listener) }()
+	return done
+}
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -43,10 +43,10 @@
 	Pool    string
 	Board   *clemboard.Board
 	Gate    *clemgate.Gate
-	Answers     *clemanswer.Store
-	Backend     clementineturn.Backend
-	Relay       Relay
-	Events      *clemevent.Logger
+	Answers *clemanswer.Store
+	Backend clementineturn.Backend
+	Relay   Relay
+	Events  *clemevent.Logger
 }
 
 // Sidecar implements clementineturn.Peer beside one backend server. Lock
@@ -58,10 +58,10 @@
 	pool    string
 	board   *clemboard.Board
 	gate    *clemgate.Gate
-	answers     *clemanswer.Store
-	backend     clementineturn.Backend
-	relay       Relay
-	events      *clemevent.Logger
+	answers *clemanswer.Store
+	backend clementineturn.Backend
+	relay   Relay
+	events  *clemevent.Logger
 
 	// held is nil until the platform's table gave the sidecar an incarnation.
 	held atomic.Pointer[holder]
@@ -157,12 +157,11 @@
 	}))
 }
 
-// Loads returns the sidecar's own report for the relay tree.
-func (s *Sidecar) Loads() []*clemwire.PoolLoad {
-	report := s.gate.Report()
+// Loads returns a backend server's report for the relay tree.
+func Loads(pool string, gate *clemgate.Gate) []*clemwire.PoolLoad {
+	report := gate.Report()
 	return []*clemwire.PoolLoad{{
-		Pool: s.pool, Servers: 1, Load: report.Load(),
-		Speeds: clemrelay.Speeds(report.Speed()), Age: durationpb.New(0),
+		Pool: pool, Servers: 1, Load: report.Load(), Speeds: clemrelay.Speeds(report.Speed()), Age: durationpb.New(0),
 	}}
 }
 
