Stand-ins for platform, engine and plain service

Handlers that run in process and under testing/synctest, and the command clementine-standin that serves them. The table's rate limits and counts move into a gate that the other services of the platform share.

--- a/clemstandin/table.go
+++ b/clemstandin/table.go
@@ -6,34 +6,16 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 )
 
-// TableFaults are the faults that a Table injects. The zero value injects none.
-type TableFaults struct {
-	// Delay is added before each call takes effect.
-	Delay time.Duration
-	// Down makes every call fail without effect.
-	Down bool
-	// LostAnswers is the number of coming writes that take effect but answer KindUnknown.
-	LostAnswers int
-	// LateWrites is the number of coming writes that answer KindUnknown at
-	// once and take effect only after Late.
-	LateWrites int
-	Late       time.Duration
-}
-
 // Table is an in-memory table with conditional writes and injectable faults.
 type Table struct {
-	mu     sync.Mutex
-	rows   map[string]clementineturn.Row
-	count  uint64
-	faults TableFaults
-	reads  uint64
-	writes uint64
+	gate
+	rows  map[string]clementineturn.Row
+	count uint64
 }
 
 // NewTable returns an empty table.
@@ -41,28 +23,18 @@
 	return &Table{rows: map[string]clementineturn.Row{}}
 }
 
-// Inject replaces the faults.
-func (t *Table) Inject(faults TableFaults) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.faults = faults
-}
-
-// Counts returns how many reads and writes reached the table.
-func (t *Table) Counts() (reads, writes uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.reads, t.writes
-}
-
 // Get implements clementineturn.Table.
 func (t *Table) Get(ctx context.Context, key string) (clementineturn.Row, error) {
-	if err := t.enter(ctx); err != nil {
+	if err := t.enterRead(ctx); err != nil {
 		return clementineturn.Row{}, err
 	}
+	return t.peek(key)
+}
+
+// peek reads a row past the faults.
+func (t *Table) peek(key string) (clementineturn.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reads++
 	row, ok := t.rows[key]
 	if !ok {
 		return clementineturn.Row{}, clementineturn.Errorf(clementineturn.KindNotFound, "no row %q", key)
@@ -88,12 +60,11 @@
 }
 
 func (t *Table) write(ctx context.Context, apply func() (clementineturn.Row, error)) (clementineturn.Row, error) {
-	if err := t.enter(ctx); err != nil {
+	if err := t.enterWrite(ctx); err != nil {
 		return clementineturn.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.writes++
 	if t.faults.LateWrites > 0 {
 		t.faults.LateWrites--
 		time.AfterFunc(t.faults.Late, func() {
@@ -128,26 +99,6 @@
 	return nil
 }
 
-// enter waits for the injected delay and fails if the table is down.
-func (t *Table) enter(ctx context.Context) error {
-	t.mu.Lock()
-	faults := t.faults
-	t.mu.Unlock()
-	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return clementineturn.Errorf(clementineturn.KindUnavailable, "table: %w", ctx.Err())
-		}
-	}
-	if faults.Down {
-		return clementineturn.Errorf(clementineturn.KindUnavailable, "table is down")
-	}
-	return nil
-}
-
 func errLost() error {
 	return clementineturn.Errorf(clementineturn.KindUnknown, "the answer of the write was lost")
 }
--- /dev/null
+++ b/cmd/clementine-standin/options.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/clementineturn/clementineturn/clemstandin"
+)
+
+const (
+	rolePlatform = "platform"
+	roleEngine   = "engine"
+	roleService  = "service"
+)
+
+const exitCodes = "Exit codes: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 on a failure, 2 on wrong usage."
+
+// options are the parsed command line.
+type options struct {
+	role    string
+	name    string
+	listen  string
+	hosts   string
+	engine  clemstandin.EngineConfig
+	service clemstandin.ServiceConfig
+	lag     time.Duration
+	delay   time.Duration
+	reads   float64
+	writes  float64
+	weights float64
+}
+
+// parse returns the options of a command line. Unknown flags and subcommands
+// print the help and exit with 2.
+func parse(args []string) (*options, error) {
+	o := &options{listen: "127.0.0.1:0"}
+	p := flaggy.NewParser("clementine-standin")
+	p.Description = "Small stand-ins for the systems around the fleet, for tests and the demo."
+	p.AdditionalHelpAppend = exitCodes
+	p.ShowCompletion = false
+	p.ShowVersionWithVersionFlag = false
+	commands := []*flaggy.Subcommand{o.platformCommand(), o.engineCommand(), o.serviceCommand()}
+	for _, c := range commands {
+		c.String(&o.listen, "l", "listen", "Address to listen on; port 0 takes a free one, which the log names.")
+		c.AdditionalHelpAppend = exitCodes
+		p.AttachSubcommand(c, 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return nil, err
+	}
+	for _, c := range commands {
+		if c.Used {
+			o.role = c.Name
+		}
+	}
+	return o, o.check()
+}
+
+func (o *options) platformCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(rolePlatform)
+	c.Description = "The platform's table, object store, weight store and list of hosts."
+	c.String(&o.hosts, "", "hosts", `JSON file with the list of hosts, {"hosts": [...]}; it is read again when it changes.`)
+	c.Duration(&o.lag, "", "lag", "Time by which the list of hosts lags behind the truth.")
+	c.Duration(&o.delay, "", "delay", "Time added before each call of the table takes effect.")
+	c.Float64(&o.reads, "", "reads", "Most reads of the table a second; 0 sets no limit.")
+	c.Float64(&o.writes, "", "writes", "Most writes of the table a second; 0 sets no limit.")
+	c.Float64(&o.weights, "", "weights", "Most reads of the weight store a second; 0 sets no limit.")
+	return c
+}
+
+func (o *options) engineCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(roleEngine)
+	c.Description = "A model engine with an OpenAI-compatible interface."
+	e := &o.engine
+	c.String(&o.name, "", "name", "Name that stands in each answer; the model's if absent.")
+	c.String(&e.Model, "m", "model", "Name of the model; needed.")
+	c.Int(&e.Slots, "", "slots", "Requests that run in one batch; 0 means 8.")
+	c.Duration(&e.Step, "", "step", "Time of one decoding step; 0 means 20ms.")
+	c.Float64(&e.Batch, "", "batch", "Share by which each further request of a batch lengthens a step.")
+	c.Int(&e.Prefill, "", "prefill", "Uncached prompt tokens per step; 0 means 512.")
+	c.Int(&e.Cache, "", "cache", "Tokens that the prefix cache holds; 0 means 65536.")
+	c.Int(&e.Output, "", "output", "Mean number of tokens in an answer; 0 means 24.")
+	c.UInt64(&e.Seed, "", "seed", "Seed of the loss of cache events.")
+	c.Bool(&e.Fencing, "", "fencing", "Refuse orders with an old fencing number.")
+	c.String(&e.Weights, "", "weights", "Base address of the platform whose weight store holds the model versions.")
+	c.Duration(&o.lag, "", "lag", "Time by which the load report lags behind the truth.")
+	return c
+}
+
+func (o *options) serviceCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(roleService)
+	c.Description = "A plain service that counts the runs of its calls."
+	c.String(&o.name, "", "name", "Name that stands in each answer.")
+	c.Duration(&o.delay, "", "delay", "Time that each call runs.")
+	return c
+}
+
+// check reports every fault of the options.
+func (o *options) check() error {
+	if o.role == "" {
+		return errors.New("a subcommand is needed: platform, engine or service; see --help")
+	}
+	var faults []error
+	if o.role == roleEngine && o.engine.Model == "" {
+		faults = append(faults, errors.New("--model is needed"))
+	}
+	for _, limit := range []struct {
+		flag  string
+		value float64
+	}{
+		{"slots", float64(o.engine.Slots)},
+		{"step", float64(o.engine.Step)},
+		{"batch", o.engine.Batch},
+		{"prefill", float64(o.engine.Prefill)},
+		{"cache", float64(o.engine.Cache)},
+		{"output", float64(o.engine.Output)},
+		{"lag", float64(o.lag)},
+		{"delay", float64(o.delay)},
+		{"reads", o.reads},
+		{"writes", o.writes},
+		{"weights", o.weights},
+	} {
+		if limit.value < 0 {
+			faults = append(faults, fmt.Errorf("--%s: found a negative value, allowed are 0 and above", limit.flag))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// handler returns what the role serves.
+func (o *options) handler() (http.Handler, error) {
+	lag, delay := clemstandin.Duration(o.lag), clemstandin.Duration(o.delay)
+	switch o.role {
+	case rolePlatform:
+		return clemstandin.NewPlatform(clemstandin.PlatformConfig{File: o.hosts, Faults: clemstandin.PlatformFaults{
+			Table:   clemstandin.Faults{Delay: delay, Reads: o.reads, Writes: o.writes},
+			Weights: clemstandin.Faults{Reads: o.weights},
+			Hosts:   clemstandin.Faults{Lag: lag},
+		}})
+	case roleEngine:
+		o.engine.Name = o.name
+		o.engine.Faults.Lag = lag
+		return clemstandin.NewEngine(o.engine), nil
+	}
+	o.service.Name = o.name
+	o.service.Faults.Delay = delay
+	return clemstandin.NewService(o.service), nil
+}
