--- /dev/null
+++ b/clemcli/cli.go
@@ -0,0 +1,133 @@
+// Package clemcli is the command line of the clementine binary.
+package clemcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/clementineturn/clementineturn/clemctl"
+	"github.com/clementineturn/clementineturn/clemnode"
+	"github.com/clementineturn/clementineturn/clemsetting"
+)
+
+// Exit codes of every subcommand but ctl, which documents its own.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+const exitCodes = "Exit codes: 0 success, 1 failure, 2 wrong usage or settings."
+
+// Config holds what the command line takes from its surroundings.
+type Config struct {
+	Args []string
+	In   io.Reader
+	Out  io.Writer
+	Err  io.Writer
+	Env  func(string) string
+	// Stop delivers the signals that ask a process to shut down gracefully.
+	Stop <-chan os.Signal
+}
+
+// command is one subcommand.
+type command struct {
+	name string
+	doc  string
+	file bool
+	run  func(ctx context.Context, c Config, path string) int
+}
+
+var commands = []command{
+	{clemsetting.RoleEntry, "Run an entry: callers' and operators' listeners.", true, runNode},
+	{clemsetting.RoleSidecar, "Run the sidecar of a backend server.", true, runNode},
+	{"check", "Check a settings file and report every fault.", true, runCheck},
+	{"version", "Print the version.", false, runVersion},
+}
+
+// Run runs one command line and returns its exit code.
+func Run(ctx context.Context, c Config) int {
+	if len(c.Args) > 0 && c.Args[0] == "ctl" {
+		return clemctl.Run(ctx, clemctl.Config{Args: c.Args[1:], In: c.In, Out: c.Out, Err: c.Err, Env: c.Env})
+	}
+	used, path, err := parse(c.Args)
+	if err != nil {
+		fmt.Fprintln(c.Err, err)
+		return ExitUsage
+	}
+	return used.run(ctx, c, path)
+}
+
+// parse returns the subcommand and its file. Unknown flags and subcommands
+// print the help and exit with ExitUsage.
+func parse(args []string) (*command, string, error) {
+	parser := flaggy.NewParser("clementine")
+	parser.Description = "A router fleet for returning chats on shared language-model servers."
+	parser.AdditionalHelpAppend = exitCodes
+	parser.ShowCompletion = false
+	parser.ShowVersionWithVersionFlag = false
+	var path string
+	subcommands := make([]*flaggy.Subcommand, len(commands))
+	for i, c := range commands {
+		s := flaggy.NewSubcommand(c.name)
+		s.Description = c.doc
+		s.AdditionalHelpAppend = exitCodes
+		if c.file {
+			s.AddPositionalValue(&path, "SETTINGS", 1, true, "JSON file with the process's settings.")
+		}
+		parser.AttachSubcommand(s, 1)
+		subcommands[i] = s
+	}
+	ctl := flaggy.NewSubcommand("ctl")
+	ctl.Description = "Drive the fleet as an operator; see clementine ctl --help."
+	parser.AttachSubcommand(ctl, 1)
+	if err := parser.ParseArgs(args); err != nil {
+		return nil, "", err
+	}
+	for i, s := range subcommands {
+		if s.Used {
+			return &commands[i], path, nil
+		}
+	}
+	return nil, "", fmt.Errorf("a subcommand is needed: entry, sidecar, ctl, check or version; see --help")
+}
+
+func runNode(ctx context.Context, c Config, path string) int {
+	settings, err := clemsetting.Read(path)
+	if err != nil {
+		fmt.Fprintln(c.Err, err)
+		return ExitUsage
+	}
+	if role := c.Args[0]; settings.Role() != role {
+		fmt.Fprintf(c.Err, "role: found %q in %s, the command is %q\n", settings.Role(), path, role)
+		return ExitUsage
+	}
+	if err := clemnode.Run(ctx, settings, c.Stop); err != nil {
+		fmt.Fprintln(c.Err, err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func runCheck(_ context.Context, c Config, path string) int {
+	if _, err := clemsetting.Read(path); err != nil {
+		fmt.Fprintln(c.Err, err)
+		return ExitUsage
+	}
+	fmt.Fprintf(c.Out, "%s: ok\n", path)
+	return ExitOK
+}
+
+func runVersion(_ context.Context, c Config, _ string) int {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	fmt.Fprintln(c.Out, "clementine", version)
+	return ExitOK
+}
