--- /dev/null
+++ b/clemgate/model_test.go
@@ -0,0 +1,203 @@
+package clemgate
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+)
+
+// machine drives a gate with random steps and checks after each what must
+// always hold.
+type machine struct {
+	gate    *Gate
+	now     time.Time
+	limits  Limits
+	tickets []*Ticket
+	state   map[*Ticket]string
+}
+
+func newMachine() *machine {
+	m := &machine{gate: New(Config{Server: "s"}), now: start, state: map[*Ticket]string{}}
+	m.limits = known(limits(4), 3, 0, start)
+	m.gate.SetLimits(m.now, m.limits)
+	return m
+}
+
+func (m *machine) Enter(t *rapid.T) {
+	item := NewItem(ItemConfig{
+		Organisation: fmt.Sprintf("o%d", rapid.IntRange(0, 3).Draw(t, "organisation")),
+		Weight:       uint32(rapid.IntRange(0, 3).Draw(t, "weight")),
+		Queue:        uint32(rapid.IntRange(0, 3).Draw(t, "queue")),
+		Prompt:       rapid.Uint64Range(0, 500).Draw(t, "prompt"),
+		Output:       rapid.Uint64Range(0, 1500).Draw(t, "output"),
+		Deadline:     m.deadline(t),
+		Hedge:        rapid.Bool().Draw(t, "hedge"),
+	})
+	before := m.gate.Report().Load()
+	wasRunning := m.running()
+	ticket, err := m.gate.Enter(m.now, item)
+	if err != nil {
+		require.True(t, clementineturn.IsNotRun(err))
+		require.Equal(t, before, m.gate.Report().Load())
+		return
+	}
+	m.tickets = append(m.tickets, ticket)
+	m.state[ticket] = "entered"
+	if isDecided(ticket) && ticket.Err() == nil && m.running() == wasRunning+1 {
+		m.checkBound(t, ticket, before)
+	}
+}
+
+// checkBound restates the bound for the one item that was granted.
+func (m *machine) checkBound(t *rapid.T, ticket *Ticket, before uint64) {
+	load := m.limits.load
+	if before == 0 || !m.limits.known || m.now.Sub(load.Time()) > maxMeanAge {
+		return
+	}
+	cost := ticket.item.cost()
+	total := float64(load.Total()+before+cost) / float64(load.Servers())
+	require.LessOrEqual(t, float64(before+cost), math.Ceil(m.limits.bound*total), "no multiple of the mean can be above this")
+}
+
+func (m *machine) deadline(t *rapid.T) time.Time {
+	if rapid.Bool().Draw(t, "endless") {
+		return time.Time{}
+	}
+	return m.now.Add(time.Duration(rapid.IntRange(-1, 5000).Draw(t, "timeout")) * time.Millisecond)
+}
+
+func (m *machine) pick(t *rapid.T) *Ticket {
+	if len(m.tickets) == 0 {
+		t.Skip("no tickets")
+	}
+	return rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+}
+
+func (m *machine) Withdraw(t *rapid.T) {
+	ticket := m.pick(t)
+	granted := isDecided(ticket) && ticket.Err() == nil
+	notRun := m.gate.Withdraw(m.now, ticket)
+	require.Equal(t, !granted, notRun)
+	if notRun {
+		m.state[ticket] = "withdrawn"
+	}
+}
+
+func (m *machine) Progress(t *rapid.T) {
+	m.gate.Progress(m.now, m.pick(t), rapid.Uint64Range(0, 2000).Draw(t, "produced"))
+}
+
+func (m *machine) Leave(t *rapid.T) {
+	ticket := m.pick(t)
+	m.gate.Leave(m.now, ticket)
+	if isDecided(ticket) && ticket.Err() == nil {
+		m.state[ticket] = "left"
+	}
+}
+
+func (m *machine) Wait(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "wait")) * time.Millisecond)
+	m.gate.Expire(m.now)
+}
+
+func (m *machine) SetLimits(t *rapid.T) {
+	c := limits(rapid.IntRange(0, 6).Draw(t, "slots"))
+	c.Load = clemboard.NewLoad(clemboard.LoadConfig{
+		Servers: rapid.IntRange(0, 4).Draw(t, "servers"),
+		Total:   rapid.Uint64Range(0, 5000).Draw(t, "total"),
+		Median:  time.Duration(rapid.IntRange(0, 20).Draw(t, "median")) * time.Millisecond,
+		Time:    m.now.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond),
+	})
+	c.Known = rapid.Bool().Draw(t, "known")
+	m.limits = NewLimits(c)
+	m.gate.SetLimits(m.now, m.limits)
+}
+
+func (m *machine) SetBusy(t *rapid.T) {
+	m.gate.SetBusy(m.now, rapid.SampledFrom([]uint64{0, 0, 700}).Draw(t, "busy"))
+}
+
+func (m *machine) running() int {
+	running := 0
+	for _, ticket := range m.tickets {
+		if isDecided(ticket) && ticket.Err() == nil && m.state[ticket] != "left" {
+			running++
+		}
+	}
+	return running
+}
+
+// Check compares the gate's books with what the tickets say.
+func (m *machine) Check(t *rapid.T) {
+	waiting, running, load := map[string]int{}, 0, m.gate.busy
+	for _, ticket := range m.tickets {
+		switch {
+		case !isDecided(ticket):
+			require.Equal(t, "entered", m.state[ticket])
+			waiting[ticket.item.organisation]++
+			waiting["all"]++
+			require.LessOrEqual(t, waiting[ticket.item.organisation], maxQueue(m, ticket))
+		case ticket.Err() != nil:
+			require.True(t, clementineturn.IsNotRun(ticket.Err()))
+			require.NotEqual(t, "left", m.state[ticket])
+		default:
+			require.NotEqual(t, "withdrawn", m.state[ticket], "granted after it was withdrawn")
+			if m.state[ticket] != "left" {
+				running++
+				load += ticket.cost
+			}
+		}
+	}
+	report := m.gate.Report()
+	require.Equal(t, waiting["all"], report.Waiting())
+	require.Equal(t, running, report.Running())
+	require.Equal(t, load, report.Load())
+	m.checkBacklog(t)
+}
+
+// maxQueue returns the highest queue limit among the organisation's waiting items.
+func maxQueue(m *machine, ticket *Ticket) int {
+	most := 0
+	for _, other := range m.tickets {
+		if other.item.organisation == ticket.item.organisation && !isDecided(other) {
+			most = max(most, int(other.item.queue))
+		}
+	}
+	return most
+}
+
+func (m *machine) checkBacklog(t *rapid.T) {
+	weight := 0.0
+	for name, f := range m.gate.backlog.flows {
+		require.Equal(t, name, f.name)
+		require.Equal(t, f.isActive(), f.idle == absent)
+		if f.isActive() {
+			weight += f.weight
+		}
+		for c := range f.index {
+			require.Equal(t, f.queues[c].Len() > 0, f.index[c] != absent)
+		}
+	}
+	require.Equal(t, weight, m.gate.backlog.weight)
+}
+
+func TestGateModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(rapid.StateMachineActions(m))
+		m.gate.Drain(m.now)
+		for _, ticket := range m.tickets {
+			require.True(t, isDecided(ticket), "every item is decided")
+			m.gate.Leave(m.now, ticket)
+		}
+		require.Equal(t, m.gate.busy, m.gate.Report().Load())
+		require.Empty(t, m.gate.backlog.flows)
+	})
+}
--- a/clemgate/speed.go
+++ b/clemgate/speed.go
@@ -43,7 +43,7 @@
 	if m.tokens < minSpeedTokens {
 		return 0
 	}
-	return time.Duration(m.elapsed / m.tokens)
+	return time.Duration(math.Round(m.elapsed / m.tokens))
 }
 
 // slowness returns the speed relative to the median, or 0 if either is unknown.
