--- /dev/null
+++ b/clemconfig/snapshot.go
@@ -0,0 +1,45 @@
+package clemconfig
+
+import (
+	"context"
+	"strconv"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
+
+// snapshotKey is the row that holds the generation of the newest snapshot.
+const snapshotKey = "config/snapshot"
+
+// Snapshot returns the generation of the newest snapshot in the object store,
+// or 0 if there is none. Errors: KindUnavailable.
+func (l *Log) Snapshot(ctx context.Context) (uint64, error) {
+	generation, _, err := l.snapshot(ctx)
+	return generation, err
+}
+
+func (l *Log) snapshot(ctx context.Context) (uint64, clementineturn.Version, error) {
+	row, err := l.table.Get(ctx, snapshotKey)
+	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+		return 0, "", nil
+	}
+	if err != nil {
+		return 0, "", err
+	}
+	generation, err := strconv.ParseUint(string(row.Value()), 10, 64)
+	if err != nil {
+		return 0, "", clementineturn.Errorf(clementineturn.KindInternal, "row %s: %w", snapshotKey, err)
+	}
+	return generation, row.Version(), nil
+}
+
+// SetSnapshot records that the object store holds a snapshot of the
+// generation. A newer one stays. Errors: KindConflict if another process was
+// faster, KindUnavailable, KindUnknown.
+func (l *Log) SetSnapshot(ctx context.Context, generation uint64) error {
+	newest, version, err := l.snapshot(ctx)
+	if err != nil || newest >= generation {
+		return err
+	}
+	_, err = l.table.Put(ctx, snapshotKey, []byte(strconv.FormatUint(generation, 10)), version)
+	return err
+}
--- /dev/null
+++ b/clemmember/member.go
@@ -0,0 +1,330 @@
+// Package clemmember decides which hosts take part: from the platform's
+// lagging list, from the operators' drains, and from what offers to backend
+// servers meet. It writes the members to the board.
+package clemmember
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	defaultInterval = time.Second
+	// listTimeout bounds one read of the list.
+	listTimeout = 3 * time.Second
+	// settle is the shortest time between two sets of members, so that a
+	// burst of failures costs few of them.
+	settle = 100 * time.Millisecond
+)
+
+// Reasons of the board's drain.
+const (
+	ReasonList     = "list"
+	ReasonOperator = "operator"
+)
+
+// Config describes a Controller to construct.
+type Config struct {
+	Hosts clementineturn.Hosts
+	Board *clemboard.Board
+	// Interval is the time between reads of the list; 0 takes 1 s.
+	Interval time.Duration
+	Events   *clemevent.Logger
+	// Self is the name of the process's own host.
+	Self string
+}
+
+// Controller writes the board's members.
+type Controller struct {
+	config Config
+	kick   chan struct{}
+	// drained holds the reasons set on the board. It belongs to the write loop.
+	drained map[string]bool
+
+	// mu guards the fields below. It is never held while the board is written.
+	mu      sync.Mutex
+	list    *list
+	merged  bool
+	records map[string]*record
+}
+
+// New returns the controller that the configuration describes.
+func New(c Config) *Controller {
+	if c.Interval == 0 {
+		c.Interval = defaultInterval
+	}
+	return &Controller{config: c, kick: make(chan struct{}, 1), drained: map[string]bool{}, list: newList(), records: map[string]*record{}}
+}
+
+// Start runs the controller until the context ends. The channel gets the
+// error that ended it, or nil, and is then closed.
+func (c *Controller) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		c.readLoop(ctx)
+	}()
+	go func() {
+		defer close(ended)
+		c.writeLoop(ctx)
+		<-read
+		ended <- nil
+	}()
+	return ended
+}
+
+// Refused notes that a server refused work. A draining refusal keeps new work
+// from it for a time that doubles with each further one.
+func (c *Controller) Refused(server string, kind clementineturn.Kind, now time.Time) {
+	if !leaves(kind) {
+		return
+	}
+	c.note(server, now, func(r *record) time.Duration { return r.refuse(now) })
+}
+
+// Failed notes that a connection to a server failed. Three in a row within
+// five seconds keep new work from it.
+func (c *Controller) Failed(server string, now time.Time) {
+	c.note(server, now, func(r *record) time.Duration { return r.fail(now) })
+}
+
+// Succeeded notes that a server took work.
+func (c *Controller) Succeeded(server string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.records[server]
+	if r == nil || r.held(now) && r.refused {
+		return
+	}
+	held := r.held(now)
+	r.succeed()
+	if held {
+		c.wake()
+	}
+}
+
+// note changes a server's record and logs a hold.
+func (c *Controller) note(server string, now time.Time, change func(*record) time.Duration) {
+	c.mu.Lock()
+	hold := change(c.record(server, now))
+	gone := hold > 0 && c.list.confirm(server)
+	c.mu.Unlock()
+	if hold == 0 {
+		return
+	}
+	c.config.Events.Emit(clemevent.ServerHeld, zap.String("host", server), zap.Duration("hold", hold))
+	if gone {
+		c.config.Events.Emit(clemevent.ServerGone, zap.String("host", server))
+	}
+	c.wake()
+}
+
+// record returns the server's record. The caller holds mu.
+func (c *Controller) record(server string, now time.Time) *record {
+	r := c.records[server]
+	if r == nil {
+		r = &record{decayed: now}
+		c.records[server] = r
+	}
+	return r
+}
+
+func (c *Controller) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// readLoop reads the list once per interval. While the list does not answer,
+// the last one stays in use.
+func (c *Controller) readLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var version clementineturn.Version
+	failed := false
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		timer.Reset(c.config.Interval)
+		next, err := c.read(ctx, version)
+		if ctx.Err() != nil {
+			return
+		}
+		if down := err != nil; down != failed {
+			failed = down
+			c.logList(err)
+		}
+		version = next
+	}
+}
+
+func (c *Controller) logList(err error) {
+	if err != nil {
+		c.config.Events.Emit(clemevent.HostsFailed, zap.Error(err))
+		return
+	}
+	c.config.Events.Emit(clemevent.HostsBack)
+}
+
+// read merges one answer of the list and returns the version to ask with next.
+func (c *Controller) read(ctx context.Context, version clementineturn.Version) (clementineturn.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	hosts, next, err := c.config.Hosts.List(ctx, version)
+	if err != nil {
+		return version, err
+	}
+	if next == version && version != "" {
+		return version, nil
+	}
+	now := time.Now()
+	c.mu.Lock()
+	change := c.list.merge(hosts, now)
+	c.merged = true
+	for _, host := range change.gone {
+		c.record(host.GetName(), now).flap(now)
+	}
+	for _, host := range change.joined {
+		if r := c.records[host.GetName()]; r != nil {
+			r.rejoin(now)
+		}
+	}
+	c.mu.Unlock()
+	c.logChange(change)
+	c.wake()
+	return next, nil
+}
+
+func (c *Controller) logChange(change change) {
+	for _, host := range change.joined {
+		c.config.Events.Emit(clemevent.ServerJoined, zap.String("host", host.GetName()))
+	}
+	for _, host := range change.gone {
+		c.config.Events.Emit(clemevent.ServerGone, zap.String("host", host.GetName()))
+	}
+	if change.doubted > 0 {
+		c.config.Events.Emit(clemevent.HostsShrunk, zap.Int("hosts", change.doubted))
+	}
+}
+
+// writeLoop writes the members whenever the list, a record, a hold or the
+// operators' drains change.
+func (c *Controller) writeLoop(ctx context.Context) {
+	var written []*clemwire.Host
+	for {
+		config, changed := c.config.Board.Config().Watch()
+		if config == nil {
+			config = clemconfig.Empty()
+		}
+		hosts, expiry := c.compose(time.Now(), config.Drained)
+		if hosts != nil && (written == nil || !slices.Equal(hosts, written)) {
+			written = hosts
+			c.config.Board.Members().Set(clemboard.NewMembers(hosts))
+		}
+		c.drainSelf(config.Drained(c.config.Self))
+		if !pause(ctx, settle) {
+			return
+		}
+		timer := time.NewTimer(expiry)
+		select {
+		case <-changed:
+		case <-c.kick:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// compose returns the hosts that may take new work, sorted by name, or nil
+// before the first list, and the time to the next end of a hold.
+func (c *Controller) compose(now time.Time, drained func(string) bool) ([]*clemwire.Host, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(now)
+	expiry := maxHold
+	if !c.merged {
+		return nil, expiry
+	}
+	open := map[group]int{}
+	hosts, failing := make([]*clemwire.Host, 0, len(c.list.entries)), []*clemwire.Host(nil)
+	for name, e := range c.list.entries {
+		r := c.records[name]
+		switch {
+		case e.host.GetLeaving() || drained(name):
+		case !r.held(now):
+			hosts = append(hosts, e.host)
+			open[groupOf(e.host)]++
+		default:
+			expiry = min(expiry, r.until.Sub(now))
+			if !r.refused {
+				failing = append(failing, e.host)
+			}
+		}
+	}
+	// If every server of a group fails, the fault may be this process's own
+	// connection, and there is nothing to lose by trying them.
+	for _, host := range failing {
+		if open[groupOf(host)] == 0 {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *clemwire.Host) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return hosts, expiry
+}
+
+// forget drops the records that say nothing any more. The caller holds mu.
+func (c *Controller) forget(now time.Time) {
+	for server, r := range c.records {
+		if r.idle(now) {
+			delete(c.records, server)
+		}
+	}
+}
+
+// drainSelf sets or clears the reasons for which this process takes no new work.
+func (c *Controller) drainSelf(operator bool) {
+	c.mu.Lock()
+	e := c.list.entries[c.config.Self]
+	c.mu.Unlock()
+	reasons := map[string]bool{ReasonList: e != nil && e.host.GetLeaving(), ReasonOperator: operator}
+	for reason, on := range reasons {
+		if c.drained[reason] == on {
+			continue
+		}
+		c.drained[reason] = on
+		c.config.Board.Drain().Update(func(old *clemboard.Drain) *clemboard.Drain { return old.With(reason, on) })
+		event := clemevent.SelfRemaining
+		if on {
+			event = clemevent.SelfLeaving
+		}
+		c.config.Events.Emit(event, zap.String("reason", reason))
+	}
+}
--- /dev/null
+++ b/clemrelay/beat.go
@@ -0,0 +1,264 @@
+package clemrelay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// Shares of the beat interval. The replies of a round reach all nodes within
+// a short time of each other, so they start the pause before the next round
+// everywhere, and reports of leaves reach the root within the same round.
+const (
+	// pauseShare is the time from a round's end to a node's next report.
+	pauseShare = 0.6
+	// gatherShare is how long a node waits for children that are late.
+	gatherShare = 0.3
+	// holdShare is how long a parent holds a child's report for its own round to end.
+	holdShare = 1.5
+	// dropShare is the time after which a silent child no longer counts.
+	dropShare = 3
+)
+
+// beatTries is the most parents that one round tries.
+const beatTries = 3
+
+func share(d time.Duration, of float64) time.Duration {
+	return time.Duration(float64(d) * of)
+}
+
+// child is the latest report of a node's subtree.
+type child struct {
+	incarnation uint64
+	loads       []*clemwire.PoolLoad
+	at          time.Time
+	// fresh is set by a report and cleared by the round that carries it up.
+	fresh bool
+	// expected tells whether the last round carried a fresh report.
+	expected bool
+}
+
+// beats holds what the reports say.
+type beats struct {
+	beat time.Duration
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	children map[string]*child
+	arrived  chan struct{}
+	done     chan struct{}
+	totals   sums
+}
+
+func newBeats(beat time.Duration) *beats {
+	return &beats{beat: beat, children: map[string]*child{}, arrived: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// record stores a child's report and returns a channel that closes when a round has ended.
+// Errors: KindConflict if a newer incarnation of the node reported before.
+func (b *beats) record(beat *clemwire.Beat, now time.Time) (<-chan struct{}, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.children[beat.GetNode()]
+	if c == nil {
+		c = &child{}
+		b.children[beat.GetNode()] = c
+	}
+	if beat.GetIncarnation() < c.incarnation {
+		return nil, clementineturn.Refuse(clementineturn.KindConflict, "incarnation %d of %s is older than %d", beat.GetIncarnation(), beat.GetNode(), c.incarnation)
+	}
+	c.incarnation, c.loads, c.at, c.fresh = beat.GetIncarnation(), beat.GetPools(), now, true
+	select {
+	case b.arrived <- struct{}{}:
+	default:
+	}
+	return b.done, nil
+}
+
+// complete reports whether every expected child reported since the last round.
+func (b *beats) complete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.children {
+		if c.expected && !c.fresh {
+			return false
+		}
+	}
+	return true
+}
+
+// gather waits for the expected children, at most a share of the interval.
+func (b *beats) gather(ctx context.Context) {
+	timer := time.NewTimer(share(b.beat, gatherShare))
+	defer timer.Stop()
+	for !b.complete() {
+		select {
+		case <-b.arrived:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// collect starts a round: it drops silent children and returns their names.
+func (b *beats) collect(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var dropped []string
+	for node, c := range b.children {
+		if now.Sub(c.at) > share(b.beat, dropShare) {
+			delete(b.children, node)
+			dropped = append(dropped, node)
+			continue
+		}
+		c.expected, c.fresh = c.fresh, false
+	}
+	return dropped
+}
+
+// sum adds the children's reports to the process's own.
+func (b *beats) sum(own []*clemwire.PoolLoad, now time.Time) sums {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := sums{}
+	for _, load := range own {
+		s.add(load, now)
+	}
+	for _, c := range b.children {
+		for _, load := range c.loads {
+			s.add(load, c.at)
+		}
+	}
+	return s
+}
+
+// finish ends a round. Without new totals the old ones stay and age.
+func (b *beats) finish(totals sums) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if totals != nil {
+		b.totals = totals
+	}
+	close(b.done)
+	b.done = make(chan struct{})
+}
+
+func (b *beats) latest() sums {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.totals
+}
+
+// Beat takes a child's report and answers with the sums over the whole tree,
+// after this process's own next round. Errors: KindConflict.
+func (r *Relay) Beat(ctx context.Context, beat *clemwire.Beat) (*clemwire.BeatReply, error) {
+	start := time.Now()
+	done, err := r.beats.record(beat, start)
+	if err != nil {
+		return nil, err
+	}
+	if members := r.config.Board.Members().Get(); members != nil {
+		r.hear(beat.GetGeneration(), members.Host(beat.GetNode()).GetAddress())
+	}
+	timer := time.NewTimer(share(r.config.Beat, holdShare))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, clementineturn.AsError(ctx.Err())
+	}
+	now := time.Now()
+	generation, _ := r.store.generation()
+	return &clemwire.BeatReply{Generation: generation, Pools: r.beats.latest().down(now), Held: durationpb.New(now.Sub(start))}, nil
+}
+
+// report runs the rounds.
+func (r *Relay) report(ctx context.Context) error {
+	for sleep(ctx, r.pause()) {
+		r.beats.gather(ctx)
+		start := time.Now()
+		for _, node := range r.beats.collect(start) {
+			r.config.Events.Emit(clemevent.ChildDropped, zap.String("host", node))
+		}
+		totals := r.round(ctx)
+		if totals != nil {
+			r.config.Board.Loads().Set(totals.loads())
+		}
+		r.beats.finish(totals)
+	}
+	return nil
+}
+
+// pause returns the time to the next round. The root sets the pace of the
+// tree, because all other nodes wait for its round to end.
+func (r *Relay) pause() time.Duration {
+	if len(r.parents()) == 0 {
+		return r.config.Beat
+	}
+	return share(r.config.Beat, pauseShare)
+}
+
+// round reports to the first parent that answers and returns the sums over
+// the whole tree, or nil if they are not known.
+func (r *Relay) round(ctx context.Context) sums {
+	hosts := r.parents()
+	for _, host := range hosts[:min(len(hosts), beatTries)] {
+		totals, err := r.reportTo(ctx, host)
+		if err == nil {
+			return totals
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		r.failed(host, err)
+	}
+	if len(r.parents()) > 0 {
+		return nil
+	}
+	return r.rootTotals()
+}
+
+// rootTotals returns the sums of a node that no parent answers, for the pools
+// of which it hears at least half the members. A smaller part would take its
+// own load for the pool's mean.
+func (r *Relay) rootTotals() sums {
+	totals := r.beats.sum(r.config.Loads(), time.Now())
+	members := r.config.Board.Members().Get()
+	for pool, p := range totals {
+		if members == nil || 2*int(p.servers) < len(members.Pool(pool)) {
+			delete(totals, pool)
+		}
+	}
+	return totals
+}
+
+func (r *Relay) reportTo(ctx context.Context, host *clemwire.Host) (sums, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*r.config.Beat)
+	defer cancel()
+	start := time.Now()
+	generation, _ := r.store.generation()
+	beat := &clemwire.Beat{Node: r.config.Self.GetName(), Incarnation: r.config.Incarnation, Generation: generation}
+	beat.Pools = r.beats.sum(r.config.Loads(), start).up(start.Add(r.transit))
+	reply, err := r.config.Peers.Peer(host.GetAddress()).Beat(ctx, beat)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	r.transit = max(now.Sub(start)-reply.GetHeld().AsDuration(), 0)
+	r.hear(reply.GetGeneration(), host.GetAddress())
+	totals := sums{}
+	for _, load := range reply.GetPools() {
+		totals.add(load, now.Add(-r.transit))
+	}
+	return totals, nil
+}
