--- a/clementry/chat.go
+++ b/clementry/chat.go
@@ -141,8 +141,9 @@
 	s := &session{host: host, peer: e.Peers.Peer(host.GetAddress()), offer: &clemwire.Offer{
 		Request: request, Attempt: attempt, Organisation: c.organisation.GetName(), Mode: clemwire.Mode_MODE_IDEMPOTENT,
 	}}
-	c.out.resume(server, seq+1)
-	return e.router.relay(ctx, s, c.out)
+	out := c.floor.output()
+	out.resume(server, seq+1)
+	return e.router.relay(ctx, s, out)
 }
 
 // modelList is the answer to GET /v1/models.
--- a/clementry/http.go
+++ b/clementry/http.go
@@ -56,7 +56,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	begun        time.Time
-	out          *output
+	floor        *floor
 }
 
 // caller authenticates and records a request around its handler.
@@ -64,7 +64,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.active.Add(1)
 		defer e.active.Add(-1)
-		c := &call{w: w, r: r, begun: time.Now(), out: newOutput(w)}
+		c := &call{w: w, r: r, begun: time.Now(), floor: newFloor(w)}
 		organisation, err := e.authenticate(r)
 		if err == nil {
 			c.organisation = organisation
@@ -123,9 +123,9 @@
 		}
 		failed = true
 	}
-	first := c.out.first
-	if first.IsZero() {
-		first = now
+	first := now
+	if out := c.floor.owner(); out != nil && out.sent {
+		first = out.first
 	}
 	objective := clemburn.Objective(e.Board.Config().Get(), c.organisation.GetName(), c.pool)
 	e.Burn.Record(now, c.organisation.GetName(), c.pool, failed, first.Sub(c.begun), objective.GetFirst().AsDuration())
@@ -134,16 +134,17 @@
 // fail tells the caller of an error. After a part of the answer was sent an
 // event stream gets an error event and no [DONE]; anything else is cut off.
 func (c *call) fail(e *clementineturn.Error) {
-	if !c.out.sent {
+	out := c.floor.owner()
+	if out == nil || !out.sent {
 		c.w.Header().Set(headerRequest, c.request)
 		writeError(c.w, e)
 		return
 	}
-	if !c.out.events {
+	if !out.events {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = fmt.Fprintf(c.w, "data: %s\n\n", errorBody(e))
-	_ = c.out.controller.Flush()
+	_ = c.floor.controller.Flush()
 }
 
 // openAIError is the error form of the OpenAI API.
@@ -209,5 +210,5 @@
 	defer cancel()
 	c.request = t.request
 	c.w.Header().Set(headerRequest, t.request)
-	return e.router.serve(ctx, t, c.out)
+	return e.router.serve(ctx, t, c.floor)
 }
--- a/clementry/output.go
+++ b/clementry/output.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,22 +27,57 @@
 
 var doneEvent = []byte("data: [DONE]")
 
-// output writes one answer to the caller and checks that it is whole. The
-// status goes out with the first data, so that until then another attempt can
-// take over. An event stream's [DONE] waits for the end marker: a cut answer
-// never looks whole.
-type output struct {
+// floor is the caller's side of a request. The first attempt that has a byte
+// to send takes it and alone may write.
+type floor struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	server     string
-	start      *clemwire.Start
-	events     bool
-	held       []byte
-	sent       bool
-	next       uint64
-	length     uint64
-	digest     *xxhash.Digest
-	resumed    bool
+	taken      chan struct{}
+
+	mu     sync.Mutex
+	holder *output
+}
+
+func newFloor(w http.ResponseWriter) *floor {
+	return &floor{w: w, controller: http.NewResponseController(w), taken: make(chan struct{})}
+}
+
+// take gives the floor to the attempt unless another one has it.
+func (f *floor) take(o *output) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holder == nil {
+		f.holder = o
+		close(f.taken)
+	}
+	return f.holder == o
+}
+
+// owner returns the attempt that has the floor, or nil.
+func (f *floor) owner() *output {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holder
+}
+
+// output returns the output of a new attempt.
+func (f *floor) output() *output { return &output{floor: f, digest: xxhash.New()} }
+
+// output writes the answer of one attempt to the caller and checks that it is
+// whole. The status goes out with the first data, so that until then another
+// attempt can take over. An event stream's [DONE] waits for the end marker: a
+// cut answer never looks whole.
+type output struct {
+	*floor
+	server  string
+	start   *clemwire.Start
+	events  bool
+	held    []byte
+	sent    bool
+	next    uint64
+	length  uint64
+	digest  *xxhash.Digest
+	resumed bool
 	// repeatable says that a failing status may be hidden by another attempt.
 	repeatable bool
 	// complete is set by the end frame.
@@ -50,15 +86,14 @@
 	first time.Time
 }
 
-func newOutput(w http.ResponseWriter) *output {
-	return &output{w: w, controller: http.NewResponseController(w), digest: xxhash.New()}
-}
-
-// reset forgets an attempt of which nothing was sent.
+// reset prepares the output for the answer of a backend server.
 func (o *output) reset(server string, repeatable bool) {
-	*o = output{w: o.w, controller: o.controller, digest: xxhash.New(), server: server, repeatable: repeatable}
+	*o = output{floor: o.floor, digest: xxhash.New(), server: server, repeatable: repeatable}
 }
 
+// isResumable reports whether the caller holds an event to resume from.
+func (o *output) isResumable() bool { return o.events && o.sent }
+
 // resume starts the output at a frame in the middle of an event stream.
 func (o *output) resume(server string, next uint64) {
 	o.reset(server, false)
@@ -136,7 +171,7 @@
 	if o.start == nil && !o.resumed {
 		return clementineturn.Errorf(clementineturn.KindMismatch, "the end came before the start")
 	}
-	if !o.sent && !o.events {
+	if !o.sent && !o.events && o.take(o) {
 		o.w.Header().Set("Content-Length", strconv.Itoa(len(o.held)))
 	}
 	return o.flush()
@@ -144,6 +179,12 @@
 
 // flush sends the status, if it was not sent, and what is held.
 func (o *output) flush() error {
+	if len(o.held) == 0 && !o.complete {
+		return nil
+	}
+	if !o.take(o) {
+		return clementineturn.Errorf(clementineturn.KindCancelled, "another attempt answers")
+	}
 	o.sendStatus()
 	if len(o.held) == 0 {
 		return nil
--- a/clementry/plan.go
+++ b/clementry/plan.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -25,20 +26,36 @@
 	request      string
 	organisation string
 	build        func(state *clemconfig.State) (*plan, error)
-	attempts     int
+
+	mu       sync.Mutex
+	attempts int
+	tried    map[string]bool
 }
 
 func newTask(organisation string, build func(state *clemconfig.State) (*plan, error)) *task {
-	return &task{request: rand.Text(), organisation: organisation, build: build}
+	return &task{request: rand.Text(), organisation: organisation, build: build, tried: map[string]bool{}}
 }
 
 // nextAttempt returns the id of the task's next attempt. It carries the
 // request's id, so that both can be told from another request's.
 func (t *task) nextAttempt() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.attempts++
 	return fmt.Sprintf("%s.%d", t.request, t.attempts)
 }
 
+// try marks a backend server as tried and reports whether it was not before.
+func (t *task) try(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tried[server] {
+		return false
+	}
+	t.tried[server] = true
+	return true
+}
+
 // plan classifies the task by the newest configuration.
 func (t *task) plan(ctx context.Context, state *clemconfig.State) (*plan, error) {
 	if state == nil {
@@ -56,4 +73,7 @@
 	return p, nil
 }
 
+// cost returns the estimated work in tokens.
+func (p *plan) cost() float64 { return float64(p.offer.GetPrompt() + p.offer.GetOutput()) }
+
 func (p *plan) isIdempotent() bool { return p.offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT }
--- a/clementry/router.go
+++ b/clementry/router.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clembudget"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -16,38 +17,58 @@
 	maxTries = 4
 	// maxLessons bounds how often one offer is repeated to a sidecar of another generation.
 	maxLessons = 3
+	// retryShare and retryBurst bound the repeats of dispatched work, in requests.
+	retryShare = 0.1
+	retryBurst = 10
+	// hedgeBurst is the extra work, in tokens, that a pool's hedges may save up.
+	hedgeBurst    = 10_000
+	hedgeQuantile = 0.95
+	hedgeQuiet    = 5 * time.Second
+	hedgeLeast    = 10 * time.Millisecond
+	// verdictGrace is how long after the deadline an entry waits for the
+	// sidecar's own word on whether the work was run.
+	verdictGrace = 250 * time.Millisecond
 )
 
 // router places requests on backend servers.
 type router struct {
 	Config
+	retries *clembudget.Budget
+	hedges  *clembudget.Hedge
 }
 
-func newRouter(c Config) *router { return &router{c} }
+func newRouter(c Config) *router {
+	return &router{
+		Config:  c,
+		retries: clembudget.New(clembudget.Config{Share: retryShare, Burst: retryBurst}),
+		hedges: clembudget.NewHedge(clembudget.HedgeConfig{
+			Quantile: hedgeQuantile, Burst: hedgeBurst, Quiet: hedgeQuiet, Least: hedgeLeast,
+		}),
+	}
+}
 
 // session is an accepted attempt at one backend server.
 type session struct {
-	host    *clemwire.Host
-	peer    clementineturn.Peer
-	offer   *clemwire.Offer
-	started time.Time
+	host  *clemwire.Host
+	peer  clementineturn.Peer
+	offer *clemwire.Offer
 }
 
-// place offers the task to ranked backend servers until one accepts. tried
-// holds the servers that had their turn. Errors carry NotRun unless an offer
-// was lost on the way.
-func (r *router) place(ctx context.Context, t *task, tried map[string]bool, hedge bool) (*session, error) {
+func (s *session) isIdempotent() bool { return s.offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT }
+
+// place offers the task to ranked backend servers until one accepts. Errors
+// carry NotRun unless an offer was lost on the way.
+func (r *router) place(ctx context.Context, t *task, hedge bool) (*session, error) {
 	var last error
 	for range maxTries {
 		p, err := t.plan(ctx, r.Board.Config().Get())
 		if err != nil {
 			return nil, err
 		}
-		host := r.next(p, tried)
+		host := r.next(t, p)
 		if host == nil {
 			break
 		}
-		tried[host.GetName()] = true
 		p.offer.Attempt, p.offer.Hedge = t.nextAttempt(), hedge
 		s, err := r.offer(ctx, t, p, host)
 		if err == nil {
@@ -64,14 +85,14 @@
 	return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "no backend server is left for the request")
 }
 
-// next returns the best ranked backend server that was not tried.
-func (r *router) next(p *plan, tried map[string]bool) *clemwire.Host {
+// next returns the best ranked backend server that was not tried and marks it as tried.
+func (r *router) next(t *task, p *plan) *clemwire.Host {
 	members := r.Board.Members().Get()
 	if members == nil {
 		return nil
 	}
 	for _, host := range r.Ranker.Rank(p.work, members.Pool(p.offer.GetPool())) {
-		if !tried[host.GetName()] {
+		if t.try(host.GetName()) {
 			return host
 		}
 	}
@@ -97,7 +118,7 @@
 func (r *router) offer(ctx context.Context, t *task, p *plan, host *clemwire.Host) (*session, error) {
 	peer := r.Peers.Peer(host.GetAddress())
 	for range maxLessons {
-		verdict, err := peer.Offer(ctx, p.offer)
+		verdict, err := r.ask(ctx, peer, p.offer)
 		if err != nil {
 			r.Health.Failed(host.GetName(), time.Now())
 			return nil, lost(err)
@@ -105,10 +126,13 @@
 		refusal := clementineturn.FromRefusal(verdict.GetRefusal())
 		if refusal == nil {
 			r.Health.Succeeded(host.GetName(), time.Now())
-			return &session{host: host, peer: peer, offer: p.offer, started: time.Now()}, nil
+			return &session{host: host, peer: peer, offer: p.offer}, nil
 		}
 		if refusal.Kind() != clementineturn.KindStale {
 			r.Health.Refused(host.GetName(), refusal.Kind(), time.Now())
+			if refusal.Kind() == clementineturn.KindOverloaded {
+				r.hedges.Overloaded(time.Now(), p.offer.GetPool())
+			}
 			return nil, refusal
 		}
 		r.Events.Emit(clemevent.OfferStale, zap.String("request", t.request), zap.String("server", host.GetName()))
@@ -121,6 +145,23 @@
 	return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "%s and this entry do not agree on a configuration", host.GetName())
 }
 
+// ask makes one offer. It waits a little past the deadline, and past the end
+// of the caller, for the sidecar's verdict: only that tells whether the work
+// was run.
+func (r *router) ask(ctx context.Context, peer clementineturn.Peer, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	patient, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		timer := time.AfterFunc(verdictGrace, cancel)
+		defer timer.Stop()
+		s := &session{peer: peer, offer: offer}
+		s.cancel(patient)
+		<-patient.Done()
+	})
+	defer stop()
+	return peer.Offer(patient, offer)
+}
+
 // lost keeps a refusal that the peer's connection made and marks everything
 // else as unknown, since the offer may have arrived.
 func lost(err error) error {
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -13,46 +14,158 @@
 	// fetchTries and fetchDelay bound how a broken answer stream is taken up again.
 	fetchTries = 3
 	fetchDelay = 100 * time.Millisecond
+	// maxRepeats bounds the attempts that one request makes after the first was dispatched.
+	maxRepeats = 3
 )
 
+// errSuperseded ends an attempt after another one began to answer the caller.
+var errSuperseded = errors.New("another attempt answers")
+
+// result is how one attempt ended.
+type result struct {
+	session *session
+	output  *output
+	err     error
+}
+
+// race runs the attempts of one task. The first to send a byte to the caller
+// takes the floor and the others are withdrawn.
+type race struct {
+	*router
+	ctx     context.Context
+	task    *task
+	floor   *floor
+	results chan result
+	running map[*output]context.CancelCauseFunc
+}
+
 // serve places the task and relays its answer. Until something was sent to
-// the caller a failed idempotent attempt is repeated elsewhere.
-func (r *router) serve(ctx context.Context, t *task, out *output) error {
-	tried := map[string]bool{}
-	for {
-		s, err := r.place(ctx, t, tried, false)
-		if err != nil {
-			return err
-		}
-		out.reset(s.host.GetName(), s.offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT)
-		err = r.relay(ctx, s, out)
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil && !out.events {
-			s.cancel(ctx)
+// the caller, a failed attempt of idempotent work is repeated elsewhere within
+// the retry budget, and a slow one is hedged within the pool's.
+func (r *router) serve(ctx context.Context, t *task, f *floor) error {
+	p, err := t.plan(ctx, r.Board.Config().Get())
+	if err != nil {
+		return err
+	}
+	r.earn(p)
+	race := &race{
+		router: r, ctx: ctx, task: t, floor: f,
+		results: make(chan result), running: map[*output]context.CancelCauseFunc{},
+	}
+	err = race.run(p)
+	race.stop(nil)
+	for range len(race.running) {
+		<-race.results
+	}
+	return after(ctx, err)
+}
+
+// earn credits the budgets with the work that the caller asked for.
+func (r *router) earn(p *plan) {
+	pool := r.Board.Config().Get().Pool(p.offer.GetPool())
+	r.retries.Earn(1)
+	r.hedges.Earn(p.offer.GetPool(), pool.GetHedge(), p.cost())
+}
+
+func (r *race) run(p *plan) error {
+	begun, pool := time.Now(), p.offer.GetPool()
+	hedge := r.hedgeTimer(p)
+	defer hedge.Stop()
+	taken := r.floor.taken
+	r.launch(false)
+	for repeats := 0; ; {
+		select {
+		case <-hedge.C:
+			if len(r.running) == 1 && r.hedges.Spend(time.Now(), pool, p.cost()) {
+				r.launch(true)
+			}
+		case <-taken:
+			taken = nil
+			hedge.Stop()
+			r.hedges.Observe(time.Now(), pool, time.Since(begun))
+			r.stop(r.floor.owner())
+		case res := <-r.results:
+			delete(r.running, res.output)
+			if res.err == nil || r.floor.owner() == res.output {
+				return res.err
+			}
+			if len(r.running) > 0 {
+				continue
+			}
+			if repeats == maxRepeats || !r.mayRepeat(res) {
+				return res.err
+			}
+			repeats++
+			r.launch(false)
 		}
-		if out.sent || !r.mayRepeat(ctx, s, err) {
-			return after(ctx, err)
+	}
+}
+
+// hedgeTimer returns a timer for the second attempt; it never fires for work
+// that must not be hedged.
+func (r *race) hedgeTimer(p *plan) *time.Timer {
+	delay, ok := r.hedges.Delay(time.Now(), p.offer.GetPool())
+	timer := time.NewTimer(delay)
+	if !ok || !p.isIdempotent() {
+		timer.Stop()
+	}
+	return timer
+}
+
+// launch starts an attempt. Its end arrives on results.
+func (r *race) launch(hedge bool) {
+	out := r.floor.output()
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	r.running[out] = cancel
+	go func() {
+		defer cancel(nil)
+		s, err := r.attempt(ctx, r.task, out, hedge)
+		r.results <- result{session: s, output: out, err: err}
+	}()
+}
+
+// stop withdraws every attempt but the given one.
+func (r *race) stop(but *output) {
+	for out, cancel := range r.running {
+		if out != but {
+			cancel(errSuperseded)
 		}
 	}
 }
 
 // mayRepeat reports whether a failed attempt may be followed by another one.
-func (r *router) mayRepeat(ctx context.Context, s *session, err error) bool {
-	if ctx.Err() != nil {
+// Work that is known not to have run may be offered again at no cost.
+func (r *race) mayRepeat(res result) bool {
+	if r.ctx.Err() != nil || res.session == nil {
 		return false
 	}
-	return clementineturn.IsNotRun(err) || s.offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT
+	if clementineturn.IsNotRun(res.err) {
+		return true
+	}
+	return res.session.isIdempotent() && r.retries.Spend(1)
+}
+
+// attempt places the task once and relays the answer.
+func (r *router) attempt(ctx context.Context, t *task, out *output, hedge bool) (*session, error) {
+	s, err := r.place(ctx, t, hedge)
+	if err != nil {
+		return nil, err
+	}
+	out.reset(s.host.GetName(), s.isIdempotent())
+	err = r.relay(ctx, s, out)
+	// A caller that saw events of a stream may come back for the rest.
+	if ctx.Err() != nil && !out.isResumable() {
+		s.cancel(ctx)
+	}
+	return s, err
 }
 
 // after turns the error of a dispatched attempt into what the caller is told.
 func after(ctx context.Context, err error) error {
-	e := clementineturn.AsError(err)
-	if e.Kind() == clementineturn.KindCancelled && context.Cause(ctx) == context.DeadlineExceeded {
-		return clementineturn.AsError(context.DeadlineExceeded)
+	if clementineturn.IsKind(err, clementineturn.KindCancelled) && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return clementineturn.AsError(ctx.Err())
 	}
-	return e
+	return err
 }
 
 // relay passes the answer of one attempt to the output and takes a broken
--- a/clemsidecar/run.go
+++ b/clemsidecar/run.go
@@ -84,7 +84,7 @@
 	s.gate.Leave(time.Now(), j.ticket)
 	err = s.settle(ctx, j, err)
 	s.answers.Close(j.answer, err, time.Now())
-	s.forget(j.attempt)
+	s.end(j.attempt)
 	s.events.Emit(clemevent.WorkEnded, zap.String("request", offer.GetRequest()), zap.String("attempt", offer.GetAttempt()),
 		zap.String("organisation", offer.GetOrganisation()), zap.Duration("took", time.Since(begun)), zap.Error(err))
 }
@@ -120,7 +120,7 @@
 	}
 	s.answers.Close(answer, err, time.Now())
 	a.cancel()
-	s.forget(a)
+	s.end(a)
 	return nil
 }
 
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -28,6 +28,8 @@
 	defaultTimeout = 2 * time.Minute
 	// claimTimeout bounds the write of a claim, so that a slow table refuses work in time.
 	claimTimeout = 5 * time.Second
+	// verdictMemory is how long the verdict of an ended attempt is kept.
+	verdictMemory = 15 * time.Second
 )
 
 // Relay is what the sidecar asks of the relay tree.
@@ -83,7 +85,11 @@
 	cancel  context.CancelFunc
 	decided chan struct{}
 	verdict *clemwire.Verdict
+	// begun and stopped exclude each other for at-most-once work.
+	begun   bool
 	stopped bool
+	// ended is when the attempt was refused or its work ended.
+	ended time.Time
 }
 
 // New returns the sidecar that the configuration describes.
@@ -137,6 +143,7 @@
 		s.stop(id)
 	}
 	s.answers.Sweep(now)
+	s.forget(now)
 }
 
 // refreshLimits passes configuration and pool load to the gate.
@@ -168,35 +175,36 @@
 // Offer implements clementineturn.Peer. Every refusal it returns says that
 // the work was not run and never will be.
 func (s *Sidecar) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
-	if err := s.check(ctx, offer); err != nil {
+	if err := s.checkGeneration(offer); err != nil {
 		return s.refuse(offer, err), nil
 	}
-	a, fresh := s.enter(offer)
-	if !fresh {
-		return s.await(ctx, a)
-	}
 	timeout := offer.GetTimeout().AsDuration()
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	// The work outlives the call: the deadline is the caller's, not the connection's.
 	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	a.cancel = cancel
-	err := s.admit(runCtx, a)
+	a, fresh := s.enter(offer, cancel)
+	if !fresh {
+		cancel()
+		return s.await(ctx, a)
+	}
+	err := s.check(offer)
+	if err == nil {
+		err = s.admit(runCtx, a)
+	}
 	a.verdict = s.verdict(offer, err)
 	close(a.decided)
 	if err != nil {
 		cancel()
-		s.forget(a)
+		s.end(a)
 	}
 	return a.verdict, nil
 }
 
-// check refuses offers that must not even queue.
-func (s *Sidecar) check(ctx context.Context, offer *clemwire.Offer) error {
-	if s.board.Drain().Get().Active() {
-		return clementineturn.Refuse(clementineturn.KindDraining, "%s is draining", s.server)
-	}
+// checkGeneration refuses offers that rest on another generation. Such a
+// refusal is not kept: the entry repeats the attempt once both sides agree.
+func (s *Sidecar) checkGeneration(offer *clemwire.Offer) error {
 	if len(offer.GetChanges()) > 0 {
 		s.relay.Learn(offer.GetChanges())
 	}
@@ -204,32 +212,41 @@
 	if state == nil {
 		return clementineturn.Refuse(clementineturn.KindUnready, "%s holds no configuration", s.server)
 	}
-	if offer.GetAttempt() == "" || offer.GetRequest() == "" {
-		return clementineturn.Invalid("attempt", "request and attempt ids are needed")
-	}
 	if offer.GetGeneration() > state.Generation() {
 		return clementineturn.Refuse(clementineturn.KindStale, "%s holds generation %d, the offer rests on %d", s.server, state.Generation(), offer.GetGeneration())
 	}
 	if scope := state.Scope(offer); offer.GetGeneration() < scope {
 		return clementineturn.Refuse(clementineturn.KindStale, "the offer rests on generation %d, its scope changed at %d", offer.GetGeneration(), scope)
 	}
+	return nil
+}
+
+// check refuses offers that must not even queue.
+func (s *Sidecar) check(offer *clemwire.Offer) error {
+	if s.board.Drain().Get().Active() {
+		return clementineturn.Refuse(clementineturn.KindDraining, "%s is draining", s.server)
+	}
+	if offer.GetAttempt() == "" || offer.GetRequest() == "" {
+		return clementineturn.Invalid("attempt", "request and attempt ids are needed")
+	}
+	state := s.board.Config().Get()
 	if offer.GetPool() != s.pool || state.Pool(s.pool) == nil {
 		return clementineturn.Refuse(clementineturn.KindUnavailable, "%s serves pool %q, not %q", s.server, s.pool, offer.GetPool())
 	}
 	if state.Organisation(offer.GetOrganisation()) == nil {
 		return clementineturn.Refuse(clementineturn.KindNotFound, "no organisation %q", offer.GetOrganisation())
 	}
-	return ctx.Err()
+	return nil
 }
 
 // enter registers the attempt. A repeat of an attempt that is known finds the first one.
-func (s *Sidecar) enter(offer *clemwire.Offer) (*attempt, bool) {
+func (s *Sidecar) enter(offer *clemwire.Offer, cancel context.CancelFunc) (*attempt, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a, ok := s.attempts[offer.GetAttempt()]; ok {
 		return a, false
 	}
-	a := &attempt{offer: offer, decided: make(chan struct{})}
+	a := &attempt{offer: offer, cancel: cancel, decided: make(chan struct{})}
 	s.attempts[offer.GetAttempt()] = a
 	return a, true
 }
@@ -243,10 +260,27 @@
 	}
 }
 
-func (s *Sidecar) forget(a *attempt) {
+// end keeps the verdict of an attempt for a while without its body, so that a
+// repeated message neither runs the work again nor contradicts a refusal.
+func (s *Sidecar) end(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.ended = time.Now()
+	a.offer = &clemwire.Offer{
+		Request: a.offer.GetRequest(), Attempt: a.offer.GetAttempt(),
+		Organisation: a.offer.GetOrganisation(), Mode: a.offer.GetMode(),
+	}
+}
+
+// forget drops the verdicts of attempts that ended long ago.
+func (s *Sidecar) forget(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.attempts, a.offer.GetAttempt())
+	for id, a := range s.attempts {
+		if !a.ended.IsZero() && now.Sub(a.ended) > verdictMemory {
+			delete(s.attempts, id)
+		}
+	}
 }
 
 // admit takes the offer through queue and claim and dispatches it. An error
@@ -312,43 +346,47 @@
 
 // begin is the point of no return: from here on the work may have run.
 func (s *Sidecar) begin(ctx context.Context, a *attempt, grant *grant) error {
-	if s.isStopped(a) || ctx.Err() != nil {
+	if !s.markBegun(a) || ctx.Err() != nil {
 		grant.abandon(ctx)
 		return s.withdrawn(ctx, a)
 	}
 	return grant.begin()
 }
 
-// Cancel implements clementineturn.Peer. Running at-most-once work goes on.
-func (s *Sidecar) Cancel(_ context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error) {
+func (s *Sidecar) markBegun(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.begun = !a.stopped
+	return a.begun
+}
+
+// Cancel implements clementineturn.Peer. Work that waits is withdrawn and
+// running idempotent work is stopped; running at-most-once work goes on.
+func (s *Sidecar) Cancel(ctx context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error) {
 	s.mu.Lock()
 	a := s.attempts[cancel.GetAttempt()]
 	s.mu.Unlock()
-	if a == nil || a.offer.GetOrganisation() != cancel.GetOrganisation() {
+	if a == nil || a.offer.GetOrganisation() != cancel.GetOrganisation() || !s.stop(cancel.GetAttempt()) {
 		return &clemwire.Cancelled{Status: s.status()}, nil
 	}
-	s.stop(cancel.GetAttempt())
-	select {
-	case <-a.decided:
-		return &clemwire.Cancelled{NotRun: a.verdict.GetRefusal().GetNotRun(), Status: s.status()}, nil
-	default:
-		return &clemwire.Cancelled{Status: s.status()}, nil
+	verdict, err := s.await(ctx, a)
+	if err != nil {
+		return nil, err
 	}
+	return &clemwire.Cancelled{NotRun: verdict.GetRefusal().GetNotRun(), Status: s.status()}, nil
 }
 
-// stop ends an attempt that waits, or runs and is idempotent.
-func (s *Sidecar) stop(id string) {
+// stop ends an attempt that has not begun or is idempotent, and reports whether it did.
+func (s *Sidecar) stop(id string) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	a := s.attempts[id]
-	var cancel context.CancelFunc
-	if a != nil && a.cancel != nil && a.offer.GetMode() != clemwire.Mode_MODE_AT_MOST_ONCE {
-		a.stopped = true
-		cancel = a.cancel
-	}
-	s.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if a == nil || (a.begun && a.offer.GetMode() == clemwire.Mode_MODE_AT_MOST_ONCE) {
+		return false
 	}
+	a.stopped = true
+	a.cancel()
+	return true
 }
 
 func (s *Sidecar) isStopped(a *attempt) bool {
