clemclaim: void protocol, group commit and settling of lost answers

TestHeldIsVoided, TestLateClaim: a claim whose call was never dispatched blocked its key for ever. TestLostAnswerOfClaim: a claim that took effect was refused, and blocked its key. TestTableDown: an outcome was lost if the table was down when the call ended. TestRestartedHolder: the claim of a sidecar that was replaced never became unknown. TestAbandon, TestDeadlineBeforeBegin, TestRepeatedAttempt: a grant could begin after its end, after its deadline, or twice. TestReplay: a replayed grant could begin.

The ledger: a bucket is a log of segments. Each batch of operations goes in one write that is conditional on the head's version, so a success proves that the log in memory was current. After a lost answer the log is read and the batch decided anew on the same version, so that of the two writes at most one takes effect. Sealed segments are inserted only if absent; a read of the first kept number after each insert excludes that a dropped one comes back.

The keeper: a grant is entered under its token before the claim is written and removed when the claim's end is in the ledger. A token that is not entered may therefore always be voided, without a list of voided tokens. The time of a claim tells two acquisitions with one token apart.

Ruled out: a table of voided tokens with an expiry, since a requester may be suspended for longer than any expiry.

--- a/clemclaim/grant.go
+++ b/clemclaim/grant.go
@@ -2,46 +2,132 @@
 
 import (
 	"context"
+	"time"
+
+	"go.uber.org/zap"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
+// phase is how far a grant has come.
+type phase uint8
+
+const (
+	// phaseClaiming lasts until the claim is in the ledger.
+	phaseClaiming phase = iota
+	// phaseHeld lasts until Begin.
+	phaseHeld
+	// phaseRunning lasts until the call's end.
+	phaseRunning
+	// phaseEnded lasts until the end is in the ledger.
+	phaseEnded
+	// phaseVoided is that of a token which was promised never to run.
+	phaseVoided
+)
+
+// OutcomeLimit is the size in bytes up to which an outcome's body is kept for replay.
+const OutcomeLimit = 64 << 10
+
 // Grant is the right to run one call, or the outcome of an earlier run.
 type Grant struct {
-	keeper *Keeper
-	ctx    context.Context
-	claim  *clemwire.Claim
-	replay *clemwire.Outcome
+	keeper   *Keeper
+	ctx      context.Context
+	claim    *clemwire.Claim
+	deadline time.Time
+	phase    phase
+	replay   *clemwire.Outcome
 }
 
 // Replay returns the outcome of an earlier run, or nil if the call is to be run.
 func (g *Grant) Replay() *clemwire.Outcome { return g.replay }
 
 // Begin must succeed before the call is dispatched. After an error, which
-// says that the work was not run, the call must not be dispatched.
+// says that the work was not run, the call must not be dispatched and the
+// grant has ended. Errors: KindInProgress if another attempt took over,
+// KindExpired, KindCancelled.
 func (g *Grant) Begin() error {
-	if err := g.ctx.Err(); err != nil {
-		return clementineturn.Refuse(clementineturn.KindExpired, "before dispatch: %w", err)
+	g.keeper.mu.Lock()
+	err := g.begin()
+	g.keeper.mu.Unlock()
+	if err != nil {
+		g.giveUp()
 	}
+	return err
+}
+
+func (g *Grant) begin() error {
+	switch {
+	case g.phase == phaseVoided:
+		return errVoided(g.claim)
+	case g.phase != phaseHeld:
+		return clementineturn.Errorf(clementineturn.KindInternal, "the grant of key %q has begun before", g.claim.GetKey())
+	case g.ctx.Err() != nil:
+		return clementineturn.Refuse(clementineturn.AsError(g.ctx.Err()).Kind(), "before dispatch: %w", g.ctx.Err())
+	case !g.deadline.IsZero() && !time.Now().Before(g.deadline):
+		return clementineturn.Refuse(clementineturn.KindExpired, "the deadline passed before dispatch")
+	}
+	g.phase = phaseRunning
 	return nil
 }
 
-// Finish records the outcome of the call.
+// giveUp ends a grant that failed to begin. The void is recorded in the background.
+func (g *Grant) giveUp() {
+	if g.move(phaseHeld, phaseVoided) {
+		g.keeper.backlog.add(&ending{grant: g, record: &clemwire.Record{Claim: g.claim, State: stateVoid}})
+		return
+	}
+	g.keeper.forget(g)
+}
+
+// move takes the grant from one phase to another and reports whether it was in the first.
+func (g *Grant) move(from, to phase) bool {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	if g.phase != from {
+		return false
+	}
+	g.phase = to
+	return true
+}
+
+// Finish records the outcome of a call that has begun. If the table cannot be
+// reached, the keeper goes on trying and the error says that the record is
+// pending. An outcome of more than OutcomeLimit bytes is recorded without its
+// body. Errors: KindUnavailable, KindUnknown, and KindConflict if the claim
+// was resolved otherwise.
 func (g *Grant) Finish(ctx context.Context, outcome *clemwire.Outcome) error {
-	return g.advance(ctx, clemwire.ClaimState_CLAIM_STATE_DONE, outcome)
+	if len(outcome.GetBody()) > OutcomeLimit {
+		outcome = nil
+	}
+	return g.finish(ctx, &clemwire.Record{Claim: g.claim, State: stateDone, Outcome: outcome})
 }
 
 // Lose records that the call was dispatched and its outcome is not known.
-func (g *Grant) Lose(ctx context.Context, _ error) error {
-	return g.advance(ctx, clemwire.ClaimState_CLAIM_STATE_UNKNOWN, nil)
+// Errors as for Finish.
+func (g *Grant) Lose(ctx context.Context, cause error) error {
+	fields := append(claimFields(g.claim), zap.NamedError("cause", cause))
+	g.keeper.config.Events.Emit(clemevent.ClaimOutcomeUnknown, fields...)
+	return g.finish(ctx, &clemwire.Record{Claim: g.claim, State: stateUnknown})
 }
 
-// Abandon records that the call was never dispatched and never will be.
-func (g *Grant) Abandon(ctx context.Context) error {
-	return g.advance(ctx, clemwire.ClaimState_CLAIM_STATE_VOID, nil)
+func (g *Grant) finish(ctx context.Context, record *clemwire.Record) error {
+	if !g.move(phaseRunning, phaseEnded) {
+		return clementineturn.Errorf(clementineturn.KindInternal, "the call of key %q is not running", g.claim.GetKey())
+	}
+	return g.keeper.record(ctx, &ending{grant: g, record: record})
 }
 
-func (g *Grant) advance(ctx context.Context, state clemwire.ClaimState, outcome *clemwire.Outcome) error {
-	return g.keeper.config.Ledger.Advance(ctx, &clemwire.Record{Claim: g.claim, State: state, Outcome: outcome})
+// Abandon records that the call was not dispatched and never will be. It does
+// nothing after Begin failed. Errors as for Finish, and KindInternal if the
+// call is running.
+func (g *Grant) Abandon(ctx context.Context) error {
+	if g.move(phaseHeld, phaseVoided) {
+		return g.keeper.record(ctx, &ending{grant: g, record: &clemwire.Record{Claim: g.claim, State: stateVoid}})
+	}
+	if g.keeper.forget(g) {
+		return nil
+	}
+	return clementineturn.Errorf(clementineturn.KindInternal, "the call of key %q is running", g.claim.GetKey())
 }
--- a/clemclaim/keeper.go
+++ b/clemclaim/keeper.go
@@ -24,31 +24,30 @@
 	Events *clemevent.Logger
 }
 
-// Keeper grants the right to run at-most-once calls at one sidecar.
+// grantLimit bounds the grants whose end the ledger does not hold yet.
+const grantLimit = 8192
+
+// Keeper grants the right to run at-most-once calls at one sidecar. It holds
+// a grant for each token from before the claim is written until the claim's
+// end is in the ledger. A token of this incarnation that it does not hold
+// therefore never runs, or ran and has its end in the ledger, which no void
+// can replace; either way it may be voided.
 type Keeper struct {
-	config KeeperConfig
+	config  KeeperConfig
+	backlog backlog
+
+	// mu guards what follows and the phase of every grant. No other lock is
+	// taken while it is held.
 	mu     sync.Mutex
 	grants map[string]*Grant
+	last   time.Time
 }
 
 // NewKeeper returns the keeper that the configuration describes.
 func NewKeeper(c KeeperConfig) *Keeper {
-	return &Keeper{config: c, grants: map[string]*Grant{}}
-}
-
-// Start records outcomes in the background until the context ends.
-func (k *Keeper) Start(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		done <- nil
-	}()
-	return done
+	return &Keeper{config: c, grants: map[string]*Grant{}, backlog: newBacklog()}
 }
 
-// Pending returns the number of outcomes that the table does not hold yet.
-func (k *Keeper) Pending() int { return 0 }
-
 // Payload returns the digest that tells calls of one key apart.
 func Payload(offer *clemwire.Offer) uint64 {
 	digest := xxhash.New()
@@ -61,39 +60,132 @@
 }
 
 // Acquire claims the offer's call. It returns a grant to run the call, or a
-// grant with the outcome of an earlier run. Errors: KindKeyReused,
-// KindInProgress, KindUnknown, KindUnavailable.
+// grant with the outcome of an earlier run. The context, and the offer's
+// timeout, bound the grant until Begin. Errors: KindKeyReused, KindUnavailable
+// and KindOverloaded, which say that the work was not run; KindInProgress,
+// KindUnknown and KindEvicted, which do not, since another attempt at the
+// same call may have run.
 func (k *Keeper) Acquire(ctx context.Context, offer *clemwire.Offer) (*Grant, error) {
-	claim := &clemwire.Claim{
-		Organisation: offer.GetOrganisation(), Key: offer.GetKey(), Token: offer.GetAttempt(),
-		Server: k.config.Server, Incarnation: k.config.Incarnation, Payload: Payload(offer),
-		Time: timestamppb.New(time.Now()), Request: offer.GetRequest(),
+	if offer.GetKey() == "" {
+		return nil, clementineturn.Refuse(clementineturn.KindKeyMissing, "an at-most-once call needs a key")
+	}
+	grant, err := k.open(ctx, offer)
+	if err != nil {
+		return nil, err
 	}
-	record, err := k.config.Ledger.Claim(ctx, claim)
+	outcome, err := k.acquire(ctx, grant)
 	if err != nil {
-		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "claim: %w", err)
-	}
-	switch {
-	case record.GetClaim().GetPayload() != claim.GetPayload():
-		return nil, clementineturn.Refuse(clementineturn.KindKeyReused, "key %q was used with another payload", claim.GetKey())
-	case record.GetState() == clemwire.ClaimState_CLAIM_STATE_DONE:
-		return &Grant{keeper: k, claim: claim, replay: record.GetOutcome()}, nil
-	case record.GetState() == clemwire.ClaimState_CLAIM_STATE_UNKNOWN:
-		return nil, clementineturn.Errorf(clementineturn.KindUnknown, "the outcome of key %q is not known", claim.GetKey())
-	case record.GetClaim().GetToken() != claim.GetToken():
-		return nil, clementineturn.Errorf(clementineturn.KindInProgress, "key %q is held by another attempt", claim.GetKey())
-	}
-	grant := &Grant{keeper: k, ctx: ctx, claim: claim}
+		k.remove(grant)
+		return nil, err
+	}
+	if outcome != nil {
+		k.remove(grant)
+		return &Grant{keeper: k, claim: grant.claim, phase: phaseEnded, replay: outcome}, nil
+	}
+	if err := k.hold(grant); err != nil {
+		return nil, err
+	}
+	return grant, nil
+}
+
+// open enters a grant for the offer's token, so that it can be voided while
+// its claim is on the way.
+func (k *Keeper) open(ctx context.Context, offer *clemwire.Offer) (*Grant, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.grants[claim.GetToken()] = grant
+	if _, ok := k.grants[offer.GetAttempt()]; ok {
+		return nil, clementineturn.Errorf(clementineturn.KindInProgress, "attempt %q is here already", offer.GetAttempt())
+	}
+	if len(k.grants) >= grantLimit {
+		return nil, clementineturn.Refuse(clementineturn.KindOverloaded, "%d calls wait for the ledger", len(k.grants))
+	}
+	now := time.Now()
+	grant := &Grant{keeper: k, ctx: ctx, claim: k.claim(offer, now)}
+	if timeout := offer.GetTimeout(); timeout != nil {
+		grant.deadline = now.Add(timeout.AsDuration())
+	}
+	k.grants[offer.GetAttempt()] = grant
 	return grant, nil
 }
 
+// claim returns the offer's claim. Its time differs from that of every other
+// claim of this keeper, also if the clock steps back.
+func (k *Keeper) claim(offer *clemwire.Offer, now time.Time) *clemwire.Claim {
+	now = now.Round(0)
+	if !now.After(k.last) {
+		now = k.last.Add(time.Nanosecond)
+	}
+	k.last = now
+	return &clemwire.Claim{
+		Organisation: offer.GetOrganisation(), Key: offer.GetKey(), Token: offer.GetAttempt(),
+		Server: k.config.Server, Incarnation: k.config.Incarnation, Payload: Payload(offer),
+		Time: timestamppb.New(now), Request: offer.GetRequest(),
+	}
+}
+
+func (k *Keeper) remove(grant *Grant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	grant.phase = phaseEnded
+	if k.grants[grant.claim.GetToken()] == grant {
+		delete(k.grants, grant.claim.GetToken())
+	}
+}
+
+// hold completes an acquisition unless the token was voided meanwhile.
+func (k *Keeper) hold(grant *Grant) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if grant.phase == phaseVoided {
+		grant.phase = phaseEnded
+		delete(k.grants, grant.claim.GetToken())
+		return errVoided(grant.claim)
+	}
+	grant.phase = phaseHeld
+	return nil
+}
+
+// forget drops a grant that was voided, and reports whether the grant has no
+// call that runs. The attempt that voided it, or the next one, records the void.
+func (k *Keeper) forget(grant *Grant) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if grant.phase == phaseVoided {
+		grant.phase = phaseEnded
+		delete(k.grants, grant.claim.GetToken())
+	}
+	return grant.phase == phaseEnded
+}
+
+func errVoided(claim *clemwire.Claim) error {
+	return clementineturn.Refuse(clementineturn.KindInProgress, "another attempt at key %q took over before this one began", claim.GetKey())
+}
+
 // Void answers another sidecar's request to give up a token.
 func (k *Keeper) Void(void *clemwire.Void) *clemwire.Voided {
+	return &clemwire.Voided{
+		State:  k.void(void),
+		Status: &clemwire.Status{Server: k.config.Server, Incarnation: k.config.Incarnation},
+	}
+}
+
+func (k *Keeper) void(void *clemwire.Void) clemwire.TokenState {
 	if void.GetIncarnation() != k.config.Incarnation {
-		return &clemwire.Voided{State: clemwire.TokenState_TOKEN_STATE_FOREIGN}
+		return clemwire.TokenState_TOKEN_STATE_FOREIGN
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	grant := k.grants[void.GetToken()]
+	if grant == nil {
+		return clemwire.TokenState_TOKEN_STATE_VOIDED
+	}
+	switch grant.phase {
+	case phaseRunning:
+		return clemwire.TokenState_TOKEN_STATE_RUNNING
+	case phaseEnded:
+		return clemwire.TokenState_TOKEN_STATE_DONE
+	default:
+		grant.phase = phaseVoided
+		return clemwire.TokenState_TOKEN_STATE_VOIDED
 	}
-	return &clemwire.Voided{State: clemwire.TokenState_TOKEN_STATE_RUNNING}
 }
--- /dev/null
+++ b/clemclaim/keeper_test.go
@@ -0,0 +1,224 @@
+package clemclaim
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func TestReplay(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Begin())
+		require.NoError(t, grant.Finish(t.Context(), outcome("booked")))
+		again, err := f.nodes["b"].keeper.Acquire(t.Context(), offer("k", "2", "cot"))
+		require.NoError(t, err)
+		require.Equal(t, "booked", string(again.Replay().GetBody()))
+		require.Error(t, again.Begin())
+	})
+}
+
+func TestReplayTooLarge(t *testing.T) {
+	inFleet(t, []string{"a"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Begin())
+		require.NoError(t, grant.Finish(t.Context(), outcome(strings.Repeat("x", OutcomeLimit+1))))
+		f.nodes["a"].refused(t, offer("k", "2", "cot"), clementineturn.KindEvicted, false)
+	})
+}
+
+func TestOtherPayload(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		f.nodes["b"].refused(t, offer("k", "2", "crib"), clementineturn.KindKeyReused, true)
+		require.NoError(t, grant.Begin())
+		f.nodes["b"].refused(t, offer("k", "3", "crib"), clementineturn.KindKeyReused, true)
+		require.NoError(t, grant.Finish(t.Context(), outcome("booked")))
+		f.nodes["b"].refused(t, offer("k", "4", "crib"), clementineturn.KindKeyReused, true)
+	})
+}
+
+func TestRunningIsNotTakenOver(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Begin())
+		f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+		f.nodes["a"].refused(t, offer("k", "3", "cot"), clementineturn.KindInProgress, false)
+	})
+}
+
+// The holder has not begun, for instance because its call waits in a queue,
+// and the caller tries elsewhere.
+func TestHeldIsVoided(t *testing.T) {
+	for _, second := range []string{"a", "b"} {
+		inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+			first := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+			grant := f.nodes[second].acquire(t, offer("k", "2", "cot"))
+			require.NoError(t, grant.Begin())
+			err := first.Begin()
+			require.True(t, clementineturn.IsNotRun(err), "%v", err)
+			require.NoError(t, first.Abandon(t.Context()))
+			require.NoError(t, grant.Finish(t.Context(), outcome("booked")))
+		})
+	}
+}
+
+// The holder is suspended between claim and dispatch while the caller retries
+// elsewhere, then wakes.
+func TestFrozenHolder(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		f.nodes["a"].frozen = true
+		f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+		f.nodes["a"].frozen = false
+		require.NoError(t, grant.Begin())
+		f.nodes["b"].refused(t, offer("k", "3", "cot"), clementineturn.KindInProgress, false)
+		require.NoError(t, grant.Finish(t.Context(), outcome("booked")))
+		again, err := f.nodes["b"].keeper.Acquire(t.Context(), offer("k", "4", "cot"))
+		require.NoError(t, err)
+		require.Equal(t, "booked", string(again.Replay().GetBody()))
+	})
+}
+
+// Order server and sidecar are restarted while the call is out.
+func TestRestartedHolder(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		require.NoError(t, f.nodes["a"].acquire(t, offer("k", "1", "cot")).Begin())
+		f.nodes["a"].stop()
+		f.start("a", 2)
+		f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+		f.nodes["a"].refused(t, offer("k", "3", "cot"), clementineturn.KindInProgress, false)
+		time.Sleep(supersedeAge)
+		f.nodes["b"].refused(t, offer("k", "4", "cot"), clementineturn.KindUnknown, false)
+		f.nodes["a"].refused(t, offer("k", "5", "cot"), clementineturn.KindUnknown, false)
+
+		record, err := f.nodes["b"].ledger.Lookup(t.Context(), "shishu", "k")
+		require.NoError(t, err)
+		resolved := &clemwire.Record{Claim: record.GetClaim(), State: stateVoid}
+		require.True(t, clementineturn.IsKind(f.nodes["b"].ledger.Advance(t.Context(), resolved), clementineturn.KindConflict))
+		resolved.Author = "operator"
+		require.NoError(t, f.nodes["b"].ledger.Advance(t.Context(), resolved))
+		require.NoError(t, f.nodes["b"].acquire(t, offer("k", "6", "cot")).Begin())
+	})
+}
+
+func TestLose(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Begin())
+		require.NoError(t, grant.Lose(t.Context(), context.DeadlineExceeded))
+		f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindUnknown, false)
+	})
+}
+
+func TestAbandon(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Abandon(t.Context()))
+		require.Error(t, grant.Begin())
+		require.Equal(t, stateVoid, f.nodes["b"].state(t, "k"))
+		f.nodes["b"].acquire(t, offer("k", "2", "cot"))
+	})
+}
+
+func TestDeadlineBeforeBegin(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		o := offer("k", "1", "cot")
+		o.Timeout = durationpb.New(time.Second)
+		grant := f.nodes["a"].acquire(t, o)
+		time.Sleep(time.Second)
+		err := grant.Begin()
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindExpired))
+		require.True(t, clementineturn.IsNotRun(err))
+		f.nodes["a"].settled(t)
+		require.Equal(t, stateVoid, f.nodes["a"].state(t, "k"))
+	})
+}
+
+// The claim's write takes effect and its answer is lost.
+func TestLostAnswerOfClaim(t *testing.T) {
+	inFleet(t, []string{"a"}, func(t *testing.T, f *fleet) {
+		f.table.Inject(clemstandin.TableFaults{LostAnswers: 1})
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Begin())
+		f.table.Inject(clemstandin.TableFaults{LostAnswers: 1})
+		require.NoError(t, grant.Finish(t.Context(), outcome("booked")))
+		require.Equal(t, stateDone, f.nodes["a"].state(t, "k"))
+	})
+}
+
+// The claim's write takes effect long after its caller was told that it was not run.
+func TestLateClaim(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		f.nodes["a"].acquire(t, offer("other", "0", "cot"))
+		f.table.Inject(clemstandin.TableFaults{LateWrites: 100, Late: time.Minute})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := f.nodes["a"].keeper.Acquire(ctx, offer("k", "1", "cot"))
+		require.True(t, clementineturn.IsNotRun(err), "%v", err)
+		f.nodes["a"].stop()
+		f.nodes["a"].stop = func() {}
+		f.table.Inject(clemstandin.TableFaults{})
+		time.Sleep(2 * time.Minute)
+		require.Equal(t, stateHeld, f.nodes["b"].state(t, "k"))
+		require.NoError(t, f.nodes["b"].acquire(t, offer("k", "2", "cot")).Begin())
+	})
+}
+
+func TestTableDown(t *testing.T) {
+	down := clemstandin.TableFaults{Down: true}
+	t.Run("claim", func(t *testing.T) {
+		inFleet(t, []string{"a"}, func(t *testing.T, f *fleet) {
+			f.table.Inject(down)
+			f.nodes["a"].refused(t, offer("k", "1", "cot"), clementineturn.KindUnavailable, true)
+			f.table.Inject(clemstandin.TableFaults{})
+			f.nodes["a"].acquire(t, offer("k", "2", "cot"))
+		})
+	})
+	t.Run("void", func(t *testing.T) {
+		inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+			grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+			f.table.Inject(down)
+			f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindUnavailable, true)
+			require.NoError(t, grant.Begin())
+		})
+	})
+	for name, end := range map[string]func(context.Context, *Grant) error{
+		"finish": func(ctx context.Context, g *Grant) error { return g.Finish(ctx, outcome("booked")) },
+		"lose":   func(ctx context.Context, g *Grant) error { return g.Lose(ctx, context.Canceled) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+				grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+				require.NoError(t, grant.Begin())
+				f.table.Inject(down)
+				require.Error(t, end(t.Context(), grant))
+				require.Equal(t, 1, f.nodes["a"].keeper.Pending())
+				time.Sleep(time.Hour)
+				f.table.Inject(clemstandin.TableFaults{})
+				f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+				f.nodes["a"].settled(t)
+				require.NotEqual(t, stateHeld, f.nodes["b"].state(t, "k"))
+			})
+		})
+	}
+}
+
+// An attempt that is offered twice runs once.
+func TestRepeatedAttempt(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		f.nodes["a"].refused(t, offer("k", "1", "cot"), clementineturn.KindInProgress, false)
+		require.NoError(t, grant.Abandon(t.Context()))
+		f.nodes["a"].refused(t, offer("k", "1", "cot"), clementineturn.KindUnavailable, true)
+		f.nodes["b"].acquire(t, offer("k", "2", "cot"))
+	})
+}
--- a/clemclaim/ledger.go
+++ b/clemclaim/ledger.go
@@ -2,29 +2,34 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
+	"go.uber.org/zap"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
-// LedgerConfig describes a Ledger to construct.
+// LedgerConfig describes a Ledger to construct. Zero values take the defaults.
 type LedgerConfig struct {
 	Table clementineturn.Table
 	// Buckets is the number of logs that share the claims. Every ledger on
 	// a table must have the same number.
 	Buckets int
-	// Interval is the least time between two writes of one bucket.
+	// Interval is the least time between the starts of two writes of one bucket.
 	Interval time.Duration
-	// Retention is how long a finished claim is kept.
+	// Retention is how long a finished claim is kept, counted from the claim's time.
 	Retention time.Duration
-	Events    *clemevent.Logger
+	// Limit is the size in bytes from which a segment is sealed.
+	Limit int
+	// Workers is the number of buckets that are written at once.
+	Workers int
+	// Timeout bounds one call of the table.
+	Timeout time.Duration
+	Events  *clemevent.Logger
 }
 
 // Defaults of LedgerConfig.
@@ -32,154 +37,119 @@
 	DefaultBuckets   = 16
 	DefaultInterval  = 50 * time.Millisecond
 	DefaultRetention = 24 * time.Hour
+	DefaultLimit     = 64 << 10
+	DefaultWorkers   = 16
+	DefaultTimeout   = 5 * time.Second
 )
 
-// Ledger implements clementineturn.Ledger over the platform's table.
+// Ledger implements clementineturn.Ledger over the platform's table. Each
+// claim belongs to one of the buckets, and a bucket is a log of rows. Every
+// write is conditional on the state of the log that the decision rests on, so
+// any number of ledgers may write to one table. Workers commit what is queued
+// for a bucket in one write.
+//
+// Locks: a bucket's mutex guards its queue and is never held together with
+// another lock. The log of a bucket belongs to the worker that serves it.
 type Ledger struct {
-	config LedgerConfig
+	config  LedgerConfig
+	buckets []*bucket
+	due     chan *bucket
 }
 
 // NewLedger returns the ledger that the configuration describes.
 func NewLedger(c LedgerConfig) *Ledger {
-	if c.Buckets == 0 {
-		c.Buckets = DefaultBuckets
+	c.Buckets = orDefault(c.Buckets, DefaultBuckets)
+	c.Interval = orDefault(c.Interval, DefaultInterval)
+	c.Retention = orDefault(c.Retention, DefaultRetention)
+	c.Limit = orDefault(c.Limit, DefaultLimit)
+	c.Workers = orDefault(c.Workers, DefaultWorkers)
+	c.Timeout = orDefault(c.Timeout, DefaultTimeout)
+	l := &Ledger{config: c, due: make(chan *bucket, c.Buckets)}
+	for i := range c.Buckets {
+		l.buckets = append(l.buckets, newBucket(c, uint64(i), l.due))
 	}
-	if c.Interval == 0 {
-		c.Interval = DefaultInterval
-	}
-	if c.Retention == 0 {
-		c.Retention = DefaultRetention
+	return l
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
 	}
-	return &Ledger{config: c}
+	return value
 }
 
-// Start runs the ledger until the context ends. Calls fail with
-// KindUnavailable when the ledger does not run.
+// Start runs the workers until the context ends; the channel then yields nil.
+// Calls made earlier wait for it, and calls made later fail with KindUnavailable.
 func (l *Ledger) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
+	var workers sync.WaitGroup
+	for range l.config.Workers {
+		workers.Go(func() { l.work(ctx) })
+	}
 	go func() {
-		<-ctx.Done()
+		workers.Wait()
+		for _, b := range l.buckets {
+			b.close()
+		}
 		done <- nil
 	}()
 	return done
 }
 
-// Claim implements clementineturn.Ledger.
-func (l *Ledger) Claim(ctx context.Context, claim *clemwire.Claim) (*clemwire.Record, error) {
+func (l *Ledger) work(ctx context.Context) {
 	for {
-		segment, version, err := l.read(ctx, claim.GetOrganisation(), claim.GetKey())
-		if err != nil {
-			return nil, err
-		}
-		found := last(segment, claim.GetOrganisation(), claim.GetKey())
-		if found != nil && found.GetState() != clemwire.ClaimState_CLAIM_STATE_VOID {
-			return found, nil
-		}
-		record := &clemwire.Record{Claim: claim, State: clemwire.ClaimState_CLAIM_STATE_HELD}
-		err = l.append(ctx, segment, version, record)
-		if clementineturn.IsKind(err, clementineturn.KindConflict) {
-			continue
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-l.due:
+			b.serve(ctx)
 		}
-		return record, err
 	}
 }
 
-// Advance implements clementineturn.Ledger.
+// Claim implements clementineturn.Ledger. A claim that is in the ledger
+// already, for instance because the answer of an earlier write was lost, is
+// returned as it stands. The token of a voided claim gets the voided record.
+func (l *Ledger) Claim(ctx context.Context, claim *clemwire.Claim) (*clemwire.Record, error) {
+	return l.submit(ctx, &operation{kind: opClaim, record: &clemwire.Record{
+		Claim: claim, State: clemwire.ClaimState_CLAIM_STATE_HELD,
+	}})
+}
+
+// Advance implements clementineturn.Ledger. Only a record with an author
+// follows an unknown outcome.
 func (l *Ledger) Advance(ctx context.Context, record *clemwire.Record) error {
-	claim := record.GetClaim()
-	for {
-		segment, version, err := l.read(ctx, claim.GetOrganisation(), claim.GetKey())
-		if err != nil {
-			return err
-		}
-		found := last(segment, claim.GetOrganisation(), claim.GetKey())
-		if found == nil {
-			return clementineturn.Errorf(clementineturn.KindNotFound, "no claim of key %q", claim.GetKey())
-		}
-		if err := follows(found, record); err != nil {
-			return err
-		}
-		if found.GetState() == record.GetState() {
-			return nil
-		}
-		err = l.append(ctx, segment, version, record)
-		if clementineturn.IsKind(err, clementineturn.KindConflict) {
-			continue
-		}
-		return err
-	}
+	_, err := l.submit(ctx, &operation{kind: opAdvance, record: record})
+	return err
 }
 
 // Lookup implements clementineturn.Ledger.
 func (l *Ledger) Lookup(ctx context.Context, organisation, key string) (*clemwire.Record, error) {
-	segment, _, err := l.read(ctx, organisation, key)
-	if err != nil {
-		return nil, err
-	}
-	if found := last(segment, organisation, key); found != nil {
-		return found, nil
-	}
-	return nil, clementineturn.Errorf(clementineturn.KindNotFound, "no claim of key %q", key)
+	return l.submit(ctx, &operation{kind: opLookup, record: &clemwire.Record{
+		Claim: &clemwire.Claim{Organisation: organisation, Key: key},
+	}})
 }
 
-func (l *Ledger) bucket(organisation, key string) uint64 {
-	return xxhash.Sum64String(organisation+"\x00"+key) % uint64(l.config.Buckets)
-}
-
-func (l *Ledger) read(ctx context.Context, organisation, key string) (*clemwire.Segment, clementineturn.Version, error) {
-	segment := &clemwire.Segment{}
-	row, err := l.config.Table.Get(ctx, segmentKey(l.bucket(organisation, key), 0))
-	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
-		return segment, "", nil
-	}
-	if err != nil {
-		return nil, "", err
+func (l *Ledger) submit(ctx context.Context, op *operation) (*clemwire.Record, error) {
+	claim := op.record.GetClaim()
+	op.id = newID(claim.GetOrganisation(), claim.GetKey())
+	op.done = make(chan struct{})
+	b := l.buckets[bucketOf(claim.GetOrganisation(), claim.GetKey(), len(l.buckets))]
+	if err := b.enqueue(op); err != nil {
+		return nil, err
 	}
-	if err := proto.Unmarshal(row.Value(), segment); err != nil {
-		return nil, "", clementineturn.Errorf(clementineturn.KindInternal, "row %s: %w", row.Key(), err)
+	select {
+	case <-op.done:
+		return op.answer, op.err
+	case <-ctx.Done():
+		return b.withdraw(op, ctx.Err())
 	}
-	return segment, row.Version(), nil
-}
-
-func (l *Ledger) append(ctx context.Context, segment *clemwire.Segment, version clementineturn.Version, record *clemwire.Record) error {
-	segment.Records = append(segment.Records, record)
-	value, err := proto.Marshal(segment)
-	if err != nil {
-		return clementineturn.Errorf(clementineturn.KindInternal, "marshal segment: %w", err)
-	}
-	claim := record.GetClaim()
-	_, err = l.config.Table.Put(ctx, segmentKey(l.bucket(claim.GetOrganisation(), claim.GetKey()), 0), value, version)
-	return err
 }
 
-func segmentKey(bucket, number uint64) string {
-	return fmt.Sprintf("claim/%05d/%010d", bucket, number)
+// bucketOf returns the number of the bucket that holds the claims of the key.
+func bucketOf(organisation, key string, buckets int) uint64 {
+	return xxhash.Sum64String(organisation+"\x00"+key) % uint64(buckets)
 }
 
-func last(segment *clemwire.Segment, organisation, key string) *clemwire.Record {
-	for i := len(segment.GetRecords()) - 1; i >= 0; i-- {
-		claim := segment.GetRecords()[i].GetClaim()
-		if claim.GetOrganisation() == organisation && claim.GetKey() == key {
-			return segment.GetRecords()[i]
-		}
-	}
-	return nil
-}
-
-var errState = errors.New("the claim's state cannot follow the one in force")
-
-// follows returns a KindConflict error if the record cannot follow the one in force.
-func follows(found, next *clemwire.Record) error {
-	if found.GetClaim().GetToken() != next.GetClaim().GetToken() {
-		return clementineturn.Errorf(clementineturn.KindConflict, "another token holds key %q", next.GetClaim().GetKey())
-	}
-	if found.GetState() == next.GetState() {
-		return nil
-	}
-	held := found.GetState() == clemwire.ClaimState_CLAIM_STATE_HELD
-	resolved := found.GetState() == clemwire.ClaimState_CLAIM_STATE_UNKNOWN && next.GetAuthor() != ""
-	if !held && !resolved || next.GetState() == clemwire.ClaimState_CLAIM_STATE_HELD {
-		return clementineturn.Errorf(clementineturn.KindConflict, "%w: %s after %s", errState, next.GetState(), found.GetState())
-	}
-	return nil
-}
+func bucketField(number uint64) zap.Field { return zap.Uint64("bucket", number) }
--- /dev/null
+++ b/clemclaim/log.go
@@ -0,0 +1,252 @@
+package clemclaim
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// log is one bucket's log in the table: rows with consecutive numbers, each a
+// segment. Records are appended to the last segment, the head, by a write that
+// is conditional on the version the log last saw. A sealed segment never
+// changes and is followed by the insert of the next one if absent. A
+// successful write therefore proves that no other ledger wrote in between.
+type log struct {
+	config LedgerConfig
+	bucket uint64
+	loaded bool
+	index  index
+	// first is the number of the oldest segment that is kept.
+	first uint64
+	head  segment
+	// checked is when retention was last applied.
+	checked time.Time
+}
+
+// segment is the head as the log last saw it. Without a version it is the
+// next segment, which is not in the table yet.
+type segment struct {
+	number  uint64
+	version clementineturn.Version
+	value   []byte
+	records []*clemwire.Record
+}
+
+func newLog(c LedgerConfig, bucket uint64) *log { return &log{config: c, bucket: bucket} }
+
+func (g *log) segmentKey(number uint64) string {
+	return fmt.Sprintf("claim/%05d/%010d", g.bucket, number)
+}
+
+// firstKey is the row that holds the number of the oldest segment.
+func (g *log) firstKey() string { return fmt.Sprintf("claim/%05d/first", g.bucket) }
+
+func (g *log) get(ctx context.Context, key string) (clementineturn.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, g.config.Timeout)
+	defer cancel()
+	return g.config.Table.Get(ctx, key)
+}
+
+func (g *log) put(ctx context.Context, key string, value []byte, version clementineturn.Version) (clementineturn.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, g.config.Timeout)
+	defer cancel()
+	return g.config.Table.Put(ctx, key, value, version)
+}
+
+// load reads the whole log. If retention drops segments meanwhile, it starts again.
+func (g *log) load(ctx context.Context) error {
+	for {
+		first, _, err := g.readFirst(ctx)
+		if err != nil {
+			return err
+		}
+		g.index, g.first, g.head = newIndex(), first, segment{number: first}
+		if err := g.follow(ctx); err != nil {
+			return err
+		}
+		again, _, err := g.readFirst(ctx)
+		if err != nil {
+			return err
+		}
+		if again == first {
+			g.loaded = true
+			return nil
+		}
+	}
+}
+
+func (g *log) readFirst(ctx context.Context) (uint64, clementineturn.Version, error) {
+	row, err := g.get(ctx, g.firstKey())
+	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+		return 0, "", nil
+	}
+	if err != nil {
+		return 0, "", err
+	}
+	s, err := DecodeSegment(row.Value())
+	return s.GetNumber(), row.Version(), err
+}
+
+// DecodeSegment returns the segment of a row's value. Errors: KindInternal.
+func DecodeSegment(value []byte) (*clemwire.Segment, error) {
+	s := &clemwire.Segment{}
+	if err := proto.Unmarshal(value, s); err != nil {
+		return nil, clementineturn.Errorf(clementineturn.KindInternal, "segment: %w", err)
+	}
+	for _, record := range s.GetRecords() {
+		if record.GetClaim() == nil {
+			return nil, clementineturn.Errorf(clementineturn.KindInternal, "segment %d has a record without a claim", s.GetNumber())
+		}
+	}
+	return s, nil
+}
+
+// refresh takes in what other ledgers wrote, and what writes of its own did
+// whose answers were lost. It reports whether the log changed.
+func (g *log) refresh(ctx context.Context) (bool, error) {
+	number, version := g.head.number, g.head.version
+	if err := g.follow(ctx); err != nil {
+		return false, err
+	}
+	changed := !g.loaded || g.head.number != number || g.head.version != version
+	return changed, nil
+}
+
+// follow reads the head and what comes after it.
+func (g *log) follow(ctx context.Context) error {
+	for {
+		row, err := g.get(ctx, g.segmentKey(g.head.number))
+		if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+			// A head that was in the table has been dropped by retention.
+			g.loaded = g.loaded && g.head.version == ""
+			return nil
+		}
+		if err != nil || row.Version() == g.head.version {
+			return err
+		}
+		if g.head.version == "" && g.loaded {
+			if err := g.verify(ctx); err != nil || !g.loaded {
+				return err
+			}
+		}
+		sealed, err := g.accept(row)
+		if err != nil || !sealed {
+			return err
+		}
+	}
+}
+
+// verify checks that the head is not a segment that retention dropped. A
+// ledger that was suspended for longer than the retention, or a write that
+// took effect that late, could insert it once more; retention raises the first
+// number before it drops a segment, so that a read after the insert tells.
+func (g *log) verify(ctx context.Context) error {
+	first, _, err := g.readFirst(ctx)
+	if err == nil && first > g.head.number {
+		g.loaded = false
+	}
+	return err
+}
+
+// accept takes in the head's row and moves on if it is sealed. A row that
+// does not continue the one last seen belongs to a log that was dropped and
+// inserted again, so that everything has to be read once more.
+func (g *log) accept(row clementineturn.Row) (bool, error) {
+	more, ok := bytes.CutPrefix(row.Value(), g.head.value)
+	if !ok {
+		g.loaded = false
+		return false, nil
+	}
+	s, err := DecodeSegment(more)
+	if err != nil {
+		return false, err
+	}
+	g.advance(row, s)
+	return s.GetSealed(), nil
+}
+
+// advance makes the row, which holds the records of more after those of the
+// head, the head, or the next segment if it is sealed.
+func (g *log) advance(row clementineturn.Row, more *clemwire.Segment) {
+	for i, record := range more.GetRecords() {
+		g.index.add(record, g.head.number, len(g.head.records)+i)
+	}
+	if more.GetSealed() {
+		g.head = segment{number: g.head.number + 1}
+		return
+	}
+	g.head.version, g.head.value = row.Version(), row.Value()
+	g.head.records = append(g.head.records, more.GetRecords()...)
+}
+
+// append writes the records after those of the head. Errors: KindConflict if
+// the head is not the newest state of the log, KindUnavailable if the write
+// had no effect, KindUnknown if it may have an effect.
+func (g *log) append(ctx context.Context, records []*clemwire.Record) error {
+	more := g.more(records)
+	value, err := proto.MarshalOptions{}.MarshalAppend(slices.Clone(g.head.value), more)
+	if err != nil {
+		return clementineturn.Errorf(clementineturn.KindInternal, "marshal segment: %w", err)
+	}
+	inserted := g.head.version == ""
+	row, err := g.put(ctx, g.segmentKey(g.head.number), value, g.head.version)
+	if err != nil {
+		return err
+	}
+	if inserted {
+		if err := g.verify(ctx); err != nil {
+			return clementineturn.Errorf(clementineturn.KindUnknown, "segment %d is not verified: %w", g.head.number, err)
+		}
+		if !g.loaded {
+			return clementineturn.Errorf(clementineturn.KindConflict, "segment %d was dropped before", g.head.number)
+		}
+	}
+	g.advance(clementineturn.NewRow(row.Key(), value, row.Version()), more)
+	return nil
+}
+
+// more returns what an append adds to the head's row. The encoding of a
+// message that only grows is the old one followed by that of the new fields.
+func (g *log) more(records []*clemwire.Record) *clemwire.Segment {
+	more := &clemwire.Segment{Records: records}
+	if g.head.version == "" {
+		more.Number = g.head.number
+	}
+	more.Sealed = len(g.head.value)+proto.Size(more) >= g.config.Limit
+	return more
+}
+
+// find returns the record in force, or nil. Finished records are read from
+// their segment. Errors: KindUnavailable, KindInternal, and KindNotFound if
+// the segment was dropped.
+func (g *log) find(ctx context.Context, key id) (*clemwire.Record, error) {
+	if record, ok := g.index.open[key]; ok {
+		return record, nil
+	}
+	p, ok := g.index.places[key]
+	if !ok {
+		return nil, nil
+	}
+	if p.segment == g.head.number {
+		return g.head.records[p.position], nil
+	}
+	row, err := g.get(ctx, g.segmentKey(p.segment))
+	if err != nil {
+		return nil, err
+	}
+	s, err := DecodeSegment(row.Value())
+	if err != nil {
+		return nil, err
+	}
+	if int(p.position) >= len(s.GetRecords()) || recordID(s.GetRecords()[p.position]) != key {
+		return nil, clementineturn.Errorf(clementineturn.KindInternal, "segment %d of bucket %d has changed", p.segment, g.bucket)
+	}
+	return s.GetRecords()[p.position], nil
+}
--- /dev/null
+++ b/clemclaim/main_test.go
@@ -0,0 +1,132 @@
+package clemclaim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is a set of fake sidecars over one table, in virtual time.
+type fleet struct {
+	t     *testing.T
+	table *clemstandin.Table
+	nodes map[string]*node
+}
+
+// node is one sidecar: a ledger and a keeper that live as long as its context.
+type node struct {
+	clementineturn.Peer
+	ledger *Ledger
+	keeper *Keeper
+	stop   func()
+	// frozen keeps the node from answering other sidecars.
+	frozen bool
+}
+
+// Void implements clementineturn.Peer.
+func (n *node) Void(ctx context.Context, void *clemwire.Void) (*clemwire.Voided, error) {
+	if n.frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return n.keeper.Void(void), nil
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, table: clemstandin.NewTable(), nodes: map[string]*node{}}
+}
+
+func (f *fleet) start(server string, incarnation uint64) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{ledger: NewLedger(LedgerConfig{Table: f.table})}
+	n.keeper = NewKeeper(KeeperConfig{
+		Ledger: n.ledger, Server: server, Incarnation: incarnation,
+		Locate: func(server string) clementineturn.Peer {
+			if peer := f.nodes[server]; peer != nil {
+				return peer
+			}
+			return nil
+		},
+	})
+	ledgerDone, keeperDone := n.ledger.Start(ctx), n.keeper.Start(ctx)
+	n.stop = func() {
+		cancel()
+		<-keeperDone
+		<-ledgerDone
+	}
+	f.nodes[server] = n
+	return n
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+}
+
+// inFleet runs the test in virtual time with the given sidecars, all of incarnation 1.
+func inFleet(t *testing.T, servers []string, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for _, server := range servers {
+			f.start(server, 1)
+		}
+		defer f.stop()
+		test(t, f)
+	})
+}
+
+func offer(key, attempt, body string) *clemwire.Offer {
+	return &clemwire.Offer{Organisation: "shishu", Key: key, Attempt: attempt, Service: "orders", Call: "reserve", Body: []byte(body)}
+}
+
+func outcome(body string) *clemwire.Outcome {
+	return &clemwire.Outcome{Status: 200, Media: "text/plain", Body: []byte(body)}
+}
+
+// acquire requires a grant to run the call.
+func (n *node) acquire(t *testing.T, o *clemwire.Offer) *Grant {
+	t.Helper()
+	grant, err := n.keeper.Acquire(t.Context(), o)
+	require.NoError(t, err)
+	require.Nil(t, grant.Replay())
+	return grant
+}
+
+// refused requires an error of the kind.
+func (n *node) refused(t *testing.T, o *clemwire.Offer, kind clementineturn.Kind, notRun bool) {
+	t.Helper()
+	_, err := n.keeper.Acquire(t.Context(), o)
+	require.Error(t, err)
+	require.Equal(t, kind, clementineturn.AsError(err).Kind(), "%v", err)
+	require.Equal(t, notRun, clementineturn.IsNotRun(err), "%v", err)
+}
+
+func (n *node) state(t *testing.T, key string) clemwire.ClaimState {
+	t.Helper()
+	record, err := n.ledger.Lookup(t.Context(), "shishu", key)
+	require.NoError(t, err)
+	return record.GetState()
+}
+
+// settled waits until the keeper has nothing pending.
+func (n *node) settled(t *testing.T) {
+	t.Helper()
+	for range 100 {
+		if n.keeper.Pending() == 0 {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	require.Zero(t, n.keeper.Pending())
+}
--- /dev/null
+++ b/clemclaim/retain.go
@@ -0,0 +1,130 @@
+package clemclaim
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// retentionChecks is the number of times retention is applied in one retention time.
+const retentionChecks = 24
+
+// maintain applies retention if it is due. A failure is left to the next time.
+func (g *log) maintain(ctx context.Context, now time.Time) {
+	if !g.loaded || now.Sub(g.checked) < g.config.Retention/retentionChecks {
+		return
+	}
+	g.checked = now
+	if err := g.retain(ctx, now); err != nil {
+		g.config.Events.Emit(clemevent.ClaimRetentionFailed, bucketField(g.bucket), zap.Error(err))
+	}
+}
+
+func (g *log) retain(ctx context.Context, now time.Time) error {
+	for g.loaded && g.first+1 < g.head.number {
+		dropped, err := g.drop(ctx, now)
+		if err != nil || !dropped {
+			return err
+		}
+	}
+	return nil
+}
+
+// drop removes the oldest segment if all its claims are older than the
+// retention, and reports whether it did. Claims without a known outcome are
+// appended to the head first, then the first number is raised, then the row is
+// deleted; a failure in between leaves a row that nobody reads.
+func (g *log) drop(ctx context.Context, now time.Time) (bool, error) {
+	row, err := g.get(ctx, g.segmentKey(g.first))
+	if err != nil {
+		return g.trim(ctx)
+	}
+	oldest, err := DecodeSegment(row.Value())
+	if err != nil {
+		return false, err
+	}
+	reference, err := g.reference(ctx, now)
+	if err != nil || reference.Sub(newest(oldest)) < g.config.Retention {
+		return false, err
+	}
+	if records := g.index.unresolved(g.first); len(records) > 0 {
+		if err := g.append(ctx, records); err != nil {
+			return false, err
+		}
+	}
+	if moved, err := g.raise(ctx); err != nil || !moved {
+		return false, err
+	}
+	g.index.drop(oldest, g.first-1)
+	return true, g.config.Table.Delete(ctx, row.Key(), row.Version())
+}
+
+// trim takes over the first number that another ledger raised.
+func (g *log) trim(ctx context.Context) (bool, error) {
+	first, _, err := g.readFirst(ctx)
+	if err != nil || first <= g.first {
+		return false, err
+	}
+	g.first = first
+	g.index.trim(first)
+	return true, nil
+}
+
+// raise makes the second segment the first.
+func (g *log) raise(ctx context.Context) (bool, error) {
+	first, version, err := g.readFirst(ctx)
+	if err != nil || first != g.first {
+		return false, err
+	}
+	value, err := proto.Marshal(&clemwire.Segment{Number: first + 1})
+	if err != nil {
+		return false, err
+	}
+	if _, err := g.put(ctx, g.firstKey(), value, version); err != nil {
+		return false, err
+	}
+	g.first++
+	return true, nil
+}
+
+// reference returns the time that ages are counted from: the median time of
+// the claims in the newest sealed segment, but not later than this host's
+// clock. One host with a wrong clock can then not drop claims early.
+func (g *log) reference(ctx context.Context, now time.Time) (time.Time, error) {
+	row, err := g.get(ctx, g.segmentKey(g.head.number-1))
+	if err != nil {
+		return time.Time{}, err
+	}
+	s, err := DecodeSegment(row.Value())
+	if err != nil {
+		return time.Time{}, err
+	}
+	times := claimTimes(s)
+	slices.SortFunc(times, time.Time.Compare)
+	if len(times) == 0 || now.Before(times[len(times)/2]) {
+		return now, nil
+	}
+	return times[len(times)/2], nil
+}
+
+func newest(s *clemwire.Segment) time.Time {
+	times := claimTimes(s)
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	return slices.MaxFunc(times, time.Time.Compare)
+}
+
+func claimTimes(s *clemwire.Segment) []time.Time {
+	times := make([]time.Time, 0, len(s.GetRecords()))
+	for _, record := range s.GetRecords() {
+		times = append(times, record.GetClaim().GetTime().AsTime())
+	}
+	return times
+}
