--- a/clembackend/backend.go
+++ b/clembackend/backend.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"unicode"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemhttp"
@@ -80,9 +81,9 @@
 }
 
 func (b *Backend) request(ctx context.Context, offer *clemwire.Offer) (*http.Request, error) {
-	path := chatPath
-	if offer.GetService() != "" {
-		path = "/" + url.PathEscape(offer.GetService()) + "/" + url.PathEscape(offer.GetCall())
+	path, err := target(offer)
+	if err != nil {
+		return nil, err
 	}
 	req, err := clemhttp.NewRequest(ctx, http.MethodPost, b.url+path, offer.GetBody())
 	if err != nil {
@@ -92,14 +93,37 @@
 	if media == "" {
 		media = "application/json"
 	}
-	req.Header.Set("Content-Type", media)
-	req.Header.Set("X-Request-Id", offer.GetRequest())
-	if offer.GetKey() != "" {
-		req.Header.Set("Idempotency-Key", offer.GetKey())
+	for _, h := range []struct{ name, field, value string }{
+		{"Content-Type", "media", media},
+		{"X-Request-Id", "request", offer.GetRequest()},
+		{"Idempotency-Key", "key", offer.GetKey()},
+	} {
+		if strings.ContainsFunc(h.value, unicode.IsControl) {
+			return nil, clementineturn.Invalid(h.field, "control characters are not allowed in the header %s", h.name)
+		}
+		if h.value != "" {
+			req.Header.Set(h.name, h.value)
+		}
 	}
 	return req, nil
 }
 
+// target returns the path of the offer on the backend server. Dot segments
+// would name another path there.
+func target(offer *clemwire.Offer) (string, error) {
+	if offer.GetService() == "" {
+		return chatPath, nil
+	}
+	path := ""
+	for _, segment := range []string{offer.GetService(), offer.GetCall()} {
+		if segment == "" || segment == "." || segment == ".." {
+			return "", clementineturn.Invalid("call", "found %q, a name is needed", segment)
+		}
+		path += "/" + url.PathEscape(segment)
+	}
+	return path, nil
+}
+
 // sendError returns the error of a request that got no answer.
 func sendError(ctx context.Context, err error, sent bool) error {
 	kind := clementineturn.KindUnavailable
--- /dev/null
+++ b/clembackend/backend_test.go
@@ -0,0 +1,376 @@
+package clembackend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed gives one verdict every time; the command line may set another.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+var update = flag.Bool("update", false, "write the golden files")
+
+const chatBody = `{"model":"m","stream":%v,"messages":[{"role":"user","content":"a cot from Howrah"}]}`
+
+// recorder is a sink that keeps the answer.
+type recorder struct {
+	starts int
+	start  *clemwire.Start
+	chunks int
+	data   bytes.Buffer
+	fail   error
+}
+
+func (r *recorder) Start(start *clemwire.Start) error {
+	r.starts++
+	r.start = start
+	return nil
+}
+
+func (r *recorder) Data(data []byte) error {
+	r.chunks++
+	r.data.Write(data)
+	return r.fail
+}
+
+// Priority implements prioritized.
+func (r *recorder) Priority() int { return 3 }
+
+func chat(stream bool) *clemwire.Offer {
+	return &clemwire.Offer{Request: "r1", Body: fmt.Appendf(nil, chatBody, stream), Stream: stream, Media: "application/json", Mode: clemwire.Mode_MODE_IDEMPOTENT}
+}
+
+func reserve() *clemwire.Offer {
+	return &clemwire.Offer{Request: "r1", Service: "orders", Call: "reserve", Key: "k1", Mode: clemwire.Mode_MODE_AT_MOST_ONCE, Body: []byte("{}")}
+}
+
+// inBubble runs the test against a handler in virtual time.
+func inBubble(t *testing.T, handler http.Handler, test func(t *testing.T, b *Backend)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := clemstandin.NewNetwork()
+		server := &http.Server{Handler: handler}
+		ended := make(chan error, 1)
+		listener := network.Listen("backend:80")
+		go func() { ended <- server.Serve(listener) }()
+		b := New(Config{URL: "http://backend:80/", Client: network.Client()})
+		t.Cleanup(func() {
+			b.Close()
+			require.NoError(t, server.Close())
+			require.ErrorIs(t, <-ended, http.ErrServerClosed)
+		})
+		test(t, b)
+	})
+}
+
+func engine(faults clemstandin.EngineFaults) *clemstandin.Engine {
+	return clemstandin.NewEngine(clemstandin.EngineConfig{Name: "engine-1", Model: "m", Output: 6, Fencing: true, Faults: faults})
+}
+
+func requireKind(t *testing.T, kind clementineturn.Kind, notRun bool, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, kind.String(), clementineturn.AsError(err).Kind().String(), err)
+	require.Equal(t, notRun, clementineturn.IsNotRun(err), err)
+}
+
+func TestRunStream(t *testing.T) {
+	inBubble(t, engine(clemstandin.EngineFaults{}), func(t *testing.T, b *Backend) {
+		var got recorder
+		require.NoError(t, b.Run(t.Context(), chat(true), &got))
+		require.Equal(t, 1, got.starts)
+		require.EqualValues(t, http.StatusOK, got.start.GetStatus())
+		require.Greater(t, got.chunks, 3, "chunks come as they are read")
+		requireGolden(t, "testdata/stream.golden", got.data.Bytes())
+	})
+}
+
+func requireGolden(t *testing.T, file string, got []byte) {
+	t.Helper()
+	if *update {
+		require.NoError(t, os.WriteFile(file, got, 0o600))
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, string(want), string(got))
+}
+
+func TestRunPassesOn(t *testing.T) {
+	var seen *http.Request
+	var body []byte
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = r
+		body, _ = io.ReadAll(r.Body)
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "no")
+	})
+	inBubble(t, handler, func(t *testing.T, b *Backend) {
+		var got recorder
+		offer := reserve()
+		offer.Call = "a/b c"
+		require.NoError(t, b.Run(t.Context(), offer, &got))
+		require.EqualValues(t, http.StatusTeapot, got.start.GetStatus())
+		require.Equal(t, "text/plain", got.start.GetMedia())
+		require.Equal(t, "no", got.data.String())
+		require.Equal(t, "/orders/a%2Fb%20c", seen.RequestURI)
+		require.Equal(t, "{}", string(body))
+		require.Equal(t, "k1", seen.Header.Get("Idempotency-Key"))
+		require.Equal(t, "r1", seen.Header.Get("X-Request-Id"))
+		require.Equal(t, "3", seen.Header.Get("X-Priority"))
+		require.Equal(t, "application/json", seen.Header.Get("Content-Type"))
+	})
+}
+
+// TestRunEnds lists how a run can end without a whole answer.
+func TestRunEnds(t *testing.T) {
+	const soon = time.Second
+	slow := clemstandin.EngineFaults{Slow: 1000}
+	cancelled := func(ctx context.Context) (context.Context, context.CancelFunc) {
+		ctx, cancel := context.WithCancel(ctx)
+		time.AfterFunc(soon, cancel)
+		return ctx, cancel
+	}
+	deadline := func(d time.Duration) func(context.Context) (context.Context, context.CancelFunc) {
+		return func(ctx context.Context) (context.Context, context.CancelFunc) { return context.WithTimeout(ctx, d) }
+	}
+	tests := map[string]struct {
+		faults  clemstandin.EngineFaults
+		stream  bool
+		context func(context.Context) (context.Context, context.CancelFunc)
+		kind    clementineturn.Kind
+		notRun  bool
+	}{
+		"stream cut":           {faults: clemstandin.EngineFaults{Cut: 1}, stream: true, kind: clementineturn.KindCut},
+		"stream without end":   {faults: clemstandin.EngineFaults{Short: 1}, stream: true, kind: clementineturn.KindCut},
+		"no answer":            {faults: clemstandin.EngineFaults{Cut: 1}, kind: clementineturn.KindUnknown},
+		"timeout in stream":    {faults: slow, stream: true, context: deadline(soon), kind: clementineturn.KindTimeout},
+		"timeout before start": {faults: slow, context: deadline(soon), kind: clementineturn.KindTimeout},
+		"cancel in stream":     {faults: slow, stream: true, context: cancelled, kind: clementineturn.KindCancelled},
+		"cancel before start":  {faults: slow, context: cancelled, kind: clementineturn.KindCancelled},
+		"expired":              {context: deadline(-soon), kind: clementineturn.KindExpired, notRun: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, engine(test.faults), func(t *testing.T, b *Backend) {
+				ctx := t.Context()
+				if test.context != nil {
+					var cancel context.CancelFunc
+					ctx, cancel = test.context(ctx)
+					defer cancel()
+				}
+				requireKind(t, test.kind, test.notRun, b.Run(ctx, chat(test.stream), &recorder{}))
+			})
+		})
+	}
+}
+
+func TestRunCloseDelimited(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\n{\"half\":")
+		_ = conn.Close()
+	})
+	inBubble(t, handler, func(t *testing.T, b *Backend) {
+		requireKind(t, clementineturn.KindCut, false, b.Run(t.Context(), reserve(), &recorder{}))
+	})
+}
+
+func TestRunSinkError(t *testing.T) {
+	inBubble(t, engine(clemstandin.EngineFaults{}), func(t *testing.T, b *Backend) {
+		sink := &recorder{fail: io.ErrShortWrite}
+		require.ErrorIs(t, b.Run(t.Context(), chat(true), sink), io.ErrShortWrite)
+		require.Equal(t, 1, sink.chunks)
+	})
+}
+
+func TestRunRefusesBadNames(t *testing.T) {
+	b := New(Config{URL: "http://127.0.0.1:1"})
+	for _, change := range []func(*clemwire.Offer){
+		func(o *clemwire.Offer) { o.Key = "k\r\nX-Evil: 1" },
+		func(o *clemwire.Offer) { o.Media = "a\n" },
+		func(o *clemwire.Offer) { o.Request = "\x00" },
+		func(o *clemwire.Offer) { o.Call = ".." },
+		func(o *clemwire.Offer) { o.Call = "" },
+	} {
+		offer := reserve()
+		change(offer)
+		requireKind(t, clementineturn.KindInvalid, true, b.Run(t.Context(), offer, &recorder{}))
+	}
+	requireKind(t, clementineturn.KindUnavailable, true, b.Run(t.Context(), reserve(), &recorder{}))
+}
+
+// TestAtMostOnceSentOnce runs reserves against a service that loses answers;
+// each run of the backend reaches the service at most once, also after other
+// calls left connections behind.
+func TestAtMostOnceSentOnce(t *testing.T) {
+	service := clemstandin.NewService(clemstandin.ServiceConfig{Name: "orders-1"})
+	inBubble(t, service, func(t *testing.T, b *Backend) {
+		warm := reserve()
+		warm.Mode, warm.Key = clemwire.Mode_MODE_IDEMPOTENT, ""
+		for i, faults := range []clemstandin.ServiceFaults{{}, {After: 1}, {Before: 1}} {
+			service.Inject(clemstandin.ServiceFaults{})
+			require.NoError(t, b.Run(t.Context(), warm, &recorder{}))
+			service.Inject(faults)
+			offer := reserve()
+			offer.Key = fmt.Sprint("k", i)
+			err := b.Run(t.Context(), offer, &recorder{})
+			require.Equal(t, 1-faults.Before, service.Runs().Keys[offer.Key])
+			if i > 0 {
+				requireKind(t, clementineturn.KindUnknown, false, err)
+			}
+		}
+	})
+}
+
+// TestNotRunIsTrue lets a server close the connection after a number of bytes
+// of the request, on fresh and on reused connections: an error with NotRun
+// means that it saw none.
+func TestNotRunIsTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		read := rapid.IntRange(0, 400).Draw(rt, "read")
+		mode := clemwire.Mode(rapid.IntRange(1, 2).Draw(rt, "mode"))
+		reused := rapid.Bool().Draw(rt, "reused")
+		synctest.Test(t, func(t *testing.T) {
+			network := clemstandin.NewNetwork()
+			listener := network.Listen("backend:80")
+			seen := make(chan int, 1)
+			go func() { seen <- hangUp(listener, read, reused) }()
+			b := New(Config{URL: "http://backend:80", Client: network.Client()})
+			offer := reserve()
+			if reused {
+				offer.Mode = clemwire.Mode_MODE_IDEMPOTENT
+				_ = b.Run(t.Context(), offer, &recorder{})
+			}
+			offer.Mode = mode
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			err := b.Run(ctx, offer, &recorder{})
+			b.Close()
+			_ = listener.Close()
+			if n := <-seen; n > 0 && clementineturn.IsNotRun(err) {
+				rt.Fatalf("the server saw %d bytes: %v", n, err)
+			}
+		})
+	})
+}
+
+// hangUp accepts connections, answers the first request if asked to, and
+// otherwise closes each after n bytes. It returns the bytes that it saw of
+// unanswered requests.
+func hangUp(l net.Listener, n int, answer bool) int {
+	var seen atomic.Int64
+	var conns sync.WaitGroup
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			conns.Wait()
+			return int(seen.Load())
+		}
+		first := answer
+		answer = false
+		conns.Go(func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			if first {
+				answerOne(conn, reader)
+			}
+			got, _ := io.CopyN(io.Discard, reader, int64(n))
+			seen.Add(got)
+		})
+	}
+}
+
+func answerOne(conn net.Conn, reader *bufio.Reader) {
+	req, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+}
+
+func TestOrder(t *testing.T) {
+	inBubble(t, engine(clemstandin.EngineFaults{}), func(t *testing.T, b *Backend) {
+		pool := &clemwire.Pool{Version: "2026-11", Adapters: []string{"cots"}}
+		require.NoError(t, b.Order(t.Context(), pool, 7))
+		require.NoError(t, b.Order(t.Context(), pool, 7), "a repeat")
+		requireKind(t, clementineturn.KindConflict, false, b.Order(t.Context(), pool, 6))
+	})
+	plain := New(Config{URL: "http://127.0.0.1:1", Plain: true})
+	require.NoError(t, plain.Order(t.Context(), &clemwire.Pool{}, 1))
+	gone := New(Config{URL: "http://127.0.0.1:1"})
+	requireKind(t, clementineturn.KindUnavailable, true, gone.Order(t.Context(), &clemwire.Pool{}, 1))
+}
+
+func TestLoadLags(t *testing.T) {
+	const lag = 200 * time.Millisecond
+	inBubble(t, engine(clemstandin.EngineFaults{Lag: clemstandin.Duration(lag), Slow: 100}), func(t *testing.T, b *Backend) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- b.Run(ctx, chat(true), &recorder{}) }()
+		time.Sleep(lag / 2)
+		running, tokens, err := b.Load(t.Context())
+		require.NoError(t, err)
+		require.Zero(t, running)
+		require.Zero(t, tokens)
+		time.Sleep(lag)
+		running, tokens, err = b.Load(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, 1, running)
+		require.EqualValues(t, 5, tokens)
+		cancel()
+		requireKind(t, clementineturn.KindCancelled, false, <-ended)
+	})
+}
+
+func FuzzReadLoad(f *testing.F) {
+	f.Add("# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running{model_name=\"m\"} 3.0\nvllm:kv_cache_usage_perc 0.5 1700000000\nvllm:cache_config_info{block_size=\"16\",num_gpu_blocks=\"100\"} 1")
+	f.Add("vllm:num_requests_running NaN\nvllm:num_requests_running{ -Inf")
+	f.Fuzz(func(t *testing.T, text string) {
+		running, _, err := readLoad(strings.NewReader(text))
+		if err == nil {
+			require.GreaterOrEqual(t, running, 0)
+		}
+	})
+}
+
+func ExampleBackend_Run() {
+	server := httptest.NewServer(clemstandin.NewService(clemstandin.ServiceConfig{Name: "orders-1"}))
+	defer server.Close()
+	backend := New(Config{URL: server.URL, Plain: true})
+	defer backend.Close()
+	var answer recorder
+	offer := &clemwire.Offer{Service: "orders", Call: "reserve", Key: "cot-17", Mode: clemwire.Mode_MODE_AT_MOST_ONCE}
+	err := backend.Run(context.Background(), offer, &answer)
+	fmt.Println(err, answer.start.GetStatus(), strings.TrimSpace(answer.data.String()))
+	// Output: <nil> 200 {"server":"orders-1","service":"orders","call":"reserve","key":"cot-17","run":1}
+}
--- a/clemplatform/client_test.go
+++ b/clemplatform/client_test.go
@@ -42,10 +42,12 @@
 		listener := network.Listen("platform:80")
 		go func() { ended <- b.server.Serve(listener) }()
 		b.client = clemplatform.New(clemplatform.Config{URL: "http://platform:80", Client: network.Client(), Timeout: timeout})
+		t.Cleanup(func() {
+			b.client.Close()
+			require.NoError(t, b.server.Close())
+			require.ErrorIs(t, <-ended, http.ErrServerClosed)
+		})
 		test(t, b)
-		b.client.Close()
-		require.NoError(t, b.server.Close())
-		require.ErrorIs(t, <-ended, http.ErrServerClosed)
 	})
 }
 
