--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -365,8 +365,11 @@
 func (s *Sidecar) Cancel(ctx context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error) {
 	s.mu.Lock()
 	a := s.attempts[cancel.GetAttempt()]
+	if a != nil && a.offer.GetOrganisation() != cancel.GetOrganisation() {
+		a = nil
+	}
 	s.mu.Unlock()
-	if a == nil || a.offer.GetOrganisation() != cancel.GetOrganisation() || !s.stop(cancel.GetAttempt()) {
+	if a == nil || !s.stop(cancel.GetAttempt()) {
 		return &clemwire.Cancelled{Status: s.status()}, nil
 	}
 	verdict, err := s.await(ctx, a)
