--- a/clemconfig/check.go
+++ b/clemconfig/check.go
@@ -26,6 +26,9 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
+// ValidName reports whether the text may name an entity or a key.
+func ValidName(text string) bool { return namePattern.MatchString(text) }
+
 // Check reports whether the change may follow the state. Every fault names
 // the field. Errors: KindInvalid, KindExists, KindNotFound, KindConflict.
 func (s *State) Check(change *clemwire.Change) error {
--- a/clemconfig/state.go
+++ b/clemconfig/state.go
@@ -174,7 +174,7 @@
 	if change.GetAction() == clemwire.Action_ACTION_DELETE {
 		delete(entities, nameOf(entity))
 	} else {
-		setGeneration(entity, change.GetGeneration())
+		SetGeneration(entity, change.GetGeneration())
 		entities[nameOf(entity)] = entity
 	}
 	return newState(change.GetGeneration(), entities), nil
@@ -217,7 +217,8 @@
 	return 0
 }
 
-func setGeneration(entity *clemwire.Entity, generation uint64) {
+// SetGeneration sets the generation of an entity's last change.
+func SetGeneration(entity *clemwire.Entity, generation uint64) {
 	switch k := entity.GetKind().(type) {
 	case *clemwire.Entity_Organisation:
 		k.Organisation.Generation = generation
--- a/clemsetting/setting.go
+++ b/clemsetting/setting.go
@@ -18,6 +18,9 @@
 	digest []byte
 }
 
+// NewOperator returns an operator.
+func NewOperator(name string, digest []byte) Operator { return Operator{name: name, digest: digest} }
+
 // Name returns the operator's name.
 func (o Operator) Name() string { return o.name }
 
