--- a/clemcli/cli.go
+++ b/clemmain/main.go
@@ -1,5 +1,5 @@
-// Package clemcli is the command line of the clementine binary.
-package clemcli
+// Package clemmain is the command line of the clementine binary.
+package clemmain
 
 import (
 	"context"
@@ -10,18 +10,12 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/clementineturn/clementineturn/clemcli"
 	"github.com/clementineturn/clementineturn/clemctl"
 	"github.com/clementineturn/clementineturn/clemnode"
 	"github.com/clementineturn/clementineturn/clemsetting"
 )
 
-// Exit codes of every subcommand but ctl, which documents its own.
-const (
-	ExitOK      = 0
-	ExitFailure = 1
-	ExitUsage   = 2
-)
-
 const exitCodes = "Exit codes: 0 success, 1 failure, 2 wrong usage or settings."
 
 // Config holds what the command line takes from its surroundings.
@@ -55,30 +49,32 @@
 	if len(c.Args) > 0 && c.Args[0] == "ctl" {
 		return clemctl.Run(ctx, clemctl.Config{Args: c.Args[1:], In: c.In, Out: c.Out, Err: c.Err, Env: c.Env})
 	}
-	used, path, err := parse(c.Args)
-	if err != nil {
-		fmt.Fprintln(c.Err, err)
-		return ExitUsage
-	}
-	return used.run(ctx, c, path)
-}
-
-// parse returns the subcommand and its file. Unknown flags and subcommands
-// print the help and exit with ExitUsage.
-func parse(args []string) (*command, string, error) {
 	parser := flaggy.NewParser("clementine")
 	parser.Description = "A router fleet for returning chats on shared language-model servers."
 	parser.AdditionalHelpAppend = exitCodes
-	parser.ShowCompletion = false
-	parser.ShowVersionWithVersionFlag = false
-	var path string
+	path, find := attach(parser)
+	cli := clemcli.Config{Parser: parser, Args: c.Args, Out: c.Out, Err: c.Err}
+	if code, run := clemcli.Parse(cli); !run {
+		return code
+	}
+	used := find()
+	if used == nil {
+		return clemcli.Usage(cli, "a subcommand is needed: entry, sidecar, ctl, check or version")
+	}
+	return used.run(ctx, c, *path)
+}
+
+// attach adds the subcommands to the parser. It returns where the file's path
+// is put and a function that finds the subcommand that was used.
+func attach(parser *flaggy.Parser) (*string, func() *command) {
+	path := new(string)
 	subcommands := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
 		s := flaggy.NewSubcommand(c.name)
 		s.Description = c.doc
 		s.AdditionalHelpAppend = exitCodes
 		if c.file {
-			s.AddPositionalValue(&path, "SETTINGS", 1, true, "JSON file with the process's settings.")
+			s.AddPositionalValue(path, "SETTINGS", 1, true, "JSON file with the process's settings.")
 		}
 		parser.AttachSubcommand(s, 1)
 		subcommands[i] = s
@@ -86,41 +82,40 @@
 	ctl := flaggy.NewSubcommand("ctl")
 	ctl.Description = "Drive the fleet as an operator; see clementine ctl --help."
 	parser.AttachSubcommand(ctl, 1)
-	if err := parser.ParseArgs(args); err != nil {
-		return nil, "", err
-	}
-	for i, s := range subcommands {
-		if s.Used {
-			return &commands[i], path, nil
+	return path, func() *command {
+		for i, s := range subcommands {
+			if s.Used {
+				return &commands[i]
+			}
 		}
+		return nil
 	}
-	return nil, "", fmt.Errorf("a subcommand is needed: entry, sidecar, ctl, check or version; see --help")
 }
 
 func runNode(ctx context.Context, c Config, path string) int {
 	settings, err := clemsetting.Read(path)
 	if err != nil {
 		fmt.Fprintln(c.Err, err)
-		return ExitUsage
+		return clemcli.ExitUsage
 	}
 	if role := c.Args[0]; settings.Role() != role {
 		fmt.Fprintf(c.Err, "role: found %q in %s, the command is %q\n", settings.Role(), path, role)
-		return ExitUsage
+		return clemcli.ExitUsage
 	}
 	if err := clemnode.Run(ctx, settings, c.Stop); err != nil {
 		fmt.Fprintln(c.Err, err)
-		return ExitFailure
+		return clemcli.ExitFailed
 	}
-	return ExitOK
+	return clemcli.ExitOK
 }
 
 func runCheck(_ context.Context, c Config, path string) int {
 	if _, err := clemsetting.Read(path); err != nil {
 		fmt.Fprintln(c.Err, err)
-		return ExitUsage
+		return clemcli.ExitUsage
 	}
 	fmt.Fprintf(c.Out, "%s: ok\n", path)
-	return ExitOK
+	return clemcli.ExitOK
 }
 
 func runVersion(_ context.Context, c Config, _ string) int {
@@ -129,5 +124,5 @@
 		version = info.Main.Version
 	}
 	fmt.Fprintln(c.Out, "clementine", version)
-	return ExitOK
+	return clemcli.ExitOK
 }
--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -41,12 +41,8 @@
 }
 
 func newOperators(settings *clemsetting.Settings, board *clemboard.Board, log *clemconfig.Log, ledger clementineturn.Ledger, peers clementineturn.Peers, relay *clemrelay.Relay, events *clemevent.Logger) *clemops.Handler {
-	var tokens []clemops.Operator
-	for _, operator := range settings.Operators() {
-		tokens = append(tokens, clemops.NewOperator(operator.Name(), operator.Digest()))
-	}
 	return clemops.New(clemops.Config{
-		Board: board, Log: log, Ledger: ledger, Peers: peers, Learn: relay.Adopt, Tokens: tokens, Events: events,
+		Board: board, Log: log, Ledger: ledger, Peers: peers, Learn: relay.Adopt, Tokens: settings.Operators(), Events: events,
 	})
 }
 
