--- a/clemsidecar/run.go
+++ b/clemsidecar/run.go
@@ -36,8 +36,7 @@
 	if h == nil {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "%s has no incarnation yet", s.server)
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
+	// The grant keeps the context: begin fails once the caller's deadline has passed.
 	held, err := h.keeper.Acquire(ctx, offer)
 	if err != nil {
 		return nil, err
@@ -95,7 +94,7 @@
 	if j.grant.held == nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	if err == nil {
 		// The answer stands even if the record is late: the keeper goes on trying.
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -26,8 +26,8 @@
 const (
 	tickInterval   = 100 * time.Millisecond
 	defaultTimeout = 2 * time.Minute
-	// claimTimeout bounds the write of a claim, so that a slow table refuses work in time.
-	claimTimeout = 5 * time.Second
+	// settleTimeout is how long an answer's end waits for the record of its outcome.
+	settleTimeout = 5 * time.Second
 	// verdictMemory is how long the verdict of an ended attempt is kept.
 	verdictMemory = 15 * time.Second
 )
