Operators' interface: tests, strict JSON, bounded reports

Cause: the first version had no tests, and Connect's JSON codec drops unknown fields, so that a misspelt field in an update would reset what it meant to set. Conclusion: the interface is whole but for runs against the real ledger.

--- /dev/null
+++ b/clemops/fleet_test.go
@@ -0,0 +1,135 @@
+package clemops
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemburn"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemsetting"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func newOperator(name, token string) Operator { return clemsetting.NewOperator(name, digest(token)) }
+
+func eventField(e clemevent.Event) zapcore.Field { return zap.Int("event", int(e)) }
+
+func members(b *clemboard.Board) {
+	b.Members().Set(clemboard.NewMembers([]*clemwire.Host{
+		{Name: "entry-2", Address: "10.0.0.2:1", Role: "entry"},
+		{Name: "entry-1", Address: "10.0.0.1:1", Role: "entry"},
+		{Name: "srv-1", Address: "10.0.1.1:1", Role: "sidecar", Pool: "p"},
+	}))
+}
+
+func direct() *Handler {
+	board := clemboard.New()
+	board.Config().Set(clemconfig.Empty())
+	members(board)
+	return New(Config{
+		Board: board, Log: clemconfig.NewLog(clemconfig.LogConfig{Table: clemstandin.NewTable()}),
+		Peers: &fakePeers{
+			probed: map[string]*clemwire.Probed{
+				"10.0.0.1:1": {Node: "entry-1", Generation: 7},
+				"10.0.1.1:1": {Node: "srv-1", Generation: 6},
+			},
+			gathered: map[string]*clemwire.Gathered{
+				"10.0.0.1:1": {Node: "entry-1", Counts: []*clemwire.Count{{Organisation: "acme", Pool: "p", Window: durationpb.New(clemburn.Short), Total: 1000, Failed: 2}}},
+			},
+		},
+	})
+}
+
+// A host that does not answer is named and holds the report up for a bounded time.
+func TestSilentHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := direct()
+		start := time.Now()
+		answer, err := h.Generations(t.Context(), req(&clemwire.GenerationsRequest{}))
+		require.NoError(t, err)
+		require.Equal(t, answerTime, time.Since(start))
+		require.EqualValues(t, 7, answer.Msg.GetGeneration(), "the highest that any process holds")
+		require.Equal(t, []string{"entry-2"}, answer.Msg.GetSilent())
+		require.Equal(t, "entry-1", answer.Msg.GetProcesses()[0].GetNode())
+		require.Equal(t, "srv-1", answer.Msg.GetProcesses()[1].GetNode())
+
+		burn, err := h.Burn(t.Context(), req(&clemwire.BurnRequest{}))
+		require.NoError(t, err)
+		require.Equal(t, []string{"entry-2"}, burn.Msg.GetSilent(), "only entries are asked")
+		require.InDelta(t, 2, burn.Msg.GetLines()[0].GetBurn(), 1e-9)
+	})
+}
+
+// Many dead hosts cannot hold a report up beyond its bound.
+func TestManySilentHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := direct()
+		const dead = 2000
+		hosts := make([]*clemwire.Host, dead)
+		for i := range hosts {
+			hosts[i] = &clemwire.Host{Name: "x", Address: "10.9.9.9:1", Role: "entry"}
+		}
+		h.board.Members().Set(clemboard.NewMembers(hosts))
+		start := time.Now()
+		answer, err := h.Generations(t.Context(), req(&clemwire.GenerationsRequest{}))
+		require.NoError(t, err)
+		require.Len(t, answer.Msg.GetSilent(), dead)
+		require.LessOrEqual(t, time.Since(start), askTime)
+	})
+}
+
+func claimRecord(state clemwire.ClaimState) *clemwire.Record {
+	return &clemwire.Record{State: state, Claim: &clemwire.Claim{Organisation: "acme", Key: "k", Token: "t", Request: "r"}}
+}
+
+func TestResolveClaim(t *testing.T) {
+	b := newBench(t)
+	client := b.ana(t)
+	key := [2]string{"acme", "k"}
+	resolve := func(ran bool, outcome *clemwire.Outcome) (*clemwire.Record, error) {
+		r, err := client.ResolveClaim(t.Context(), req(&clemwire.ResolveClaimRequest{Organisation: "acme", Key: "k", Ran: ran, Outcome: outcome}))
+		if err != nil {
+			return nil, err
+		}
+		return r.Msg.GetRecord(), nil
+	}
+	_, err := resolve(true, nil)
+	requireError(t, err, connect.CodeNotFound, clementineturn.KindNotFound, "")
+
+	for _, state := range []clemwire.ClaimState{clemwire.ClaimState_CLAIM_STATE_HELD, clemwire.ClaimState_CLAIM_STATE_DONE} {
+		b.ledger.records[key] = claimRecord(state)
+		_, err = resolve(false, nil)
+		requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	}
+
+	b.ledger.records[key] = claimRecord(clemwire.ClaimState_CLAIM_STATE_UNKNOWN)
+	record, err := resolve(true, nil)
+	require.NoError(t, err)
+	require.Equal(t, clemwire.ClaimState_CLAIM_STATE_DONE, record.GetState())
+	require.EqualValues(t, http.StatusNoContent, record.GetOutcome().GetStatus())
+	require.Equal(t, "ana", record.GetAuthor())
+	_, err = resolve(true, nil)
+	require.NoError(t, err, "a repeat is answered with what stands")
+	_, err = resolve(false, nil)
+	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+
+	shown, err := client.ShowClaim(t.Context(), req(&clemwire.ShowClaimRequest{Organisation: "acme", Key: "k"}))
+	require.NoError(t, err)
+	require.Equal(t, clemwire.ClaimState_CLAIM_STATE_DONE, shown.Msg.GetRecord().GetState())
+
+	b.ledger.down = true
+	_, err = resolve(true, nil)
+	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnavailable, "")
+}
--- a/clemops/handler.go
+++ b/clemops/handler.go
@@ -69,6 +69,7 @@
 func (h *Handler) Mount(router chi.Router) {
 	path, handler := clemwire.NewOperatorsHandler(
 		h,
+		connect.WithCodec(strictJSON{}),
 		connect.WithReadMaxBytes(maxMessage),
 		connect.WithInterceptors(connect.UnaryInterceptorFunc(h.intercept)),
 		connect.WithRecover(h.recover),
