--- a/clementry/chat.go
+++ b/clementry/chat.go
@@ -143,7 +143,12 @@
 	}}
 	out := c.floor.output()
 	out.resume(server, seq+1)
-	return e.router.relay(ctx, s, out)
+	err = e.router.relay(ctx, s, out)
+	if err != nil && out.complete {
+		// The answer itself ended in an error: no later resume can complete it.
+		return clementineturn.Errorf(clementineturn.KindEvicted, "the answer cannot be completed: %w", err)
+	}
+	return err
 }
 
 // modelList is the answer to GET /v1/models.
