--- a/clemclaim/commit.go
+++ b/clemclaim/commit.go
@@ -30,6 +30,7 @@
 func (g *log) commit(ctx context.Context, ops []*operation) {
 	pause := settlePause
 	failures := 0
+	g.fresh = false
 	for try := 0; try < raceTries; try++ {
 		rest, err := g.try(ctx, ops)
 		if len(rest) == 0 {
@@ -80,6 +81,7 @@
 }
 
 // try plans and writes once. It returns the operations that are still open.
+// Answers without a write hold if the log was read since the commit began.
 func (g *log) try(ctx context.Context, ops []*operation) ([]*operation, error) {
 	if !g.loaded {
 		if err := g.load(ctx); err != nil {
@@ -87,45 +89,39 @@
 		}
 	}
 	p := g.plan(ctx, ops)
-	if len(p.records) == 0 {
-		// What the log holds in memory may be outdated; nothing but a write or a read proves it.
+	if len(p.records) > 0 {
+		return g.write(ctx, p)
+	}
+	if !g.fresh {
 		changed, err := g.refresh(ctx)
 		if err != nil || changed {
 			return ops, err
 		}
-		return p.answer(), nil
 	}
+	return p.answer(), nil
+}
+
+// write appends what the plan asks for. If that fails it reads the log, so
+// that the next plan rests on what took effect.
+func (g *log) write(ctx context.Context, p *plan) ([]*operation, error) {
 	err := g.append(ctx, p.records)
 	if err == nil {
 		return p.answer(), nil
 	}
 	if clementineturn.IsKind(err, clementineturn.KindUnavailable) {
-		return ops, err
+		return p.ops, err
 	}
 	if !clementineturn.IsKind(err, clementineturn.KindConflict) {
 		p.unsettled()
 	}
-	return ops, g.settle(ctx, ops, err)
-}
-
-// settle reads the log after a write failed. If the log has moved on, the write
-// either is in it or can never take effect.
-func (g *log) settle(ctx context.Context, ops []*operation, cause error) error {
-	changed, err := g.refresh(ctx)
-	if err != nil {
-		return err
+	changed, readErr := g.refresh(ctx)
+	if readErr != nil {
+		return p.ops, readErr
 	}
 	if changed {
-		settled(ops)
-		return clementineturn.Errorf(clementineturn.KindConflict, "%w", cause)
-	}
-	return cause
-}
-
-func settled(ops []*operation) {
-	for _, op := range ops {
-		op.maybe = false
+		return p.ops, nil
 	}
+	return p.ops, err
 }
 
 // plan decides the operations of a batch one after the other.
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -22,7 +22,10 @@
 	config LedgerConfig
 	bucket uint64
 	loaded bool
-	index  index
+	// fresh is set while everything that was in the table when the present
+	// commit began has been read.
+	fresh bool
+	index index
 	// first is the number of the oldest segment that is kept.
 	first uint64
 	head  segment
@@ -76,7 +79,7 @@
 			return err
 		}
 		if again == first {
-			g.loaded = true
+			g.loaded, g.fresh = true, true
 			return nil
 		}
 	}
@@ -115,6 +118,7 @@
 	if err := g.follow(ctx); err != nil {
 		return false, err
 	}
+	g.fresh = true
 	changed := !g.loaded || g.head.number != number || g.head.version != version
 	return changed, nil
 }
--- /dev/null
+++ b/clemclaim/once_test.go
@@ -0,0 +1,208 @@
+package clemclaim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// once drives keepers on several sidecars at random and counts the calls that begin.
+type once struct {
+	*fleet
+	servers     []string
+	incarnation uint64
+	attempts    int
+	running     sync.WaitGroup
+	stops       []func()
+
+	mu sync.Mutex
+	// held are grants that have not begun, begun are those that run.
+	held  []*Grant
+	begun []*Grant
+	// runs counts the calls begun by key, answers holds their outcomes.
+	runs    map[string]int
+	answers map[string]string
+	refused map[string]error
+	faults  []string
+}
+
+func newOnce(t *testing.T) *once {
+	o := &once{
+		fleet: newFleet(t), servers: []string{"a", "b", "c"}, incarnation: 1,
+		runs: map[string]int{}, answers: map[string]string{}, refused: map[string]error{},
+	}
+	for _, server := range o.servers {
+		o.stops = append(o.stops, o.start(server, 1).stop)
+	}
+	return o
+}
+
+func (o *once) acquire(t *rapid.T) {
+	o.attempts++
+	work := offer(rapid.SampledFrom([]string{"k", "l", "m"}).Draw(t, "key"), fmt.Sprint(o.attempts), "cot")
+	work.Timeout = durationpb.New(time.Duration(rapid.IntRange(1, 30000).Draw(t, "timeout")) * time.Millisecond)
+	n := o.nodes[rapid.SampledFrom(o.servers).Draw(t, "server")]
+	immediate := rapid.Bool().Draw(t, "immediate")
+	o.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), work.GetTimeout().AsDuration())
+		grant, err := n.keeper.Acquire(ctx, work)
+		context.AfterFunc(ctx, cancel)
+		o.granted(work, grant, err)
+		if immediate && err == nil && grant.Replay() == nil {
+			o.begin(grant)
+		}
+	})
+}
+
+func (o *once) granted(work *clemwire.Offer, grant *Grant, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err != nil:
+		if clementineturn.IsNotRun(err) {
+			o.refused[work.GetAttempt()] = err
+		}
+	case grant.Replay() != nil:
+		if string(grant.Replay().GetBody()) != o.answers[work.GetKey()] {
+			o.faults = append(o.faults, "a replay that is not the outcome")
+		}
+	default:
+		o.held = append(o.held, grant)
+	}
+}
+
+func (o *once) begin(grant *Grant) {
+	err := grant.Begin()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held = slices.DeleteFunc(o.held, func(g *Grant) bool { return g == grant })
+	if err != nil {
+		return
+	}
+	o.runs[grant.claim.GetKey()]++
+	if refusal := o.refused[grant.claim.GetToken()]; refusal != nil {
+		o.faults = append(o.faults, "an attempt ran after "+refusal.Error())
+	}
+	o.begun = append(o.begun, grant)
+}
+
+// pick removes one of the grants.
+func (o *once) pick(t *rapid.T, grants *[]*Grant) *Grant {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(*grants) == 0 {
+		return nil
+	}
+	i := rapid.IntRange(0, len(*grants)-1).Draw(t, "grant")
+	grant := (*grants)[i]
+	*grants = slices.Delete(*grants, i, i+1)
+	return grant
+}
+
+func (o *once) end(t *rapid.T) {
+	grant := o.pick(t, &o.begun)
+	if grant == nil {
+		return
+	}
+	lose := rapid.IntRange(0, 4).Draw(t, "lose") == 0
+	if !lose {
+		o.mu.Lock()
+		o.answers[grant.claim.GetKey()] = "answer of " + grant.claim.GetToken()
+		o.mu.Unlock()
+	}
+	o.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if lose {
+			_ = grant.Lose(ctx, context.Canceled)
+			return
+		}
+		_ = grant.Finish(ctx, outcome("answer of "+grant.claim.GetToken()))
+	})
+}
+
+func (o *once) abandon(t *rapid.T) {
+	grant := o.pick(t, &o.held)
+	if grant == nil {
+		return
+	}
+	o.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = grant.Abandon(ctx)
+	})
+}
+
+// restart replaces a sidecar. The old one is not stopped: it may have been
+// suspended, and may wake and begin what it holds.
+func (o *once) restart(t *rapid.T) {
+	server := rapid.SampledFrom(o.servers).Draw(t, "server")
+	o.incarnation++
+	o.stops = append(o.stops, o.start(server, o.incarnation).stop)
+}
+
+func (o *once) check(t *rapid.T) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key, n := range o.runs {
+		if n > 1 {
+			t.Fatalf("the call of key %s began %d times", key, n)
+		}
+	}
+	for _, fault := range o.faults {
+		t.Fatalf("%s", fault)
+	}
+}
+
+// close stops every sidecar after the table recovered and checks the end.
+func (o *once) close() {
+	o.table.Inject(clemstandin.TableFaults{})
+	for _, n := range o.nodes {
+		n.frozen.Store(false)
+	}
+	o.running.Wait()
+	for _, stop := range o.stops {
+		stop()
+	}
+	time.Sleep(time.Minute)
+}
+
+func TestCallBeginsAtMostOnce(t *testing.T) {
+	checkVirtual(t, func(t *testing.T, rt *rapid.T) {
+		o := newOnce(t)
+		defer o.close()
+		rt.Repeat(map[string]func(*rapid.T){
+			"acquire":  o.acquire,
+			"acquire2": o.acquire,
+			"begin": func(t *rapid.T) {
+				if grant := o.pick(t, &o.held); grant != nil {
+					o.begin(grant)
+				}
+			},
+			"end":     o.end,
+			"abandon": o.abandon,
+			"restart": o.restart,
+			"freeze": func(t *rapid.T) {
+				n := o.nodes[rapid.SampledFrom(o.servers).Draw(t, "server")]
+				n.frozen.Store(!n.frozen.Load())
+			},
+			"faults": func(t *rapid.T) { o.table.Inject(drawFaults(t)) },
+			"heal":   func(*rapid.T) { o.table.Inject(clemstandin.TableFaults{}) },
+			"pause": func(t *rapid.T) {
+				time.Sleep(time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond)
+			},
+			"wait": func(*rapid.T) { time.Sleep(supersedeAge) },
+			"":     o.check,
+		})
+	})
+}
