--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -127,12 +127,8 @@
 func (g *log) follow(ctx context.Context) error {
 	for {
 		row, err := g.get(ctx, g.segmentKey(g.head.number))
-		if clementineturn.IsKind(err, clementineturn.KindNotFound) {
-			// A head that was in the table has been dropped by retention.
-			g.loaded = g.loaded && g.head.version == ""
-			return nil
-		}
-		if err != nil || row.Version() == g.head.version {
+		absent := clementineturn.IsKind(err, clementineturn.KindNotFound)
+		if err != nil && !absent {
 			return err
 		}
 		if g.head.version == "" && g.loaded {
@@ -140,6 +136,14 @@
 				return err
 			}
 		}
+		if absent {
+			// A head that was in the table has been dropped by retention.
+			g.loaded = g.loaded && g.head.version == ""
+			return nil
+		}
+		if row.Version() == g.head.version {
+			return nil
+		}
 		sealed, err := g.accept(row)
 		if err != nil || !sealed {
 			return err
@@ -147,10 +151,11 @@
 	}
 }
 
-// verify checks that the head is not a segment that retention dropped. A
-// ledger that was suspended for longer than the retention, or a write that
-// took effect that late, could insert it once more; retention raises the first
-// number before it drops a segment, so that a read after the insert tells.
+// verify checks that the head, which the log has not seen in the table yet, is
+// not a segment that retention dropped. A ledger that was suspended for longer
+// than the retention would find it absent or insert it once more, and a write
+// that takes effect that late would do so, too. Retention raises the first
+// number before it drops a segment, so that a read of that number tells.
 func (g *log) verify(ctx context.Context) error {
 	first, _, err := g.readFirst(ctx)
 	if err == nil && first > g.head.number {
