clemclaim: a call that began may be abandoned

The sidecar abandons a call when its backend server could not be reached after Begin. The grant refused that, stayed in the keeper, and its key was in progress for ever.

--- a/clemclaim/grant.go
+++ b/clemclaim/grant.go
@@ -119,15 +119,14 @@
 	return g.keeper.record(ctx, &ending{grant: g, record: record})
 }
 
-// Abandon records that the call was not dispatched and never will be. It does
-// nothing after Begin failed. Errors as for Finish, and KindInternal if the
-// call is running.
+// Abandon records that the call was not dispatched and never will be: it waited
+// in vain, or the backend server could not be reached and no byte of it was
+// sent. After Begin failed, and after the end of the call, it does nothing.
+// Errors as for Finish.
 func (g *Grant) Abandon(ctx context.Context) error {
-	if g.move(phaseHeld, phaseVoided) {
+	if g.move(phaseHeld, phaseVoided) || g.move(phaseRunning, phaseVoided) {
 		return g.keeper.record(ctx, &ending{grant: g, record: &clemwire.Record{Claim: g.claim, State: stateVoid}})
 	}
-	if g.keeper.forget(g) {
-		return nil
-	}
-	return clementineturn.Errorf(clementineturn.KindInternal, "the call of key %q is running", g.claim.GetKey())
+	g.keeper.forget(g)
+	return nil
 }
--- a/clemclaim/keeper.go
+++ b/clemclaim/keeper.go
@@ -145,16 +145,15 @@
 	return nil
 }
 
-// forget drops a grant that was voided, and reports whether the grant has no
-// call that runs. The attempt that voided it, or the next one, records the void.
-func (k *Keeper) forget(grant *Grant) bool {
+// forget drops a grant that was voided. The attempt that voided it, or the
+// next one, records the void.
+func (k *Keeper) forget(grant *Grant) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if grant.phase == phaseVoided {
 		grant.phase = phaseEnded
 		delete(k.grants, grant.claim.GetToken())
 	}
-	return grant.phase == phaseEnded
 }
 
 func errVoided(claim *clemwire.Claim) error {
--- a/clemclaim/keeper_test.go
+++ b/clemclaim/keeper_test.go
@@ -129,6 +129,22 @@
 	})
 }
 
+// The call began, but its backend server could not be reached.
+func TestAbandonAfterBegin(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		require.NoError(t, grant.Begin())
+		f.table.Inject(clemstandin.TableFaults{Down: true})
+		require.Error(t, grant.Abandon(t.Context()))
+		require.Equal(t, 1, f.nodes["a"].keeper.Pending())
+		f.table.Inject(clemstandin.TableFaults{})
+		require.NoError(t, f.nodes["b"].acquire(t, offer("k", "2", "cot")).Begin())
+		f.nodes["a"].settled(t)
+		require.Empty(t, f.nodes["a"].keeper.grants)
+		require.Equal(t, stateHeld, f.nodes["a"].state(t, "k"))
+	})
+}
+
 func TestDeadlineBeforeBegin(t *testing.T) {
 	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
 		o := offer("k", "1", "cot")
--- a/clemclaim/retain_test.go
+++ b/clemclaim/retain_test.go
@@ -153,6 +153,7 @@
 	inLedgers(t, 1, func(t *testing.T, table *clemstandin.Table, ledgers []*Ledger) {
 		held := run(t, ledgers[0], "held", stateHeld)
 		config := ledgers[0].config
+		config.Timeout = 100 * time.Hour
 		log := newLog(config, 0)
 		config.Table = &hook{Table: table, key: log.segmentKey(0), call: func() {
 			pass(t, ledgers[0], "x", 60)
