clemlab: measure the policies in virtual time; first findings in the gate

Emulated engines, callers and entries drive the real gate, rankers and budgets under recorded loads; 'make measure' prints one table.

Findings for short behind long (go run ./cmd/clementine-measure -e long; short p99 to first token without and with long work, and their ratio): - Queueing at the first choice while other servers have free slots.

--- a/Makefile
+++ b/Makefile
@@ -9,3 +9,6 @@
 
 lint:
 	./tools/lint
+
+measure:
+	go run ./cmd/clementine-measure
--- a/clemgate/check.go
+++ b/clemgate/check.go
@@ -29,8 +29,8 @@
 		return clementineturn.Refuse(clementineturn.KindSlow, "%s is slower than its pool", g.server)
 	case t.flow.waiting >= int(t.item.queue):
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s holds %d waiting items of the organisation", g.server, t.flow.waiting)
-	case g.hasSlot(now, t) && !g.fits(now, t.cost):
-		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s is at its load bound", g.server)
+	case t.item.eager:
+		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s has no room at once", g.server)
 	case !t.latest.IsZero() && now.Add(g.wait(now, t.flow)).After(t.latest):
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s cannot meet the deadline", g.server)
 	}
@@ -99,7 +99,7 @@
 // outrun follows an item that produces more than its estimate: its load and
 // its organisation's charge grow, and it counts as long once it is.
 func (g *Gate) outrun(now time.Time, t *Ticket) {
-	actual := t.item.prompt + t.produced
+	actual := work(t.item.prompt, t.produced)
 	if actual <= t.cost {
 		return
 	}
--- a/clemgate/gate.go
+++ b/clemgate/gate.go
@@ -169,15 +169,19 @@
 
 // fits reports whether the bound allows the cost, in tokens. The mean is
 // the pool's total as reported, with the server's own part of it replaced by
-// its count of now and the new cost added, over the servers in the sum. An
-// idle server takes any one item. Without a fresh mean the slots alone limit.
+// its count of now and the new cost added, over the servers in the sum. The
+// limit is rounded up to whole items of the cost, as in consistent hashing
+// with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018), where all
+// items are equal: an idle server takes any one item, and a pool whose servers
+// carry one item each can take another. Without a fresh mean the slots alone limit.
 func (g *Gate) fits(now time.Time, cost uint64) bool {
 	load := g.load + g.busy
 	if load == 0 || !g.limits.isFresh(now) {
 		return true
 	}
 	mean := (g.total(now) + float64(cost)) / float64(g.limits.load.Servers())
-	return float64(load+cost) <= math.Ceil(g.limits.bound*g.factor*mean)
+	items := math.Ceil(g.limits.bound * g.factor * mean / float64(cost))
+	return float64(load+cost) <= items*float64(cost)
 }
 
 // total returns the pool's work in flight, with this server's part as of now.
@@ -210,7 +214,7 @@
 		slots = scale(slots, hedgeShare)
 	}
 	if g.isAboveShare(t.flow, slots) {
-		slots -= int(float64(slots) * reserveShare)
+		slots -= reserve(slots)
 	}
 	return g.running < slots
 }
--- a/clemgate/limits.go
+++ b/clemgate/limits.go
@@ -12,8 +12,12 @@
 	maxMeanAge = 3 * time.Second
 	// safeShare is the share of the slots that may be used without a mean.
 	safeShare = 0.5
+	// promptPerOutput is the number of prompt tokens that count as one of output.
+	promptPerOutput = 16
 	// reserveShare is the share of the slots kept for organisations below their fair share.
-	reserveShare = 0.125
+	reserveShare = 0.0625
+	// minReserveSlots is the number of slots from which any are kept.
+	minReserveSlots = 8
 )
 
 // LimitsConfig describes Limits to construct.
@@ -62,6 +66,14 @@
 	return max(1, int(math.Round(float64(slots)*share)))
 }
 
+// reserve returns the number of slots kept for organisations below their fair share.
+func reserve(slots int) int {
+	if slots < minReserveSlots {
+		return 0
+	}
+	return int(math.Ceil(float64(slots) * reserveShare))
+}
+
 // ItemConfig describes an Item to construct.
 type ItemConfig struct {
 	Organisation string
@@ -75,6 +87,9 @@
 	Deadline time.Time
 	// Hedge marks a second attempt of work that runs elsewhere.
 	Hedge bool
+	// Eager asks for a refusal in place of a wait, since the entry has other
+	// servers to try.
+	Eager bool
 }
 
 // Item is one piece of work to admit.
@@ -83,19 +98,23 @@
 	weight, queue  uint32
 	prompt, output uint64
 	deadline       time.Time
-	hedge          bool
+	hedge, eager   bool
 }
 
 // NewItem returns the item that the configuration describes. A zero weight counts as 1.
 func NewItem(c ItemConfig) Item {
 	return Item{
 		organisation: c.Organisation, weight: max(1, c.Weight), queue: c.Queue,
-		prompt: c.Prompt, output: c.Output, deadline: c.Deadline, hedge: c.Hedge,
+		prompt: c.Prompt, output: c.Output, deadline: c.Deadline, hedge: c.Hedge, eager: c.Eager,
 	}
 }
 
 // cost returns the estimated work in tokens, at least 1.
-func (i Item) cost() uint64 { return max(1, i.prompt+i.output) }
+func (i Item) cost() uint64 { return work(i.prompt, i.output) }
+
+// work returns the tokens of work of a prompt and an output. Engines read a
+// prompt many tokens at a time, or find it cached, but write one token a step.
+func work(prompt, output uint64) uint64 { return max(1, prompt/promptPerOutput+output) }
 
 // Report is the state of a gate at one moment.
 type Report struct {
--- /dev/null
+++ b/clemlab/contain.go
@@ -0,0 +1,38 @@
+package clemlab
+
+import "time"
+
+const (
+	containExperiment = "contain"
+	containDuration   = 150 * time.Second
+	containChats      = 75
+	surging           = "o00"
+	surgeFactor       = 10
+)
+
+// measureContain lets one of ten equal organisations send ten times its share.
+func (l *Lab) measureContain() {
+	duration := l.length(containDuration)
+	even := fixed(zipf(organisations, 0))
+	load := func(seed uint64) scenario {
+		w := chats(seed, containChats, duration)
+		w.shares = even
+		return neblina().with(duration, w.record())
+	}
+	surge := func(seed uint64) scenario {
+		s := load(seed)
+		extra := chats(seed+2000, containChats*(surgeFactor-1)/organisations, duration)
+		extra.shares = fixed([]float64{1})
+		return s.with(duration, s.specs, extra.record())
+	}
+	others := and(arrivedIn(warmUp, duration), func(r *request) bool { return r.spec.organisation != surging })
+	plot := l.figure("contain", "Time to first token of the others during a surge", "time to first token (ms)", "share of requests")
+	for _, p := range append(baselines(), firstCome(), ours()) {
+		plain, tried := l.execute(p, load), l.execute(p, surge)
+		before, after := plain.first(others, tail), tried.first(others, tail)
+		l.table.add(containExperiment, p.name, "others' p99 to first token, no surge", before, unitTime)
+		l.table.add(containExperiment, p.name, "others' p99 to first token, surge", after, unitTime)
+		l.table.judge(containExperiment, p.name, "ratio of the two", after/before, unitRatio, atMost(1.1))
+		plot.cumulative(p.name, tried, others)
+	}
+}
--- /dev/null
+++ b/clemlab/lab_test.go
@@ -0,0 +1,84 @@
+package clemlab
+
+import (
+	"bytes"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Equal configurations give equal tables, and every run decides its requests.
+func TestMeasureIsDeterministic(t *testing.T) {
+	var tables [2]bytes.Buffer
+	for i := range tables {
+		lab := New(Config{Seed: 7, Seeds: 1, Scale: 0.12, Only: longExperiment})
+		require.NoError(t, lab.Measure().WriteJSON(&tables[i]))
+		require.NoError(t, lab.WritePlots(t.TempDir()))
+	}
+	require.Equal(t, tables[0].String(), tables[1].String())
+	require.Contains(t, tables[0].String(), "clementineturn")
+}
+
+func TestEveryRequestEnds(t *testing.T) {
+	const duration = 8 * time.Second
+	for _, p := range append(baselines(), ours()) {
+		r := execute(neblina().with(duration, chats(3, 200, duration).record()), p)
+		require.Len(t, r.requests, len(r.specs))
+		require.Zero(t, r.count(endedAs(outcomeOpen)), p.name)
+		for _, s := range r.servers {
+			require.Zero(t, s.admission.requests(), p.name)
+			require.Empty(t, s.engine.running, p.name)
+		}
+	}
+}
+
+func TestEngineSteps(t *testing.T) {
+	sim := newSimulator()
+	config := engineConfig{slots: 4, base: 10 * time.Millisecond, perToken: time.Millisecond, chunk: 8, memory: 1000}
+	e := newEngine(sim, config, func(time.Time) float64 { return 2 })
+	var ended time.Time
+	spec := &Spec{chat: "c", organisation: "o", system: 4, prompt: 12, output: 3}
+	sequence := func() *sequence {
+		return &sequence{
+			request: &request{spec: spec}, priority: func() int { return 0 },
+			onToken: func(int) {}, onEnd: func() { ended = sim.now },
+		}
+	}
+	e.start(sequence())
+	sim.run(epoch.Add(time.Second))
+	// Two steps of prefill (8 and 4 tokens), then two of decoding, all at half speed.
+	require.Equal(t, 2*(18+14+10+10)*time.Millisecond, ended.Sub(epoch))
+	again := sequence()
+	e.start(again)
+	require.Equal(t, 12, again.hit)
+}
+
+func TestPrefixCacheEvictsTheLeastRecentlyUsed(t *testing.T) {
+	c := newPrefixCache(100)
+	c.put("a", 40)
+	c.put("b", 40)
+	c.lookup(&Spec{chat: "a"})
+	c.put("c", 40)
+	require.Equal(t, []int{40, 0, 40}, []int{c.held("a"), c.held("b"), c.held("c")})
+}
+
+func TestTargets(t *testing.T) {
+	require.Equal(t, VerdictMet, atMost(1).verdict(1))
+	require.Equal(t, VerdictNotMet, atMost(1).verdict(1.01))
+	require.Equal(t, VerdictMet, atLeast(1).verdict(1.01))
+	require.Equal(t, VerdictNotMet, atLeast(1).verdict(0.99))
+}
+
+func TestTableText(t *testing.T) {
+	var table Table
+	table.add("long", "random", "p99", 12.3, unitTime)
+	table.judge("long", ours().name, "ratio", 1.5, unitRatio, atMost(1.25))
+	table.judge("long", "random", "extra", 0.015, unitShare, atMost(0.03))
+	var text bytes.Buffer
+	require.NoError(t, table.WriteText(&text))
+	golden, err := os.ReadFile("testdata/table.golden")
+	require.NoError(t, err)
+	require.Equal(t, string(golden), text.String())
+}
--- /dev/null
+++ b/clemlab/slow.go
@@ -0,0 +1,96 @@
+package clemlab
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	slowExperiment = "slow"
+	slowDuration   = 240 * time.Second
+	slowServers    = 2
+	slowFactor     = 4
+	slowChats      = 65
+	slowQuotes     = 2
+	shortestSpell  = 5 * time.Second
+	longestSpell   = 30 * time.Second
+)
+
+// spell is a time during which a server is slow.
+type spell struct {
+	from, to time.Duration
+}
+
+// spells draws alternating quiet and slow times.
+func spells(rng *rand.Rand, duration time.Duration) []spell {
+	var all []spell
+	for at := warmUp; at < duration; {
+		at += drawSpell(rng)
+		end := at + drawSpell(rng)
+		all = append(all, spell{at, end})
+		at = end
+	}
+	return all
+}
+
+func drawSpell(rng *rand.Rand) time.Duration {
+	return shortestSpell + time.Duration(rng.Int64N(int64(longestSpell-shortestSpell)))
+}
+
+// slowdowns returns the factor of each server's steps: the first few servers have slow spells.
+func slowdowns(seed uint64, duration time.Duration) func(int, time.Duration) float64 {
+	var servers [slowServers][]spell
+	for i := range servers {
+		servers[i] = spells(rand.New(rand.NewPCG(seed, uint64(i))), duration)
+	}
+	return func(server int, at time.Duration) float64 {
+		if server >= slowServers {
+			return 1
+		}
+		for _, s := range servers[server] {
+			if at >= s.from && at < s.to {
+				return slowFactor
+			}
+		}
+		return 1
+	}
+}
+
+// measureSlow compares the tail with and without slowed servers.
+func (l *Lab) measureSlow() {
+	duration := l.length(slowDuration)
+	load := func(seed uint64) scenario {
+		return neblina().with(duration,
+			chats(seed, slowChats, duration).record(), quotes(seed, slowQuotes, duration).record())
+	}
+	slowed := func(seed uint64) scenario {
+		s := load(seed)
+		s.slowdown = slowdowns(seed, duration)
+		return s
+	}
+	m := and(isShort, arrivedIn(warmUp, duration))
+	plot := l.figure("slow", "Time to first token with 2 of 18 servers slowed 4 times", "time to first token (ms)", "share of requests")
+	for _, p := range append(baselines(), firstCome(), withoutHedges(), withoutSlowness(), ours()) {
+		plain, tried := l.execute(p, load), l.execute(p, slowed)
+		before, after := plain.first(m, tail), tried.first(m, tail)
+		l.table.add(slowExperiment, p.name, "p99 to first token, none slowed", before, unitTime)
+		l.table.add(slowExperiment, p.name, "p99 to first token, two slowed", after, unitTime)
+		l.table.judge(slowExperiment, p.name, "ratio of the two", after/before, unitRatio, atMost(1.3))
+		l.table.judge(slowExperiment, p.name, "extra work", tried.mean((*run).extra), unitShare, atMost(0.03))
+		plot.cumulative(p.name, tried, m)
+	}
+}
+
+// withoutHedges is our policy without second attempts.
+func withoutHedges() policy {
+	p := ours()
+	p.name, p.hedge = "clementineturn without hedges", 0
+	return p
+}
+
+// withoutSlowness is our policy when the pool's median speed is not known.
+func withoutSlowness() policy {
+	p := ours()
+	p.name, p.blind = "clementineturn without slowness", true
+	return p
+}
