--- /dev/null
+++ b/clemstandin/engine_test.go
@@ -0,0 +1,303 @@
+package clemstandin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// ask sends one request to a handler and returns the recorded answer.
+func ask(ctx context.Context, h http.Handler, method, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// aborts reports whether the handler closes the connection without an answer.
+func aborts(call func()) (aborted bool) {
+	defer func() { aborted = recover() == http.ErrAbortHandler }()
+	call()
+	return false
+}
+
+func chatBody(text string, more string) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}]%s}`, text, more)
+}
+
+func complete(t *testing.T, h http.Handler, text string, header ...string) completion {
+	t.Helper()
+	w := ask(t.Context(), h, http.MethodPost, "/v1/chat/completions", chatBody(text, ""), header...)
+	require.Equal(t, http.StatusOK, w.Code, w.Body)
+	var c completion
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &c))
+	return c
+}
+
+func words(n int, prefix string) string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = prefix + strconv.Itoa(i)
+	}
+	return strings.Join(list, " ")
+}
+
+func TestEnginePrefixCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Name: "engine-1", Model: "m", Cache: 8 * blockTokens, Output: 1})
+		first := complete(t, e, words(40, "a"))
+		require.Zero(t, first.Usage.Details.Cached)
+		again := complete(t, e, words(40, "a")+" "+words(20, "b"))
+		require.Equal(t, 2*blockTokens, again.Usage.Details.Cached)
+		require.True(t, strings.HasPrefix(first.Choices[0].Message.Content, "engine-1:"))
+		require.Equal(t, first.Choices, complete(t, e, words(40, "a")).Choices, "the text depends on the messages alone")
+		complete(t, e, words(200, "c"))
+		require.Zero(t, complete(t, e, words(40, "a")).Usage.Details.Cached, "evicted")
+	})
+}
+
+func TestEngineTurnReusesAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Model: "m", Output: 40})
+		first := complete(t, e, words(15, "a"))
+		turn := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q},{"role":"assistant","content":%q},{"role":"user","content":"and?"}]}`,
+			words(15, "a"), first.Choices[0].Message.Content)
+		w := ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", turn)
+		var second completion
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &second))
+		want := first.Usage.Total + 1 // the assistant's role
+		require.Equal(t, want-want%blockTokens, second.Usage.Details.Cached)
+	})
+}
+
+// TestEnginePriorities fills the only slot and lets others wait.
+func TestEnginePriorities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Model: "m", Slots: 1})
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		for _, name := range []string{"first 0", "late 5", "normal 0", "urgent -1", "normal2 0"} {
+			wg.Go(func() {
+				label, priority, _ := strings.Cut(name, " ")
+				complete(t, e, label, "X-Priority", priority)
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, label)
+			})
+			synctest.Wait()
+		}
+		wg.Wait()
+		require.Equal(t, []string{"first", "urgent", "normal", "normal2", "late"}, order)
+	})
+}
+
+// TestEngineCancel frees the slot of a running and the place of a waiting request.
+func TestEngineCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Model: "m", Slots: 1, Step: time.Hour})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				require.True(t, aborts(func() { ask(ctx, e, http.MethodPost, "/v1/chat/completions", chatBody("a", "")) }))
+			})
+		}
+		synctest.Wait()
+		require.Equal(t, usage{running: 1, waiting: 2, tokens: 2}, e.batch.past.at(0))
+		cancel()
+		wg.Wait()
+		require.Equal(t, usage{}, e.batch.past.at(0))
+	})
+}
+
+func TestEngineTime(t *testing.T) {
+	const step = 10 * time.Millisecond
+	took := func(t *testing.T, faults EngineFaults, at int) time.Duration {
+		e := NewEngine(EngineConfig{Model: "m", Step: step, Prefill: 4, Batch: 0.5, Faults: faults})
+		start := time.Now()
+		var wg sync.WaitGroup
+		for range at {
+			wg.Go(func() {
+				ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", chatBody("a b c", `,"max_tokens":5`))
+			})
+		}
+		wg.Wait()
+		return time.Since(start)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		require.Equal(t, 6*step, took(t, EngineFaults{}, 1))
+		require.Equal(t, 24*step, took(t, EngineFaults{Slow: 4}, 1))
+		require.Greater(t, took(t, EngineFaults{}, 3), 10*step, "a larger batch is slower")
+	})
+}
+
+func TestEngineFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Model: "m"})
+		stream := chatBody("a", `,"stream":true`)
+		put := func(faults string) int { return ask(t.Context(), e, http.MethodPut, "/faults", faults).Code }
+		require.Equal(t, http.StatusNoContent, put(`{"refuse":1}`))
+		refused := ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", stream)
+		require.Equal(t, http.StatusServiceUnavailable, refused.Code)
+		require.Equal(t, "1", refused.Header().Get("Retry-After"))
+		require.Equal(t, http.StatusNoContent, put(`{"cut":1}`))
+		require.True(t, aborts(func() { ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", stream) }))
+		require.Equal(t, http.StatusNoContent, put(`{"short":1}`))
+		short := ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", stream)
+		require.NotContains(t, short.Body.String(), "[DONE]")
+		whole := ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", stream)
+		require.True(t, strings.HasSuffix(whole.Body.String(), "data: [DONE]\n\n"))
+		for _, bad := range []string{`{"sloww":1}`, `{"lag":"-1s"}`, `{"lag":1}`, `{} {}`, ``} {
+			require.Equal(t, http.StatusBadRequest, put(bad), bad)
+		}
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	order := func(e *Engine, version string, fence int) int {
+		return ask(context.Background(), e, http.MethodPost, "/v1/load", fmt.Sprintf(`{"version":%q,"adapters":["cots"],"fence":%d}`, version, fence)).Code
+	}
+	for _, fencing := range []bool{true, false} {
+		t.Run(fmt.Sprint(fencing), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := NewEngine(EngineConfig{Model: "m", Fencing: fencing, Faults: EngineFaults{Loading: Duration(time.Second)}})
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					want := http.StatusOK
+					if fencing {
+						want = http.StatusConflict
+					}
+					require.Equal(t, want, order(e, "old", 1), "overtaken while it loads")
+				})
+				synctest.Wait()
+				e.Inject(EngineFaults{})
+				require.Equal(t, http.StatusOK, order(e, "new", 2))
+				wg.Wait()
+				want := "new"
+				if !fencing {
+					want = "old"
+				}
+				require.Equal(t, want, e.orders.current().Version)
+				require.Equal(t, http.StatusOK, ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", `{"model":"cots","messages":[{"role":"user"}]}`).Code)
+			})
+		})
+	}
+}
+
+// TestEngineWeights loads versions from a weight store with a rate limit.
+func TestEngineWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := NewNetwork()
+		p, err := NewPlatform(PlatformConfig{Faults: PlatformFaults{Weights: Faults{Reads: 1}}})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNoContent, ask(t.Context(), p, http.MethodPut, "/weights/v1", "weights").Code)
+		server := &http.Server{Handler: p}
+		ended := make(chan error, 1)
+		listener := network.Listen("platform:80")
+		go func() { ended <- server.Serve(listener) }()
+		client := network.Client()
+		e := NewEngine(EngineConfig{Model: "m", Weights: "http://platform:80", Client: client})
+		load := func(version string) int {
+			return ask(t.Context(), e, http.MethodPost, "/v1/load", fmt.Sprintf(`{"version":%q}`, version)).Code
+		}
+		require.Equal(t, http.StatusOK, load("v1"))
+		require.Equal(t, http.StatusOK, load("v1"), "a loaded version needs no fetch")
+		require.Equal(t, http.StatusServiceUnavailable, load("v2"), "above the rate limit")
+		time.Sleep(time.Second)
+		require.Equal(t, http.StatusBadRequest, load("v2"), "no such version")
+		client.CloseIdleConnections()
+		require.NoError(t, server.Close())
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+		require.Equal(t, http.StatusServiceUnavailable, load("v3"), "store down")
+	})
+}
+
+func TestEngineCacheEvents(t *testing.T) {
+	const late = 3 * time.Second
+	numbers := func(t *testing.T, e *Engine, after uint64) []uint64 {
+		var list struct{ Events []CacheEvent }
+		w := ask(t.Context(), e, http.MethodGet, fmt.Sprintf("/v1/cache/events?after=%d", after), "")
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &list))
+		found := []uint64{}
+		for _, event := range list.Events {
+			found = append(found, event.Number)
+		}
+		return found
+	}
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Model: "m", Output: 1, Seed: 1, Faults: EngineFaults{Late: Duration(late), Loss: 0.5}})
+		complete(t, e, words(8*blockTokens, "a"))
+		require.Empty(t, numbers(t, e, 0))
+		time.Sleep(late)
+		got := numbers(t, e, 0)
+		require.Equal(t, []uint64{2, 3, 4, 6, 7, 8}, got, "late and with gaps")
+		require.Equal(t, []uint64{6, 7, 8}, numbers(t, e, 5))
+	})
+}
+
+func TestEngineExport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from := NewEngine(EngineConfig{Model: "m", Output: 1})
+		to := NewEngine(EngineConfig{Model: "m", Output: 1})
+		complete(t, from, words(100, "a"))
+		export := ask(t.Context(), from, http.MethodGet, "/v1/cache?limit=4", "")
+		require.Equal(t, http.StatusNoContent, ask(t.Context(), to, http.MethodPost, "/v1/cache", export.Body.String()).Code)
+		require.Equal(t, 4*blockTokens, complete(t, to, words(100, "a")).Usage.Details.Cached)
+		require.Equal(t, http.StatusBadRequest, ask(t.Context(), to, http.MethodPost, "/v1/cache", `{"blocks":["x"]}`).Code)
+	})
+}
+
+func TestServiceFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewService(ServiceConfig{Name: "orders-1", Faults: ServiceFaults{Delay: Duration(time.Second)}})
+		reserve := func() *httptest.ResponseRecorder {
+			return ask(t.Context(), s, http.MethodPost, "/orders/reserve", `{}`, "Idempotency-Key", "k")
+		}
+		start := time.Now()
+		require.JSONEq(t, `{"server":"orders-1","service":"orders","call":"reserve","key":"k","run":1}`, reserve().Body.String())
+		require.Equal(t, time.Second, time.Since(start))
+		require.Equal(t, http.StatusNoContent, ask(t.Context(), s, http.MethodPut, "/faults", `{"refuse":1}`).Code)
+		require.Equal(t, http.StatusServiceUnavailable, reserve().Code)
+		s.Inject(ServiceFaults{Before: 1})
+		require.True(t, aborts(func() { reserve() }))
+		require.Equal(t, 1, s.Runs().Keys["k"])
+		s.Inject(ServiceFaults{After: 1})
+		require.True(t, aborts(func() { reserve() }))
+		runs := ask(t.Context(), s, http.MethodGet, "/runs", "")
+		require.JSONEq(t, `{"keys":{"k":2},"calls":{"orders/reserve":2}}`, runs.Body.String())
+	})
+}
+
+func ExampleNewEngine() {
+	server := httptest.NewServer(NewEngine(EngineConfig{Name: "engine-1", Model: "small", Step: time.Millisecond}))
+	defer server.Close()
+	body := strings.NewReader(`{"model":"small","max_tokens":4,"messages":[{"role":"user","content":"Is the cot still there?"}]}`)
+	resp, err := http.Post(server.URL+"/v1/chat/completions", "application/json", body)
+	if err != nil {
+		panic(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	var c completion
+	_ = json.Unmarshal(text, &c)
+	fmt.Println(c.Choices[0].Message.Content)
+	// Output: engine-1: will only be
+}
