--- a/clemsetting/check.go
+++ b/clemsetting/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -57,14 +58,14 @@
 }
 
 func (c *checker) key(key Key, path, role string, value any, given bool) {
-	foreign := key.role != "" && key.role != role
+	foreign := key.role != "" && key.role != role && (role == RoleEntry || role == RoleSidecar)
 	switch {
 	case foreign && given:
 		c.fault(path, "found the key in settings of role %q, allowed only for role %q", role, key.role)
 		return
 	case foreign:
 		return
-	case !given && key.required:
+	case !given && key.required && (key.role == "" || key.role == role):
 		c.fault(path, "found nothing, required: %s", key.Allowed())
 		return
 	case !given:
@@ -97,13 +98,30 @@
 }
 
 func (c *checker) unknown(path, pattern, role, name string) {
-	hint := ""
+	hint := fmt.Sprintf(", allowed are %s", strings.Join(members(pattern, role), ", "))
 	if near := nearest(pattern, role, name); near != "" {
 		hint = fmt.Sprintf("; did you mean %q?", near)
 	}
+	if !plainKey.MatchString(name) {
+		name = fmt.Sprintf("%.64q", name)
+	}
 	c.fault(join(path, name), "found an unknown key%s", hint)
 }
 
+// plainKey matches keys that a fault can show as they are.
+var plainKey = regexp.MustCompile(`^[A-Za-z0-9_.\[\]-]{1,64}$`)
+
+// members returns the names that an object of the role may have.
+func members(pattern, role string) []string {
+	var names []string
+	for _, key := range table {
+		if name, ok := member(key.path, pattern); ok && (key.role == "" || key.role == role) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (c *checker) operators(role string, value any) []Operator {
 	if value == nil || role != RoleEntry {
 		return nil
@@ -162,11 +180,7 @@
 // one, or "" if none is close.
 func nearest(pattern, role, name string) string {
 	best, distance := "", max(2, len(name)/3)+1
-	for _, key := range table {
-		candidate, ok := member(key.path, pattern)
-		if !ok || key.role != "" && key.role != role {
-			continue
-		}
+	for _, candidate := range members(pattern, role) {
 		if d := editDistance(strings.ToLower(name), candidate); d < distance {
 			best, distance = candidate, d
 		}
