--- a/clemburn/recorder.go
+++ b/clemburn/recorder.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// ring holds the steps of one window. Step numbers count from the Unix epoch.
+// ring holds the steps of one window. Steps are numbered from the recorder's
+// first call.
 type ring struct {
 	length time.Duration
 	steps  []events
@@ -73,10 +74,10 @@
 	return ring{length: length, steps: make([]events, size)}
 }
 
-// step returns the step of the time after dropping those that left the window.
-// A time before the newest step counts into the newest step.
-func (r *ring) step(now time.Time) *events {
-	number := max(now.UnixNano()/int64(r.length), r.last)
+// step returns the step of the age after dropping those that left the window.
+// An age before the newest step counts into the newest step.
+func (r *ring) step(age time.Duration) *events {
+	number := max(int64(age/r.length), r.last)
 	if number-r.last >= int64(len(r.steps)) {
 		clear(r.steps)
 	} else {
@@ -88,8 +89,8 @@
 	return &r.steps[number%int64(len(r.steps))]
 }
 
-func (r *ring) sum(now time.Time) (total, failed, slow uint64) {
-	r.step(now)
+func (r *ring) sum(age time.Duration) (total, failed, slow uint64) {
+	r.step(age)
 	for _, e := range r.steps {
 		total += uint64(e.total)
 		failed += uint64(e.failed)
@@ -109,7 +110,8 @@
 	limit  int
 	mu     sync.Mutex
 	series map[pair]*series
-	swept  time.Time
+	start  time.Time
+	swept  time.Duration
 }
 
 // New returns the recorder that the configuration describes.
@@ -130,19 +132,29 @@
 	slow := !failed && target > 0 && first > target
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.find(now, pair{organisation, pool})
-	s.short.step(now).add(failed, slow)
-	s.long.step(now).add(failed, slow)
+	age := r.age(now)
+	s := r.find(age, pair{organisation, pool})
+	s.short.step(age).add(failed, slow)
+	s.long.step(age).add(failed, slow)
+}
+
+// age returns the time since the first call. It is monotonic where the times
+// are, so that a step of the wall clock moves no events.
+func (r *Recorder) age(now time.Time) time.Duration {
+	if r.start.IsZero() {
+		r.start = now
+	}
+	return now.Sub(r.start)
 }
 
 // find returns the pair's series. Once the bound is reached, pairs without a
 // request in the long window make room, at most once a step.
-func (r *Recorder) find(now time.Time, p pair) *series {
+func (r *Recorder) find(age time.Duration, p pair) *series {
 	if s := r.series[p]; s != nil {
 		return s
 	}
-	if len(r.series) >= r.limit && now.Sub(r.swept) >= longStep {
-		r.sweep(now)
+	if len(r.series) >= r.limit && age-r.swept >= longStep {
+		r.sweep(age)
 	}
 	if len(r.series) >= r.limit {
 		p = pair{Other, ""}
@@ -155,10 +167,10 @@
 	return s
 }
 
-func (r *Recorder) sweep(now time.Time) {
-	r.swept = now
+func (r *Recorder) sweep(age time.Duration) {
+	r.swept = age
 	for p, s := range r.series {
-		if total, _, _ := s.long.sum(now); total == 0 {
+		if total, _, _ := s.long.sum(age); total == 0 {
 			delete(r.series, p)
 		}
 	}
@@ -169,10 +181,11 @@
 func (r *Recorder) Counts(now time.Time) []*clemwire.Count {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sweep(now)
+	age := r.age(now)
+	r.sweep(age)
 	counts := make([]*clemwire.Count, 0, 2*len(r.series))
 	for p, s := range r.series {
-		counts = append(counts, count(p, Short, &s.short, now), count(p, Long, &s.long, now))
+		counts = append(counts, count(p, Short, &s.short, age), count(p, Long, &s.long, age))
 	}
 	slices.SortFunc(counts, func(a, b *clemwire.Count) int {
 		return compareKeys(keyOf(a), keyOf(b))
@@ -185,8 +198,8 @@
 	return &clemwire.Gathered{Node: node, Counts: r.Counts(r.now())}
 }
 
-func count(p pair, window time.Duration, r *ring, now time.Time) *clemwire.Count {
-	total, failed, slow := r.sum(now)
+func count(p pair, window time.Duration, r *ring, age time.Duration) *clemwire.Count {
+	total, failed, slow := r.sum(age)
 	return &clemwire.Count{
 		Organisation: p.organisation, Pool: p.pool, Window: durationpb.New(window),
 		Total: total, Failed: failed, Slow: slow,
--- /dev/null
+++ b/clemburn/recorder_test.go
@@ -0,0 +1,147 @@
+package clemburn
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const target = 690 * time.Millisecond
+
+// only returns the count of the window when there is one pair.
+func only(t require.TestingT, counts []*clemwire.Count, window time.Duration) *clemwire.Count {
+	for _, c := range counts {
+		if c.GetWindow().AsDuration() == window {
+			return c
+		}
+	}
+	require.Fail(t, "no count")
+	return nil
+}
+
+func TestRecord(t *testing.T) {
+	r := New(Config{})
+	r.Record(epoch, "acme", "p", false, target, target)
+	r.Record(epoch, "acme", "p", false, target+1, target)
+	r.Record(epoch, "acme", "p", true, time.Hour, target)
+	r.Record(epoch, "acme", "p", false, time.Hour, 0)
+	c := only(t, r.Counts(epoch), Short)
+	require.EqualValues(t, 4, c.GetTotal())
+	require.EqualValues(t, 1, c.GetFailed())
+	require.EqualValues(t, 1, c.GetSlow(), "a failed request is not slow too")
+}
+
+func TestWindowsPass(t *testing.T) {
+	r := New(Config{})
+	r.Record(epoch, "acme", "p", true, 0, target)
+	require.EqualValues(t, 1, only(t, r.Counts(epoch.Add(Short-shortStep)), Short).GetTotal())
+	after := r.Counts(epoch.Add(Short))
+	require.Zero(t, only(t, after, Short).GetTotal())
+	require.EqualValues(t, 1, only(t, after, Long).GetTotal())
+	require.Empty(t, r.Counts(epoch.Add(Long)), "a pair without requests is forgotten")
+}
+
+// The wall clock steps back: events count into the newest step and none is lost.
+func TestClockStepsBack(t *testing.T) {
+	r := New(Config{})
+	r.Record(epoch.Add(time.Minute), "acme", "p", false, 0, target)
+	r.Record(epoch, "acme", "p", false, 0, target)
+	r.Record(epoch.Add(2*time.Minute), "acme", "p", false, 0, target)
+	require.EqualValues(t, 3, only(t, r.Counts(epoch.Add(2*time.Minute)), Short).GetTotal())
+}
+
+// A window holds every event younger than its length less one step, and none
+// older than its length.
+func TestWindowBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(Config{})
+		var times []time.Time
+		now := epoch
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Minute)).Draw(t, "gap")))
+			r.Record(now, "acme", "p", false, 0, target)
+			times = append(times, now)
+		}
+		now = now.Add(time.Duration(rapid.Int64Range(0, int64(Short)).Draw(t, "wait")))
+		var least, most uint64
+		for _, at := range times {
+			if now.Sub(at) <= Long-longStep {
+				least++
+			}
+			if now.Sub(at) < Long {
+				most++
+			}
+		}
+		total := only(t, r.Counts(now), Long).GetTotal()
+		require.GreaterOrEqual(t, total, least)
+		require.LessOrEqual(t, total, most)
+	})
+}
+
+// More pairs than the bound count as one, and make room for others again.
+func TestBoundedPairs(t *testing.T) {
+	const limit = 8
+	r := New(Config{Series: limit})
+	for i := range 100 {
+		r.Record(epoch, fmt.Sprint("o", i), "p", false, 0, target)
+	}
+	counts := r.Counts(epoch)
+	require.Len(t, counts, 2*(limit+1))
+	require.Equal(t, Other, counts[0].GetOrganisation())
+	require.EqualValues(t, 100-limit, counts[0].GetTotal())
+	later := epoch.Add(Long + longStep)
+	r.Record(later, "new", "p", false, 0, target)
+	require.Equal(t, "new", r.Counts(later)[0].GetOrganisation())
+}
+
+func TestConcurrentRecords(t *testing.T) {
+	r := New(Config{})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				r.Record(epoch, "acme", "p", false, 0, target)
+				r.Counts(epoch)
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, 8000, only(t, r.Counts(epoch), Long).GetTotal())
+}
+
+func TestGather(t *testing.T) {
+	r := New(Config{Now: func() time.Time { return epoch }})
+	r.Record(epoch, "acme", "p", false, 0, target)
+	g := r.Gather("entry-1")
+	require.Equal(t, "entry-1", g.GetNode())
+	require.Len(t, g.GetCounts(), 2)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := New(Config{})
+	for i := range 26000 {
+		r.Record(epoch, fmt.Sprint("o", i), "p", false, 0, target)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(epoch, "o77", "p", false, 0, target)
+	}
+}
+
+func BenchmarkNewPair(b *testing.B) {
+	b.ReportAllocs()
+	r := New(Config{Series: 1 << 30})
+	i := 0
+	for b.Loop() {
+		i++
+		r.Record(epoch, fmt.Sprint("o", i), "p", false, 0, target)
+	}
+}
--- a/clemmetric/registry.go
+++ b/clemmetric/registry.go
@@ -51,7 +51,7 @@
 // served in seconds. It keeps no rates, which readers derive from the count.
 func (r *Registry) Timer(name string, labels ...string) metrics.Timer {
 	return register(r, name, labels, func() metrics.Timer {
-		return metrics.NewCustomTimer(newHistogram(), metrics.NilMeter{})
+		return metrics.NewCustomTimer(newHistogram(), noMeter{})
 	})
 }
 
@@ -69,6 +69,12 @@
 	return metric
 }
 
+// noMeter keeps no rates and needs no goroutine, unlike a StandardMeter.
+type noMeter struct{ metrics.NilMeter }
+
+// Snapshot returns the type that a timer's Snapshot demands.
+func (noMeter) Snapshot() metrics.Meter { return &metrics.MeterSnapshot{} }
+
 // total is a sample whose sum covers every value, not only those that the
 // reservoir holds, as Prometheus's summaries demand.
 type total struct {
