--- a/clemcli/parse.go
+++ b/clemcli/parse.go
@@ -37,44 +37,49 @@
 // fault is written to Err with the help.
 func Parse(c Config) (code int, run bool) {
 	var help *flaggy.Help
+	var stray string
 	c.Parser.HelpTemplate = captureTemplate(&help)
 	c.Parser.ShowCompletion = false
 	c.Parser.ShowVersionWithVersionFlag = false
+	catchStray(&c.Parser.Subcommand, &stray)
 	exited, err := parse(c.Parser, c.Args)
-	if err != nil {
-		return usage(c, help, err.Error()), false
-	}
-	if !exited {
-		return ExitOK, true
-	}
-	if help != nil && help.Message == "" {
+	switch {
+	case err != nil:
+		return Usage(c, "%v", err), false
+	case exited && help != nil && help.Message == "":
 		render(c.Out, *help)
 		return ExitOK, false
+	case exited && help != nil:
+		return Usage(c, "%s", strings.Join(strings.Fields(help.Message), " ")), false
+	case exited:
+		return Usage(c, "wrong arguments"), false
+	case stray != "":
+		return Usage(c, "unknown command %q", stray), false
 	}
-	return usage(c, help, "unknown subcommand or missing value"), false
+	return ExitOK, true
 }
 
 // Usage writes the fault and the help of the subcommand that was parsed to
 // Err, and returns ExitUsage.
 func Usage(c Config, format string, args ...any) int {
-	help := &flaggy.Help{}
+	fmt.Fprintf(c.Err, "%s: %s\n", c.Parser.Name, fmt.Sprintf(format, args...))
+	var help flaggy.Help
 	help.ExtractValues(c.Parser, "")
-	return usage(c, help, fmt.Sprintf(format, args...))
+	render(c.Err, help)
+	return ExitUsage
 }
 
-func usage(c Config, help *flaggy.Help, message string) int {
-	if help == nil {
-		help = &flaggy.Help{}
-		help.ExtractValues(c.Parser, "")
+// catchStray gives each parser with subcommands a hidden positional value, so
+// that an unknown word ends up in stray. Flaggy would write the fault to the
+// standard output and exit.
+func catchStray(sub *flaggy.Subcommand, stray *string) {
+	if len(sub.Subcommands) > 0 && len(sub.PositionalFlags) == 0 {
+		value := &flaggy.PositionalValue{Name: "command", AssignmentVar: stray, Position: 1, Hidden: true}
+		sub.PositionalFlags = append(sub.PositionalFlags, value)
 	}
-	if help.Message == "" {
-		help.Message = message
+	for _, child := range sub.Subcommands {
+		catchStray(child, stray)
 	}
-	fault := strings.TrimSpace(help.Message)
-	help.Message = ""
-	fmt.Fprintf(c.Err, "%s: %s\n", c.Parser.Name, fault)
-	render(c.Err, *help)
-	return ExitUsage
 }
 
 // parse runs flaggy and reports whether it wanted to exit.
--- a/clemctl/output.go
+++ b/clemctl/output.go
@@ -169,7 +169,7 @@
 	if o == nil {
 		return "-"
 	}
-	return fmt.Sprintf("%d, %d bytes %s", o.GetStatus(), len(o.GetBody()), o.GetMedia())
+	return strings.TrimSpace(fmt.Sprintf("%d, %d bytes %s", o.GetStatus(), len(o.GetBody()), o.GetMedia()))
 }
 
 func keyNames(keys []*clemwire.Key) string {
--- a/clemctl/run.go
+++ b/clemctl/run.go
@@ -3,6 +3,7 @@
 package clemctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -151,20 +152,15 @@
 
 // prepare checks what every command needs and makes the client.
 func (s *session) prepare() error {
-	if s.address == "" {
-		s.address = s.Env(envAddress)
-	}
-	if s.token == "" {
-		s.token = s.Env(envToken)
-	}
-	parsed, err := url.Parse(s.address)
+	address := cmp.Or(s.address, s.Env(envAddress))
+	parsed, err := url.Parse(address)
 	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
-		return usageError{fmt.Sprintf("--address: found %q, allowed is an http or https URL", s.address)}
+		return usageError{fmt.Sprintf("--address: found %q, allowed is an http or https URL", address)}
 	}
-	if s.token == "" {
+	if s.secret() == "" {
 		return usageError{"--token: found nothing, an operator's token is needed"}
 	}
-	if strings.ContainsFunc(s.token, func(r rune) bool { return r <= ' ' || r > '~' }) {
+	if strings.ContainsFunc(s.secret(), func(r rune) bool { return r <= ' ' || r > '~' }) {
 		return usageError{"--token: found a space or a character that is not printable ASCII"}
 	}
 	if s.id == "" {
@@ -177,14 +173,18 @@
 		}
 		s.Client = client
 	}
-	s.client = clemwire.NewOperatorsClient(s.Client, strings.TrimSuffix(s.address, "/"))
+	s.client = clemwire.NewOperatorsClient(s.Client, strings.TrimSuffix(address, "/"))
 	return nil
 }
 
+// secret returns the operator's token. The environment's stays out of the
+// flags, since help shows the values of flags.
+func (s *session) secret() string { return cmp.Or(s.token, s.Env(envToken)) }
+
 // request returns the message with the operator's token.
 func request[T any](s *session, message *T) *connect.Request[T] {
 	r := connect.NewRequest(message)
-	r.Header().Set("Authorization", "Bearer "+s.token)
+	r.Header().Set("Authorization", "Bearer "+s.secret())
 	return r
 }
 
