Resolving claims: held calls whose holder is gone, lost races, no made-up answer

Cause: a call held by a host that was replaced for good stayed in progress for ever, since nobody can be asked to void it, and the interface resolved only unknown calls. Two operators who resolved one call with different answers were both told that theirs stands, since the ledger takes a repeated state as no change. A call resolved as run without an answer replayed a made-up 204. Change: a held call can be resolved if its holder left the list of hosts or answers with a later incarnation; after the write the record in force is read and compared; without an answer repeats are told that none is held. Tests run against the real ledger.

--- a/clemctl/command.go
+++ b/clemctl/command.go
@@ -87,7 +87,7 @@
 }
 
 func resolveFlags(s *session, sub *flaggy.Subcommand) {
-	sub.Bool(&s.ran, "", "ran", "The call took effect; repeats get the answer.")
+	sub.Bool(&s.ran, "", "ran", "The call took effect; repeats get the answer, or are told that none is held.")
 	sub.Bool(&s.void, "", "void", "The call did not take effect; a repeat may run it.")
 	sub.String(&s.answer, "", "answer", "File with the answer's body for repeats; - reads the standard input.")
 	sub.String(&s.media, "", "media", "Media type of the answer.")
--- a/clemops/claim.go
+++ b/clemops/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"mime"
-	"net/http"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -18,6 +17,8 @@
 	// maxAnswer is the largest answer in bytes that an operator may set.
 	maxAnswer = 64 << 10
 	maxKey    = 256
+	minStatus = 200
+	maxStatus = 599
 )
 
 // ShowClaim implements clemwire.OperatorsHandler.
@@ -30,8 +31,8 @@
 }
 
 // ResolveClaim implements clemwire.OperatorsHandler. Only a call whose
-// outcome is unknown can be resolved; a repeat that asks for what stands
-// already is answered with it.
+// outcome is unknown can be resolved, or one whose holder can no longer end
+// it. A repeat that asks for what stands already is answered with it.
 func (h *Handler) ResolveClaim(ctx context.Context, r *connect.Request[clemwire.ResolveClaimRequest]) (*connect.Response[clemwire.ShowClaimResponse], error) {
 	if err := checkOutcome(r.Msg); err != nil {
 		return nil, err
@@ -41,35 +42,77 @@
 		return nil, err
 	}
 	record := resolution(found, r.Msg, operator(ctx))
-	if found.GetState() == record.GetState() && proto.Equal(found.GetOutcome(), record.GetOutcome()) {
+	if sameResult(found, record) {
 		return connect.NewResponse(&clemwire.ShowClaimResponse{Record: found}), nil
 	}
-	if found.GetState() != clemwire.ClaimState_CLAIM_STATE_UNKNOWN {
-		return nil, clementineturn.Refuse(clementineturn.KindConflict, "the call is in state %v, only one whose outcome is unknown can be resolved", found.GetState())
+	if err := h.checkResolvable(ctx, found); err != nil {
+		return nil, err
 	}
 	if err := h.ledger.Advance(ctx, record); err != nil {
 		return nil, err
 	}
+	// The ledger takes a record that repeats the state in force as no change,
+	// so an operator who lost a race finds out only by reading.
+	found, err = h.lookup(ctx, r.Msg.GetOrganisation(), r.Msg.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	if !sameResult(found, record) {
+		return nil, clementineturn.Refuse(clementineturn.KindConflict, "%q resolved the call first", found.GetAuthor())
+	}
 	h.events.Emit(
 		clemevent.ClaimResolved,
 		zap.String("operator", record.GetAuthor()), zap.String("organisation", r.Msg.GetOrganisation()), zap.String("key", r.Msg.GetKey()),
 		zap.String("request", record.GetClaim().GetRequest()), zap.Bool("ran", r.Msg.GetRan()),
 	)
-	return connect.NewResponse(&clemwire.ShowClaimResponse{Record: record}), nil
+	return connect.NewResponse(&clemwire.ShowClaimResponse{Record: found}), nil
 }
 
+// resolution returns the record that the request asks for. Without an answer
+// repeats of a call that ran are told that its answer is no longer held.
 func resolution(found *clemwire.Record, r *clemwire.ResolveClaimRequest, author string) *clemwire.Record {
 	record := &clemwire.Record{Claim: found.GetClaim(), State: clemwire.ClaimState_CLAIM_STATE_VOID, Author: author}
 	if r.GetRan() {
-		record.State = clemwire.ClaimState_CLAIM_STATE_DONE
-		record.Outcome = r.GetOutcome()
-		if record.Outcome == nil {
-			record.Outcome = &clemwire.Outcome{Status: http.StatusNoContent}
-		}
+		record.State, record.Outcome = clemwire.ClaimState_CLAIM_STATE_DONE, r.GetOutcome()
 	}
 	return record
 }
 
+func sameResult(a, b *clemwire.Record) bool {
+	return a.GetState() == b.GetState() && proto.Equal(a.GetOutcome(), b.GetOutcome())
+}
+
+// checkResolvable refuses calls that may still end by themselves. A held call
+// cannot if its holder left the list of hosts or is of a later incarnation;
+// with neither known, the operator must wait.
+func (h *Handler) checkResolvable(ctx context.Context, record *clemwire.Record) error {
+	switch record.GetState() {
+	case clemwire.ClaimState_CLAIM_STATE_UNKNOWN:
+		return nil
+	case clemwire.ClaimState_CLAIM_STATE_HELD:
+	default:
+		return clementineturn.Refuse(clementineturn.KindConflict, "the call is in state %v, only one whose outcome is unknown can be resolved", record.GetState())
+	}
+	claim, members := record.GetClaim(), h.board.Members().Get()
+	if members == nil {
+		return clementineturn.Refuse(clementineturn.KindUnready, "the list of hosts is not known yet")
+	}
+	host := members.Host(claim.GetServer())
+	if host == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	probed, err := h.peers.Peer(host.GetAddress()).Probe(ctx)
+	if err != nil {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "the holder %q does not answer and may still run the call: %w", claim.GetServer(), err)
+	}
+	if probed.GetIncarnation() <= claim.GetIncarnation() {
+		return clementineturn.Refuse(clementineturn.KindConflict, "the holder %q still holds the call", claim.GetServer())
+	}
+	return nil
+}
+
 func (h *Handler) lookup(ctx context.Context, organisation, key string) (*clemwire.Record, error) {
 	if organisation == "" {
 		return nil, clementineturn.Invalid("organisation", "found nothing, the organisation's name is needed")
@@ -88,8 +131,8 @@
 	if !r.GetRan() {
 		return clementineturn.Invalid("outcome", "found an answer for a call that did not run, allowed only with ran")
 	}
-	if outcome.GetStatus() < http.StatusOK || outcome.GetStatus() > 599 {
-		return clementineturn.Invalid("outcome.status", "found %d, allowed is 200 to 599", outcome.GetStatus())
+	if outcome.GetStatus() < minStatus || outcome.GetStatus() > maxStatus {
+		return clementineturn.Invalid("outcome.status", "found %d, allowed is %d to %d", outcome.GetStatus(), minStatus, maxStatus)
 	}
 	if outcome.GetMedia() != "" {
 		if _, _, err := mime.ParseMediaType(outcome.GetMedia()); err != nil {
--- /dev/null
+++ b/clemops/claim_test.go
@@ -0,0 +1,140 @@
+package clemops
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	held    = clemwire.ClaimState_CLAIM_STATE_HELD
+	void    = clemwire.ClaimState_CLAIM_STATE_VOID
+	done    = clemwire.ClaimState_CLAIM_STATE_DONE
+	unknown = clemwire.ClaimState_CLAIM_STATE_UNKNOWN
+)
+
+// claim puts a call of the state into the ledger; srv-1 of incarnation 4 holds it.
+func (b *bench) claim(t *testing.T, key string, state clemwire.ClaimState) {
+	t.Helper()
+	claim := &clemwire.Claim{Organisation: "acme", Key: key, Token: key, Server: "srv-1", Incarnation: 4, Request: "r", Time: timestamppb.New(time.Now())}
+	_, err := b.ledger.Claim(t.Context(), claim)
+	require.NoError(t, err)
+	if state != held {
+		require.NoError(t, b.ledger.Advance(t.Context(), &clemwire.Record{Claim: claim, State: state}))
+	}
+}
+
+func (b *bench) resolve(t *testing.T, token, key string, ran bool, outcome *clemwire.Outcome) (*clemwire.Record, error) {
+	t.Helper()
+	message := &clemwire.ResolveClaimRequest{Organisation: "acme", Key: key, Ran: ran, Outcome: outcome}
+	r, err := b.client(t, "Bearer "+token).ResolveClaim(t.Context(), req(message))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg.GetRecord(), nil
+}
+
+func TestResolveUnknown(t *testing.T) {
+	b := newBench(t)
+	_, err := b.resolve(t, anaToken, "none", true, nil)
+	requireError(t, err, connect.CodeNotFound, clementineturn.KindNotFound, "")
+
+	b.claim(t, "ran", unknown)
+	answer := &clemwire.Outcome{Status: 201, Media: "application/json", Body: []byte("{}")}
+	for range 2 {
+		record, err := b.resolve(t, anaToken, "ran", true, answer)
+		require.NoError(t, err, "a repeat is answered with what stands")
+		require.Equal(t, done, record.GetState())
+		require.True(t, proto.Equal(answer, record.GetOutcome()))
+		require.Equal(t, "ana", record.GetAuthor())
+	}
+	require.Equal(t, 1, b.logs.FilterField(eventField(clemevent.ClaimResolved)).Len())
+	_, err = b.resolve(t, benToken, "ran", true, &clemwire.Outcome{Status: 200})
+	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	_, err = b.resolve(t, benToken, "ran", false, nil)
+	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+
+	b.claim(t, "void", unknown)
+	record, err := b.resolve(t, anaToken, "void", false, nil)
+	require.NoError(t, err)
+	require.Equal(t, void, record.GetState())
+
+	b.claim(t, "done", done)
+	_, err = b.resolve(t, anaToken, "done", false, nil)
+	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	shown, err := b.ana(t).ShowClaim(t.Context(), req(&clemwire.ShowClaimRequest{Organisation: "acme", Key: "done"}))
+	require.NoError(t, err)
+	require.Equal(t, done, shown.Msg.GetRecord().GetState())
+}
+
+// A held call can be resolved only if its holder can no longer end it.
+func TestResolveHeld(t *testing.T) {
+	b := newBench(t)
+	b.claim(t, "k", held)
+	_, err := b.resolve(t, anaToken, "k", true, nil)
+	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnready, "")
+
+	members(b.board)
+	b.peers.probed = map[string]*clemwire.Probed{"10.0.1.1:1": {Node: "srv-1", Incarnation: 4}}
+	_, err = b.resolve(t, anaToken, "k", true, nil)
+	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	b.peers.probed["10.0.1.1:1"] = nil
+	_, err = b.resolve(t, anaToken, "k", true, nil)
+	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnavailable, "")
+
+	b.peers.probed["10.0.1.1:1"] = &clemwire.Probed{Node: "srv-1", Incarnation: 5}
+	record, err := b.resolve(t, anaToken, "k", true, nil)
+	require.NoError(t, err)
+	require.Equal(t, done, record.GetState())
+	require.Nil(t, record.GetOutcome())
+
+	b.claim(t, "gone", held)
+	b.board.Members().Set(clemboard.NewMembers(nil))
+	record, err = b.resolve(t, anaToken, "gone", false, nil)
+	require.NoError(t, err)
+	require.Equal(t, void, record.GetState())
+}
+
+func TestClaimTableDown(t *testing.T) {
+	b := newBench(t)
+	b.claim(t, "k", unknown)
+	b.table.Inject(clemstandin.TableFaults{Down: true})
+	_, err := b.resolve(t, anaToken, "k", true, nil)
+	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnavailable, "")
+}
+
+// rivalLedger lets another operator resolve the call just before this one.
+type rivalLedger struct {
+	clementineturn.Ledger
+	answer *clemwire.Outcome
+}
+
+// Advance implements clementineturn.Ledger.
+func (l rivalLedger) Advance(ctx context.Context, record *clemwire.Record) error {
+	rival := proto.CloneOf(record)
+	rival.Author, rival.Outcome = "ben", l.answer
+	if err := l.Ledger.Advance(ctx, rival); err != nil {
+		return err
+	}
+	return l.Ledger.Advance(ctx, record)
+}
+
+func TestResolveRace(t *testing.T) {
+	b := newBench(t)
+	b.claim(t, "k", unknown)
+	b.handler.ledger = rivalLedger{Ledger: b.ledger, answer: &clemwire.Outcome{Status: 200, Body: []byte("ben's")}}
+	_, err := b.resolve(t, anaToken, "k", true, &clemwire.Outcome{Status: 200, Body: []byte("ana's")})
+	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	require.ErrorContains(t, err, `"ben"`)
+}
--- a/clemops/fake_test.go
+++ b/clemops/fake_test.go
@@ -6,8 +6,8 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-chi/chi/v5"
@@ -16,10 +16,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
-	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemclaim"
 	"github.com/clementineturn/clementineturn/clemconfig"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemsetting"
@@ -34,35 +34,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// fakeLedger keeps records in memory and follows the ledger's rules for what
-// an operator may do.
-type fakeLedger struct {
-	clementineturn.Ledger
-	mu      sync.Mutex
-	records map[[2]string]*clemwire.Record
-	down    bool
-}
-
-func (l *fakeLedger) Lookup(_ context.Context, organisation, key string) (*clemwire.Record, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down {
-		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "table down")
-	}
-	record := l.records[[2]string{organisation, key}]
-	if record == nil {
-		return nil, clementineturn.Errorf(clementineturn.KindNotFound, "no call %q", key)
-	}
-	return proto.CloneOf(record), nil
-}
-
-func (l *fakeLedger) Advance(_ context.Context, record *clemwire.Record) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.records[[2]string{record.GetClaim().GetOrganisation(), record.GetClaim().GetKey()}] = proto.CloneOf(record)
-	return nil
-}
-
 // fakePeers answers for the hosts it knows; a host that it does not know
 // blocks until the caller gives up.
 type fakePeers struct {
@@ -100,7 +71,7 @@
 type bench struct {
 	table   *clemstandin.Table
 	board   *clemboard.Board
-	ledger  *fakeLedger
+	ledger  *clemclaim.Ledger
 	peers   *fakePeers
 	logs    *observer.ObservedLogs
 	handler *Handler
@@ -116,9 +87,15 @@
 	t.Helper()
 	core, logs := observer.New(zapcore.DebugLevel)
 	b := &bench{
-		table: clemstandin.NewTable(), board: clemboard.New(), logs: logs,
-		ledger: &fakeLedger{records: map[[2]string]*clemwire.Record{}}, peers: &fakePeers{},
+		table: clemstandin.NewTable(), board: clemboard.New(), logs: logs, peers: &fakePeers{},
 	}
+	b.ledger = clemclaim.NewLedger(clemclaim.LedgerConfig{Table: b.table, Interval: time.Millisecond, Workers: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := b.ledger.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
 	b.handler = New(Config{
 		Board: b.board, Log: clemconfig.NewLog(clemconfig.LogConfig{Table: b.table}), Ledger: b.ledger, Peers: b.peers,
 		Learn:  b.board.Config().Set,
--- a/clemops/fleet_test.go
+++ b/clemops/fleet_test.go
@@ -1,18 +1,15 @@
 package clemops
 
 import (
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemburn"
 	"github.com/clementineturn/clementineturn/clemconfig"
@@ -89,47 +86,3 @@
 		require.LessOrEqual(t, time.Since(start), askTime)
 	})
 }
-
-func claimRecord(state clemwire.ClaimState) *clemwire.Record {
-	return &clemwire.Record{State: state, Claim: &clemwire.Claim{Organisation: "acme", Key: "k", Token: "t", Request: "r"}}
-}
-
-func TestResolveClaim(t *testing.T) {
-	b := newBench(t)
-	client := b.ana(t)
-	key := [2]string{"acme", "k"}
-	resolve := func(ran bool, outcome *clemwire.Outcome) (*clemwire.Record, error) {
-		r, err := client.ResolveClaim(t.Context(), req(&clemwire.ResolveClaimRequest{Organisation: "acme", Key: "k", Ran: ran, Outcome: outcome}))
-		if err != nil {
-			return nil, err
-		}
-		return r.Msg.GetRecord(), nil
-	}
-	_, err := resolve(true, nil)
-	requireError(t, err, connect.CodeNotFound, clementineturn.KindNotFound, "")
-
-	for _, state := range []clemwire.ClaimState{clemwire.ClaimState_CLAIM_STATE_HELD, clemwire.ClaimState_CLAIM_STATE_DONE} {
-		b.ledger.records[key] = claimRecord(state)
-		_, err = resolve(false, nil)
-		requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
-	}
-
-	b.ledger.records[key] = claimRecord(clemwire.ClaimState_CLAIM_STATE_UNKNOWN)
-	record, err := resolve(true, nil)
-	require.NoError(t, err)
-	require.Equal(t, clemwire.ClaimState_CLAIM_STATE_DONE, record.GetState())
-	require.EqualValues(t, http.StatusNoContent, record.GetOutcome().GetStatus())
-	require.Equal(t, "ana", record.GetAuthor())
-	_, err = resolve(true, nil)
-	require.NoError(t, err, "a repeat is answered with what stands")
-	_, err = resolve(false, nil)
-	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
-
-	shown, err := client.ShowClaim(t.Context(), req(&clemwire.ShowClaimRequest{Organisation: "acme", Key: "k"}))
-	require.NoError(t, err)
-	require.Equal(t, clemwire.ClaimState_CLAIM_STATE_DONE, shown.Msg.GetRecord().GetState())
-
-	b.ledger.down = true
-	_, err = resolve(true, nil)
-	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnavailable, "")
-}
