--- a/clemevent/catalogue.go
+++ b/clemevent/catalogue.go
@@ -1,6 +1,11 @@
 package clemevent
 
-import "go.uber.org/zap/zapcore"
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap/zapcore"
+)
 
 // catalogue joins the components' tables. Numbers: 100 process, 200 entry,
 // 300 sidecar, 400 claims, 500 relay and configuration, 600 membership,
@@ -10,6 +15,16 @@
 	relayEvents, memberEvents, operatorEvents, orderEvents,
 }
 
+// Events returns every event of the catalogue in the order of the numbers.
+func Events() []Event {
+	var events []Event
+	for _, part := range catalogue {
+		events = slices.AppendSeq(events, maps.Keys(part))
+	}
+	slices.Sort(events)
+	return events
+}
+
 // Events of every process.
 const (
 	ProcessStarted  Event = 100
--- a/clemsetting/value.go
+++ b/clemsetting/value.go
@@ -53,7 +53,7 @@
 	case KindFile:
 		return "the path of a readable PEM file"
 	case KindDuration:
-		return fmt.Sprintf("a duration in quotes, %v to %v", time.Duration(k.low), formatTop(k))
+		return fmt.Sprintf("a duration in quotes, %s to %s", FormatDuration(time.Duration(k.low)), formatTop(k))
 	case KindInteger:
 		return fmt.Sprintf("an integer, %d to %d", k.low, k.top)
 	case KindOperators:
