Carry changes with the beats' replies; fan-out from measured bytes

Cause: with a long poll beside each beat, and 5 + 3 + 3 children at the fleet's root, a trial of 858 nodes showed 4,751 B/s at the root with one pool, above the budget of 4 KB/s; sums were up to 4.4 s old in a data centre of 352 nodes, because reports that came during a round waited a round at each level. Ruled out: longer long polls (at 0.6 changes/s each ends by a change anyhow), one age per message (one frozen host would make every pool's sum stale). Change: the reply to a report carries the changes; pulls serve start, catching up and a silent parent. Children outside the data centre hang below different nodes, two children within it. Rounds count reports since the last round's end. Histograms go without their leading empty steps.

--- a/clemmember/member.go
+++ b/clemmember/member.go
@@ -314,7 +314,11 @@
 	c.mu.Lock()
 	e := c.list.entries[c.config.Self]
 	c.mu.Unlock()
-	reasons := map[string]bool{ReasonList: e != nil && e.host.GetLeaving(), ReasonOperator: operator}
+	reasons := map[string]bool{ReasonOperator: operator}
+	if e != nil {
+		// A host that the list lacks stays as it is: it may be new, or about to end.
+		reasons[ReasonList] = e.host.GetLeaving()
+	}
 	for reason, on := range reasons {
 		if c.drained[reason] == on {
 			continue
--- a/clemrelay/beat.go
+++ b/clemrelay/beat.go
@@ -18,15 +18,18 @@
 // everywhere, and reports of leaves reach the root within the same round.
 const (
 	// pauseShare is the time from a round's end to a node's next report.
-	pauseShare = 0.6
+	pauseShare = 0.4
 	// gatherShare is how long a node waits for children that are late.
-	gatherShare = 0.3
+	gatherShare = 0.5
 	// holdShare is how long a parent holds a child's report for its own round to end.
 	holdShare = 1.5
 	// dropShare is the time after which a silent child no longer counts.
-	dropShare = 3
+	dropShare = 1.5
 )
 
+// maxCarried is the most changes that the reply to a report carries.
+const maxCarried = 16
+
 // beatTries is the most parents that one round tries.
 const beatTries = 3
 
@@ -39,9 +42,9 @@
 	incarnation uint64
 	loads       []*clemwire.PoolLoad
 	at          time.Time
-	// fresh is set by a report and cleared by the round that carries it up.
+	// fresh tells whether the child reported since the last round ended.
 	fresh bool
-	// expected tells whether the last round carried a fresh report.
+	// expected tells whether it did so in the round before, and is waited for.
 	expected bool
 }
 
@@ -82,7 +85,7 @@
 	return b.done, nil
 }
 
-// complete reports whether every expected child reported since the last round.
+// complete reports whether every expected child reported since the last round ended.
 func (b *beats) complete() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,9 +121,7 @@
 		if now.Sub(c.at) > share(b.beat, dropShare) {
 			delete(b.children, node)
 			dropped = append(dropped, node)
-			continue
 		}
-		c.expected, c.fresh = c.fresh, false
 	}
 	return dropped
 }
@@ -141,13 +142,17 @@
 	return s
 }
 
-// finish ends a round. Without new totals the old ones stay and age.
+// finish ends a round. A report that came while the round ran is answered by
+// it, so the child will report again before the next one. Without new totals the old ones stay and age.
 func (b *beats) finish(totals sums) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if totals != nil {
 		b.totals = totals
 	}
+	for _, c := range b.children {
+		c.expected, c.fresh = c.fresh, false
+	}
 	close(b.done)
 	b.done = make(chan struct{})
 }
@@ -179,7 +184,20 @@
 	}
 	now := time.Now()
 	generation, _ := r.store.generation()
-	return &clemwire.BeatReply{Generation: generation, Pools: r.beats.latest().down(now), Held: durationpb.New(now.Sub(start))}, nil
+	return &clemwire.BeatReply{
+		Generation: generation, Pools: r.beats.latest().down(now), Held: durationpb.New(roundAge(now.Sub(start))),
+		Changes: r.few(beat.GetGeneration()),
+	}, nil
+}
+
+// few returns the changes after a generation if they fit a reply. A child
+// that lacks more pulls them.
+func (r *Relay) few(generation uint64) []*clemwire.Change {
+	changes := r.Changes(generation)
+	if len(changes) > maxCarried {
+		return nil
+	}
+	return changes
 }
 
 // report runs the rounds.
@@ -254,7 +272,11 @@
 		return nil, err
 	}
 	now := time.Now()
-	r.transit = max(now.Sub(start)-reply.GetHeld().AsDuration(), 0)
+	r.transit = max(now.Sub(start)-reply.GetHeld().AsDuration()+ageStep, 0)
+	r.contact.heard()
+	if r.Ready() {
+		_ = r.applyAll(reply.GetChanges())
+	}
 	r.hear(reply.GetGeneration(), host.GetAddress())
 	totals := sums{}
 	for _, load := range reply.GetPools() {
--- a/clemrelay/follow.go
+++ b/clemrelay/follow.go
@@ -18,6 +18,9 @@
 	bootPeers = 5
 	// probeTimeout bounds the question.
 	probeTimeout = time.Second
+	// silentShare is the time without an answer to reports after which a
+	// process pulls, as a multiple of the beat interval.
+	silentShare = 2
 	// maxFallback bounds the time between reads of a failing table by a
 	// process that no parent answers.
 	maxFallback = 10 * time.Second
@@ -30,7 +33,7 @@
 		if r.boot(ctx); r.Ready() {
 			break
 		}
-		if !sleep(ctx, jitter(r.config.Poll)) {
+		if !sleep(ctx, r.jitter(r.config.Poll)) {
 			return nil
 		}
 	}
@@ -181,22 +184,22 @@
 	}
 }
 
-// pullParents asks the first parent that answers, over and over. Without one
-// it reads the table, after a random time that grows while the table fails.
+// pullParents covers for reports that find no parent: the changes come with
+// the replies to reports, and only while none arrives does the process pull.
+// If no parent answers it reads the table, after a random time that grows
+// while the table fails.
 func (r *Relay) pullParents(ctx context.Context) error {
 	fallback := r.config.Poll
-	for ctx.Err() == nil {
-		hosts := r.parents()
-		if len(hosts) > 0 {
-			fallback = r.config.Poll
-			r.pullParent(ctx, hosts[0])
+	for sleep(ctx, r.jitter(fallback)) {
+		fallback = r.config.Poll
+		if !r.contact.lost(share(r.config.Beat, silentShare)) {
 			continue
 		}
-		if !sleep(ctx, jitter(fallback)) || r.tree.Load().poller {
+		if hosts := r.parents(); len(hosts) > 0 {
+			r.pullParent(ctx, hosts[0])
 			continue
 		}
-		fallback = r.config.Poll
-		if r.readTable(ctx) != nil {
+		if !r.tree.Load().poller && r.readTable(ctx) != nil {
 			fallback = min(2*fallback, maxFallback)
 		}
 	}
@@ -204,9 +207,7 @@
 }
 
 func (r *Relay) pullParent(ctx context.Context, host *clemwire.Host) {
-	before, _ := r.store.generation()
-	start := time.Now()
-	err := r.pullFrom(ctx, host.GetAddress(), pullWait)
+	err := r.pullFrom(ctx, host.GetAddress(), 0)
 	if ctx.Err() != nil {
 		return
 	}
@@ -215,10 +216,6 @@
 		return
 	}
 	r.contact.heard()
-	after, _ := r.store.generation()
-	if after == before && time.Since(start) < pullWait/2 {
-		sleep(ctx, jitter(pullWait/2))
-	}
 }
 
 // hear asks for a pull from a peer that told of a newer generation.
--- a/clemrelay/pull.go
+++ b/clemrelay/pull.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// pullWait is how long a pull waits at the parent for a newer generation.
-	pullWait = 2 * time.Second
 	// pullSlack is the time a pull may take beyond its wait.
 	pullSlack = time.Second
 	// maxWait bounds the wait that a child may ask for.
--- a/clemrelay/relay.go
+++ b/clemrelay/relay.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -56,6 +57,7 @@
 	health *health
 	tree   atomic.Pointer[tree]
 	heard  chan string
+	draws  atomic.Uint64
 	// waiters and snapshots hold a slot for each parked pull and snapshot under way.
 	waiters   chan struct{}
 	snapshots chan struct{}
@@ -218,7 +220,9 @@
 	}
 }
 
-// jitter returns a random time between half and one and a half times d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
+// jitter returns a time between half and one and a half times d. The sequence
+// depends on the host and incarnation alone.
+func (r *Relay) jitter(d time.Duration) time.Duration {
+	source := rand.New(rand.NewPCG(xxhash.Sum64String(r.config.Self.GetName())+r.config.Incarnation, r.draws.Add(1)))
+	return d/2 + time.Duration(source.Int64N(int64(d)))
 }
--- a/clemrelay/snapshot.go
+++ b/clemrelay/snapshot.go
@@ -104,7 +104,7 @@
 	if w.due.IsZero() {
 		w.due = now
 		if len(w.relay.tree.Load().parents) > 0 {
-			w.due = now.Add(jitter(snapshotDelay))
+			w.due = now.Add(w.relay.jitter(snapshotDelay))
 		}
 	}
 	if now.Before(w.due) {
@@ -112,7 +112,7 @@
 	}
 	w.due = time.Time{}
 	if err := w.write(ctx, state); err != nil {
-		w.due = now.Add(jitter(snapshotDelay))
+		w.due = now.Add(w.relay.jitter(snapshotDelay))
 		w.relay.config.Events.Emit(clemevent.SnapshotFailed, zap.Error(err))
 	}
 }
--- /dev/null
+++ b/clemrelay/spread_test.go
@@ -0,0 +1,212 @@
+package clemrelay
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	// promised is the time within which an accepted change is in force.
+	promised = 6 * time.Second
+	warmup   = 10 * time.Second
+)
+
+// letterCentre is the number of hosts of a data centre of the size to design for.
+const letterCentre = 352
+
+func TestSpreadCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, letterCentre))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		for i := range 5 {
+			f.inForce(f.commit(fmt.Sprintf("o%d", i)), promised)
+		}
+	})
+}
+
+func TestSpreadRoots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, regions(10, 4, 2)[:78])
+		f.delay = func(a, b *clemwire.Host) time.Duration {
+			if a.GetRegion() != b.GetRegion() {
+				return 100 * time.Millisecond
+			}
+			return time.Millisecond
+		}
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		f.inForce(f.commit("a"), promised)
+	})
+}
+
+// A relay on the way hangs at the moment the change is accepted.
+func TestSpreadDeadRelay(t *testing.T) {
+	for level, index := range []int{0, 1, 1 + hostFan} {
+		t.Run(fmt.Sprintf("level %d", level), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, region("r", 1, letterCentre))
+				f.startAll()
+				defer f.stopAll()
+				time.Sleep(warmup)
+				dead := f.ordered("r-0")[index].GetName()
+				f.freeze(dead, true)
+				generation := f.commit("a")
+				f.wait(generation, promised)
+				require.Subset(t, []string{dead}, f.behind(generation))
+				f.freeze(dead, false)
+				f.inForce(generation, 2*promised)
+			})
+		})
+	}
+}
+
+// The store is down for longer than everything else; what was accepted before
+// spreads among peers, also to a process that starts during the outage.
+func TestSpreadOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 2, 20))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		generation := f.commit("a")
+		f.inForce(generation, promised)
+		f.table.Inject(clemstandin.TableFaults{Down: true})
+		time.Sleep(5 * time.Minute)
+		for _, host := range []*clemwire.Host{f.hosts[0], f.ordered("r-0")[0], f.ordered("r-1")[0]} {
+			f.stop(host.GetName())
+			n := f.start(host)
+			require.False(t, n.relay.Ready())
+			f.wait(generation, promised)
+			require.EqualValues(t, generation, n.board.Config().Get().Generation())
+		}
+		f.table.Inject(clemstandin.TableFaults{})
+		f.inForce(f.commit("b"), 2*promised)
+	})
+}
+
+// Without table and peers a fresh process stays unready.
+func TestSpreadNothingHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, 5))
+		f.table.Inject(clemstandin.TableFaults{Down: true})
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(time.Minute)
+		for _, n := range f.nodes {
+			require.False(t, n.relay.Ready())
+		}
+		f.table.Inject(clemstandin.TableFaults{})
+		f.inForce(0, 2*promised)
+	})
+}
+
+// A process that restarts while the table answers never holds less than before.
+func TestSpreadRestartKeepsNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, 30))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		generation := f.commit("a")
+		leaf := f.ordered("r-0")[29]
+		f.stop(leaf.GetName())
+		n := f.start(leaf)
+		for !n.relay.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		require.EqualValues(t, generation, n.board.Config().Get().Generation())
+	})
+}
+
+func TestSpreadCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 3, 12))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		alone := f.ordered("r-1")[3].GetName()
+		f.freeze(alone, true)
+		var generation uint64
+		for i := range 30 {
+			generation = f.commit(fmt.Sprintf("o%d", i))
+			time.Sleep(10 * time.Second)
+		}
+		require.Equal(t, []string{alone}, f.behind(generation))
+		f.freeze(alone, false)
+		f.inForce(generation, 2*promised)
+	})
+}
+
+// The state of no process ever goes back, through restarts of the store,
+// lost answers, cuts and freezes.
+func TestSpreadNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, regions(2, 2, 8))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		highest := map[string]uint64{}
+		check := func() {
+			for name, n := range f.nodes {
+				generation := n.board.Config().Get().Generation()
+				require.GreaterOrEqual(t, generation, highest[name])
+				highest[name] = generation
+			}
+		}
+		var generation uint64
+		for i := range 40 {
+			name := f.hosts[(i*7)%len(f.hosts)].GetName()
+			f.freeze(name, i%3 == 0)
+			f.table.Inject(clemstandin.TableFaults{LostAnswers: i % 2})
+			generation = f.commit(fmt.Sprintf("o%d", i))
+			f.table.Inject(clemstandin.TableFaults{Down: i%5 == 4})
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				check()
+			}
+			f.table.Inject(clemstandin.TableFaults{})
+		}
+		for _, host := range f.hosts {
+			f.freeze(host.GetName(), false)
+		}
+		f.inForce(generation, time.Minute)
+	})
+}
+
+// A process far behind gets a snapshot, from a peer or the object store.
+func TestSpreadSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, 8))
+		log := clemconfig.NewLog(clemconfig.LogConfig{Table: f.table})
+		state := clemconfig.Empty()
+		for i := range 2500 {
+			next, _, err := log.Commit(t.Context(), state, organisation(fmt.Sprintf("o%d", i)))
+			require.NoError(t, err)
+			state = next
+		}
+		f.startAll()
+		defer f.stopAll()
+		f.inForce(2500, time.Minute)
+		time.Sleep(2 * snapshotDelay)
+		require.Equal(t, 1, f.objects.count())
+		last := f.hosts[7]
+		f.stop(last.GetName())
+		reads, _ := f.table.Counts()
+		f.start(last)
+		time.Sleep(time.Second)
+		f.inForce(2500, promised)
+		after, _ := f.table.Counts()
+		require.Less(t, after-reads, uint64(20))
+	})
+}
--- a/clemrelay/sum.go
+++ b/clemrelay/sum.go
@@ -79,17 +79,21 @@
 	if oldest.Before(p.oldest) {
 		p.oldest = oldest
 	}
-	if grow := len(load.GetSpeeds()) - len(p.speeds); grow > 0 {
+	first := int(min(load.GetStep(), speedSteps))
+	if grow := first + len(load.GetSpeeds()) - len(p.speeds); grow > 0 {
 		p.speeds = append(p.speeds, make([]uint32, grow)...)
 	}
-	for step, n := range load.GetSpeeds() {
-		p.speeds[step] += n
+	for i, n := range load.GetSpeeds() {
+		p.speeds[first+i] += n
 	}
 }
 
 // up returns the sums as a beat carries them to the parent.
 func (s sums) up(now time.Time) []*clemwire.PoolLoad {
-	return s.wire(now, func(load *clemwire.PoolLoad, p *poolSum) { load.Speeds = slices.Clone(p.speeds) })
+	return s.wire(now, func(load *clemwire.PoolLoad, p *poolSum) {
+		first := max(slices.IndexFunc(p.speeds, func(n uint32) bool { return n > 0 }), 0)
+		load.Step, load.Speeds = uint32(first), slices.Clone(p.speeds[first:])
+	})
 }
 
 // down returns the sums as a reply carries them to a child, with the median alone.
--- /dev/null
+++ b/clemrelay/sum_test.go
@@ -0,0 +1,175 @@
+package clemrelay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// fallback is the age from which the load bound no longer uses a sum.
+const fallback = 3 * time.Second
+
+// oldest returns the greatest age of a pool's sum on any running node, and the
+// number of nodes without one.
+func (f *fleet) oldest(pool string) (age time.Duration, missing int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		load, ok := n.board.Loads().Get().Pool(pool)
+		if !ok {
+			missing++
+			continue
+		}
+		age = max(age, time.Since(load.Time()))
+	}
+	return age, missing
+}
+
+// watch passes virtual time and returns the greatest age seen.
+func (f *fleet) watch(pool string, d time.Duration) (age time.Duration, missing int) {
+	for start := time.Now(); time.Since(start) < d; time.Sleep(50 * time.Millisecond) {
+		a, m := f.oldest(pool)
+		age, missing = max(age, a), max(missing, m)
+	}
+	return age, missing
+}
+
+func TestBeatCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, letterCentre))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		age, missing := f.watch("pool-1", 10*time.Second)
+		require.Zero(t, missing)
+		require.Less(t, age, fallback)
+		for _, n := range f.nodes {
+			load, _ := n.board.Loads().Get().Pool("pool-1")
+			require.Equal(t, letterCentre/4, load.Servers())
+			require.EqualValues(t, 100*letterCentre/4, load.Total())
+			require.InEpsilon(t, float64(30*time.Millisecond), float64(load.Median()), 0.15)
+		}
+	})
+}
+
+func TestBeatRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, regions(10, 4, 8))
+		f.delay = func(a, b *clemwire.Host) time.Duration {
+			if a.GetRegion() != b.GetRegion() {
+				return 100 * time.Millisecond
+			}
+			return time.Millisecond
+		}
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		age, missing := f.watch("pool-1", 10*time.Second)
+		require.Zero(t, missing)
+		require.Less(t, age, fallback)
+		t.Logf("age %v", age)
+	})
+}
+
+// A stopped child drops out of the sums; a frozen one stops counting within
+// the drop time and a few rounds.
+func TestBeatDrop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, 40))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		leaf := f.ordered("r-0")[39]
+		f.freeze(leaf.GetName(), true)
+		time.Sleep(6 * time.Second)
+		for _, n := range f.nodes {
+			load, ok := n.board.Loads().Get().Pool(leaf.GetPool())
+			require.True(t, ok)
+			if n.host != leaf {
+				require.Equal(t, 9, load.Servers())
+				continue
+			}
+			require.GreaterOrEqual(t, time.Since(load.Time()), 6*time.Second, "its sums age")
+		}
+		f.freeze(leaf.GetName(), false)
+		// Until the drop time has passed, it may count at two parents.
+		time.Sleep(2 * fallback)
+		load, _ := f.nodes[leaf.GetName()].board.Loads().Get().Pool(leaf.GetPool())
+		require.Equal(t, 10, load.Servers())
+	})
+}
+
+// A part of the fleet that hears less than half of a pool publishes no sum.
+func TestBeatSmallPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, regions(3, 1, 8))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		f.cutOff(func(h *clemwire.Host) bool { return h.GetRegion() == "r1" })
+		time.Sleep(20 * time.Second)
+		for _, n := range f.nodes {
+			load, _ := n.board.Loads().Get().Pool("pool-0")
+			if n.host.GetRegion() == "r1" {
+				require.Greater(t, time.Since(load.Time()), fallback)
+				continue
+			}
+			require.Less(t, time.Since(load.Time()), fallback)
+			require.Equal(t, 4, load.Servers())
+		}
+		f.heal()
+		time.Sleep(time.Minute)
+		age, missing := f.oldest("pool-0")
+		require.Zero(t, missing)
+		require.Less(t, age, fallback)
+	})
+}
+
+func TestBeatOldIncarnation(t *testing.T) {
+	b := newBeats(time.Second)
+	_, err := b.record(&clemwire.Beat{Node: "a", Incarnation: 2}, time.Now())
+	require.NoError(t, err)
+	_, err = b.record(&clemwire.Beat{Node: "a", Incarnation: 1}, time.Now())
+	require.Error(t, err)
+}
+
+// Sums do not depend on the grouping of reports.
+func TestSumsGrouping(t *testing.T) {
+	now := time.Now()
+	rapid.Check(t, func(t *rapid.T) {
+		flat, left, right := sums{}, sums{}, sums{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "reports") {
+			load := &clemwire.PoolLoad{
+				Pool: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool"), Servers: 1, Load: uint64(rapid.IntRange(0, 1e6).Draw(t, "load")),
+				Speeds: Speeds(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "speed"))),
+			}
+			at := now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond)
+			flat.add(load, at)
+			[]sums{left, right}[i%2].add(load, at)
+		}
+		tree := sums{}
+		for _, part := range []sums{left, right} {
+			for _, load := range part.up(now) {
+				tree.add(load, now)
+			}
+		}
+		require.Equal(t, flat, tree)
+	})
+}
+
+func TestMedian(t *testing.T) {
+	require.Zero(t, Median(nil))
+	require.Zero(t, Median(Speeds(0)))
+	for _, d := range []time.Duration{50 * time.Microsecond, 200 * time.Microsecond, 31 * time.Millisecond, 400 * time.Millisecond} {
+		s := sums{}
+		for range 5 {
+			s.add(&clemwire.PoolLoad{Pool: "a", Servers: 1, Speeds: Speeds(d)}, time.Now())
+		}
+		require.InEpsilon(t, max(d, fastest), s["a"].medianTime(), 0.15, "median of %v", d)
+	}
+}
--- a/clemrelay/tree.go
+++ b/clemrelay/tree.go
@@ -11,15 +11,23 @@
 
 const (
 	// hostFan is the most children that a node has within its data centre.
-	hostFan = 5
+	hostFan = 2
 	// centreFan is the most data centres of a region below one of them.
 	centreFan = 3
 	// regionFan is the most regions below one region.
 	regionFan = 3
+	// centreSlot is the node of a data centre that has the first data centre
+	// below as a child, the next node the second one, and so on, so that a
+	// node has at most one child outside its data centre.
+	centreSlot = 1
+	// regionSlot is the same for the regions below.
+	regionSlot = centreSlot + centreFan
 	// pollers is the number of nodes per data centre that read the table.
 	pollers = 3
 	// alternates is how many nodes of a group are tried if the first does not answer.
 	alternates = 3
+	// groupSize is the number of nodes of a group that matter to those below.
+	groupSize = regionSlot + regionFan
 )
 
 // rank is a host's place in the order that every process agrees on, because
@@ -99,12 +107,12 @@
 		t.add(centre[at])
 	}
 	t.addGroup(&group{centre})
-	t.addAbove(centres, centreFan)
-	t.addAbove(regions, regionFan)
+	t.addAbove(centres, centreFan, centreSlot)
+	t.addAbove(regions, regionFan, regionSlot)
 	return t
 }
 
-// insert adds the node to its group, which keeps the smallest alternates.
+// insert adds the node to its group, which keeps the smallest nodes.
 func insert(groups map[string]*group, key string, n node) {
 	g := groups[key]
 	if g == nil {
@@ -112,22 +120,25 @@
 		groups[key] = g
 	}
 	at, _ := slices.BinarySearchFunc(g.nodes, n, func(a, b node) int { return a.compare(b.rank) })
-	if at < alternates {
+	if at < groupSize {
 		g.nodes = slices.Insert(g.nodes, at, n)
-		g.nodes = g.nodes[:min(len(g.nodes), alternates)]
+		g.nodes = g.nodes[:min(len(g.nodes), groupSize)]
 	}
 }
 
 // addAbove adds the ancestors among the groups, all of which come before the
 // process's own, with the alternates of each, and then the other groups.
-func (t *tree) addAbove(groups map[string]*group, fan int) {
+func (t *tree) addAbove(groups map[string]*group, fan, slot int) {
 	sorted := make([]*group, 0, len(groups))
 	for _, g := range groups {
 		sorted = append(sorted, g)
 	}
 	slices.SortFunc(sorted, func(a, b *group) int { return a.nodes[0].compare(b.nodes[0].rank) })
 	for at := len(sorted); at > 0; {
+		child := (at - 1) % fan
 		at = (at - 1) / fan
+		nodes := sorted[at].nodes
+		t.add(nodes[min(slot+child, len(nodes)-1)])
 		t.addGroup(sorted[at])
 	}
 	for _, g := range sorted {
