A refusal after a lost or dispatched attempt no longer says not run

Cause: the entry passed on the last refusal, and its not_run mark, after an earlier attempt had been lost on the way or had run and failed. Found by reading the matrix's reserve cells with a stopping sidecar. The task now notes every attempt that a backend server may have seen and takes the mark off. A lost offer of at-most-once work goes on to the next server: the claim lets one attempt run.

--- a/clementry/plan.go
+++ b/clementry/plan.go
@@ -30,6 +30,9 @@
 	mu       sync.Mutex
 	attempts int
 	tried    map[string]bool
+	// touched says that a backend server may have seen some attempt, so that no
+	// later refusal may say that the request was not run.
+	touched bool
 }
 
 func newTask(organisation string, build func(state *clemconfig.State) (*plan, error)) *task {
@@ -45,6 +48,27 @@
 	return fmt.Sprintf("%s.%d", t.request, t.attempts)
 }
 
+// touch notes that a backend server may have seen the request.
+func (t *task) touch() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.touched = true
+}
+
+// judge returns the error without its claim that the request was not run, if
+// an earlier attempt may have run.
+func (t *task) judge(err error) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.touched || !clementineturn.IsNotRun(err) {
+		return err
+	}
+	e := clementineturn.AsError(err)
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: e.Kind(), Field: e.Field(), Message: e.Message(), Retry: e.Retry(), Cause: err,
+	})
+}
+
 // try marks a backend server as tried and reports whether it was not before.
 func (t *task) try(server string) bool {
 	t.mu.Lock()
--- a/clementry/router.go
+++ b/clementry/router.go
@@ -56,8 +56,8 @@
 
 func (s *session) isIdempotent() bool { return s.offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT }
 
-// place offers the task to ranked backend servers until one accepts. Errors
-// carry NotRun unless an offer was lost on the way.
+// place offers the task to ranked backend servers until one accepts. It
+// returns the last error; the task knows whether an offer was lost before it.
 func (r *router) place(ctx context.Context, t *task, hedge bool) (*session, error) {
 	var last error
 	for range maxTries {
@@ -75,7 +75,7 @@
 			return s, nil
 		}
 		last = err
-		if !r.mayGoOn(ctx, p, err) {
+		if !r.mayGoOn(ctx, t, err) {
 			return nil, err
 		}
 	}
@@ -100,17 +100,17 @@
 }
 
 // mayGoOn reports whether another backend server may get the work. A lost
-// offer of at-most-once work ends the request: its caller repeats it with the
-// same key once the claim's state is clear.
-func (r *router) mayGoOn(ctx context.Context, p *plan, err error) bool {
+// offer may have run. Idempotent work may run again, and at-most-once work is
+// safe since the claim of its key lets one attempt run.
+func (r *router) mayGoOn(ctx context.Context, t *task, err error) bool {
+	e := clementineturn.AsError(err)
+	if !e.NotRun() {
+		t.touch()
+	}
 	if ctx.Err() != nil {
 		return false
 	}
-	e := clementineturn.AsError(err)
-	if e.NotRun() {
-		return e.Kind().Info().Another()
-	}
-	return p.isIdempotent()
+	return !e.NotRun() || e.Kind().Info().Another()
 }
 
 // offer makes one offer. A refusal as stale exchanges the missing changes and
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -57,7 +57,7 @@
 	for range len(race.running) {
 		<-race.results
 	}
-	return after(ctx, err)
+	return t.judge(after(ctx, err))
 }
 
 // earn credits the budgets with the work that the caller asked for.
@@ -153,6 +153,9 @@
 	}
 	out.reset(s.host.GetName(), s.isIdempotent())
 	err = r.relay(ctx, s, out)
+	if !clementineturn.IsNotRun(err) {
+		t.touch()
+	}
 	// A caller that saw events of a stream may come back for the rest.
 	if ctx.Err() != nil && !out.isResumable() {
 		s.cancel(ctx)
