--- a/clementry/plan.go
+++ b/clementry/plan.go
@@ -69,15 +69,24 @@
 	})
 }
 
-// try marks a backend server as tried and reports whether it was not before.
-func (t *task) try(server string) bool {
+// try marks a backend server that accepted an attempt.
+func (t *task) try(server string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.tried[server] {
-		return false
-	}
 	t.tried[server] = true
-	return true
+}
+
+// fresh returns the hosts that accepted no attempt yet.
+func (t *task) fresh(hosts []*clemwire.Host) []*clemwire.Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var left []*clemwire.Host
+	for _, host := range hosts {
+		if !t.tried[host.GetName()] {
+			left = append(left, host)
+		}
+	}
+	return left
 }
 
 // plan classifies the task by the newest configuration.
--- a/clementry/router.go
+++ b/clementry/router.go
@@ -9,17 +9,20 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clembudget"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemoffer"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
 const (
-	// maxTries bounds the backend servers that one request is offered to.
-	maxTries = 4
 	// maxLessons bounds how often one offer is repeated to a sidecar of another generation.
 	maxLessons = 3
-	// retryShare and retryBurst bound the repeats of dispatched work, in requests.
-	retryShare = 0.1
-	retryBurst = 10
+	// offerShare and offerBurst bound the offers beyond a request's first ones.
+	// A refused offer costs a sidecar little, so each request may make one more.
+	offerShare = 1
+	offerBurst = 200
+	// repeatShare and repeatBurst bound the repeats of dispatched work, in requests.
+	repeatShare = 0.1
+	repeatBurst = 10
 	// hedgeBurst is the extra work, in tokens, that a pool's hedges may save up.
 	hedgeBurst    = 10_000
 	hedgeQuantile = 0.95
@@ -33,14 +36,16 @@
 // router places requests on backend servers.
 type router struct {
 	Config
-	retries *clembudget.Budget
+	offers  *clembudget.Budget
+	repeats *clembudget.Budget
 	hedges  *clembudget.Hedge
 }
 
 func newRouter(c Config) *router {
 	return &router{
 		Config:  c,
-		retries: clembudget.New(clembudget.Config{Share: retryShare, Burst: retryBurst}),
+		offers:  clembudget.New(clembudget.Config{Share: offerShare, Burst: offerBurst}),
+		repeats: clembudget.New(clembudget.Config{Share: repeatShare, Burst: repeatBurst}),
 		hedges: clembudget.NewHedge(clembudget.HedgeConfig{
 			Quantile: hedgeQuantile, Burst: hedgeBurst, Quiet: hedgeQuiet, Least: hedgeLeast,
 		}),
@@ -59,44 +64,48 @@
 // place offers the task to ranked backend servers until one accepts. It
 // returns the last error; the task knows whether an offer was lost before it.
 func (r *router) place(ctx context.Context, t *task, hedge bool) (*session, error) {
-	var last error
-	for range maxTries {
+	p, err := t.plan(ctx, r.Board.Config().Get())
+	if err != nil {
+		return nil, err
+	}
+	var last error = clementineturn.Refuse(clementineturn.KindUnavailable, "no backend server is left for the request")
+	sequence := clemoffer.New(clemoffer.Config{Ranked: t.fresh(r.ranked(p)), Retries: r.offers})
+	for {
+		host, eager, ok := sequence.Next()
+		if !ok || (hedge && !eager) {
+			return nil, last
+		}
 		p, err := t.plan(ctx, r.Board.Config().Get())
 		if err != nil {
 			return nil, err
 		}
-		host := r.next(t, p)
-		if host == nil {
-			break
-		}
-		p.offer.Attempt, p.offer.Hedge = t.nextAttempt(), hedge
+		p.offer.Attempt, p.offer.Hedge, p.offer.Eager = t.nextAttempt(), hedge, eager
 		s, err := r.offer(ctx, t, p, host)
 		if err == nil {
+			t.try(host.GetName())
 			return s, nil
 		}
-		last = err
-		if !r.mayGoOn(ctx, t, err) {
+		if last = err; !r.mayGoOn(ctx, t, err) {
 			return nil, err
 		}
+		if !isBusy(err) {
+			sequence.Exclude(host.GetName())
+		}
 	}
-	if last != nil {
-		return nil, last
-	}
-	return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "no backend server is left for the request")
 }
 
-// next returns the best ranked backend server that was not tried and marks it as tried.
-func (r *router) next(t *task, p *plan) *clemwire.Host {
+// isBusy reports whether the refusing server may still take the work if it waits.
+func isBusy(err error) bool {
+	return clementineturn.IsKind(err, clementineturn.KindOverloaded) || clementineturn.IsKind(err, clementineturn.KindSlow)
+}
+
+// ranked returns the pool's backend servers, the best first.
+func (r *router) ranked(p *plan) []*clemwire.Host {
 	members := r.Board.Members().Get()
 	if members == nil {
 		return nil
 	}
-	for _, host := range r.Ranker.Rank(p.work, members.Pool(p.offer.GetPool())) {
-		if t.try(host.GetName()) {
-			return host
-		}
-	}
-	return nil
+	return r.Ranker.Rank(p.work, members.Pool(p.offer.GetPool()))
 }
 
 // mayGoOn reports whether another backend server may get the work. A lost
@@ -130,7 +139,7 @@
 		}
 		if refusal.Kind() != clementineturn.KindStale {
 			r.Health.Refused(host.GetName(), refusal.Kind(), time.Now())
-			if refusal.Kind() == clementineturn.KindOverloaded {
+			if refusal.Kind() == clementineturn.KindOverloaded && !p.offer.GetEager() {
 				r.hedges.Overloaded(time.Now(), p.offer.GetPool())
 			}
 			return nil, refusal
@@ -187,7 +196,7 @@
 	if next.offer.GetPool() != p.offer.GetPool() {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "the request's pool changed on the way")
 	}
-	next.offer.Attempt, next.offer.Hedge = p.offer.GetAttempt(), p.offer.GetHedge()
+	next.offer.Attempt, next.offer.Hedge, next.offer.Eager = p.offer.GetAttempt(), p.offer.GetHedge(), p.offer.GetEager()
 	if theirs < next.offer.GetGeneration() {
 		pulled, err := r.Relay.Pull(ctx, &clemwire.Pull{Generation: theirs})
 		if err != nil {
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -63,7 +63,8 @@
 // earn credits the budgets with the work that the caller asked for.
 func (r *router) earn(p *plan) {
 	pool := r.Board.Config().Get().Pool(p.offer.GetPool())
-	r.retries.Earn(1)
+	r.offers.Earn(1)
+	r.repeats.Earn(1)
 	r.hedges.Earn(p.offer.GetPool(), pool.GetHedge(), p.cost())
 }
 
@@ -142,7 +143,7 @@
 	if clementineturn.IsNotRun(res.err) {
 		return true
 	}
-	return res.session.isIdempotent() && r.retries.Spend(1)
+	return res.session.isIdempotent() && r.repeats.Spend(1)
 }
 
 // attempt places the task once and relays the answer.
--- /dev/null
+++ b/clemoffer/sequence_test.go
@@ -0,0 +1,64 @@
+package clemoffer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/clementineturn/clementineturn/clembudget"
+	"github.com/clementineturn/clementineturn/clemoffer"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func hosts(names ...string) []*clemwire.Host {
+	var all []*clemwire.Host
+	for _, name := range names {
+		all = append(all, &clemwire.Host{Name: name})
+	}
+	return all
+}
+
+func drain(s *clemoffer.Sequence) []string {
+	var offers []string
+	for {
+		host, eager, ok := s.Next()
+		if !ok {
+			return offers
+		}
+		offers = append(offers, fmt.Sprintf("%s eager=%t", host.GetName(), eager))
+	}
+}
+
+// A request is first offered to every server that may have a free slot, and
+// only then waits at its best one.
+func ExampleSequence() {
+	s := clemoffer.New(clemoffer.Config{
+		Ranked:  hosts("engine-2", "engine-1"),
+		Retries: clembudget.New(clembudget.Config{Burst: 10}),
+	})
+	for _, offer := range drain(s) {
+		fmt.Println(offer)
+	}
+	// Output:
+	// engine-2 eager=true
+	// engine-1 eager=true
+	// engine-2 eager=false
+	// engine-1 eager=false
+}
+
+func TestSequenceWithoutBudget(t *testing.T) {
+	s := clemoffer.New(clemoffer.Config{Ranked: hosts("a", "b", "c"), Retries: clembudget.New(clembudget.Config{})})
+	require.Equal(t, []string{"a eager=true", "a eager=false"}, drain(s))
+}
+
+func TestSequenceSkipsExcluded(t *testing.T) {
+	s := clemoffer.New(clemoffer.Config{Ranked: hosts("a", "b"), Retries: clembudget.New(clembudget.Config{Burst: 10})})
+	host, _, _ := s.Next()
+	s.Exclude(host.GetName())
+	require.Equal(t, []string{"b eager=true", "b eager=false"}, drain(s))
+}
+
+func TestSequenceOfNoServers(t *testing.T) {
+	require.Empty(t, drain(clemoffer.New(clemoffer.Config{Retries: clembudget.New(clembudget.Config{})})))
+}
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -321,7 +321,7 @@
 	deadline, _ := ctx.Deadline()
 	ticket, err := s.gate.Enter(time.Now(), clemgate.NewItem(clemgate.ItemConfig{
 		Organisation: organisation.GetName(), Weight: organisation.GetWeight(), Queue: organisation.GetQueue(),
-		Prompt: offer.GetPrompt(), Output: offer.GetOutput(), Deadline: deadline, Hedge: offer.GetHedge(),
+		Prompt: offer.GetPrompt(), Output: offer.GetOutput(), Deadline: deadline, Hedge: offer.GetHedge(), Eager: offer.GetEager(),
 	}))
 	if err != nil {
 		return nil, err
