--- a/clemclaim/commit.go
+++ b/clemclaim/commit.go
@@ -98,7 +98,8 @@
 			return ops, err
 		}
 	}
-	return p.answer(), nil
+	p.answer()
+	return nil, nil
 }
 
 // write appends what the plan asks for. If that fails it reads the log, so
@@ -106,7 +107,8 @@
 func (g *log) write(ctx context.Context, p *plan) ([]*operation, error) {
 	err := g.append(ctx, p.records)
 	if err == nil {
-		return p.answer(), nil
+		p.answer()
+		return nil, nil
 	}
 	if clementineturn.IsKind(err, clementineturn.KindUnavailable) {
 		return p.ops, err
@@ -197,29 +199,16 @@
 	}
 }
 
-// answer ends the operations and returns those that could not be decided
-// because their segment was dropped meanwhile.
-func (p *plan) answer() []*operation {
-	var rest []*operation
+// answer ends the operations.
+func (p *plan) answer() {
 	for i, op := range p.ops {
 		switch err := p.errs[i]; {
 		case err == nil:
 			op.finish(p.answers[i], nil)
-		case clementineturn.IsKind(err, clementineturn.KindNotFound) && p.dropped(op):
-			p.log.loaded = false
-			rest = append(rest, op)
 		case clementineturn.IsKind(err, clementineturn.KindUnavailable):
 			op.fail(err)
 		default:
 			op.finish(nil, err)
 		}
 	}
-	return rest
-}
-
-// dropped reports whether the log knows the operation's key, so that a missing
-// row means that retention dropped the segment.
-func (p *plan) dropped(op *operation) bool {
-	_, ok := p.log.index.places[op.id]
-	return ok
 }
--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -23,65 +23,66 @@
 	return newID(record.GetClaim().GetOrganisation(), record.GetClaim().GetKey())
 }
 
-// place tells where the record in force stands in the log.
-type place struct {
-	segment  uint64
-	position uint32
-	done     bool
-}
-
 // index folds the records of a log into the record in force of each key.
-// Finished claims, which are the bulk, take only their place; the records of
-// all others are held.
+// Finished claims, which are the bulk, take an entry of a run once their
+// segment is sealed; the records of all others are held.
 type index struct {
-	places map[id]place
-	open   map[id]*clemwire.Record
+	open map[id]openRecord
+	// done holds the positions of the finished claims in the head.
+	done map[id]int
+	runs runs
+}
+
+// openRecord is the record in force of a claim that is not finished.
+type openRecord struct {
+	*clemwire.Record
+	segment uint64
 }
 
 func newIndex() index {
-	return index{places: map[id]place{}, open: map[id]*clemwire.Record{}}
+	return index{open: map[id]openRecord{}, done: map[id]int{}}
 }
 
-// add takes in the next record of the log.
+// add takes in the next record of the log, at a position of the head.
 func (x *index) add(record *clemwire.Record, segment uint64, position int) {
 	key := recordID(record)
-	done := record.GetState() == stateDone
-	x.places[key] = place{segment: segment, position: uint32(position), done: done}
-	if done {
+	if record.GetState() == stateDone {
 		delete(x.open, key)
+		x.done[key] = position
 		return
 	}
-	x.open[key] = record
+	// A key whose finished claim was dropped may be claimed again.
+	delete(x.done, key)
+	x.open[key] = openRecord{Record: record, segment: segment}
 }
 
-// drop forgets the keys whose record in force stands in the segment.
-func (x *index) drop(s *clemwire.Segment, number uint64) {
-	for _, record := range s.GetRecords() {
-		key := recordID(record)
-		if p, ok := x.places[key]; ok && p.segment == number {
-			delete(x.places, key)
-			delete(x.open, key)
-		}
+// seal moves the finished claims of the head to the runs.
+func (x *index) seal(segment uint64) {
+	keys := make([]id, 0, len(x.done))
+	for key := range x.done {
+		keys = append(keys, key)
 	}
+	x.runs.add(keys, segment)
+	clear(x.done)
 }
 
 // trim forgets the keys whose record in force stands before the segment.
 func (x *index) trim(first uint64) {
-	for key, p := range x.places {
-		if p.segment < first {
-			delete(x.places, key)
+	for key, record := range x.open {
+		if record.segment < first {
 			delete(x.open, key)
 		}
 	}
+	x.runs.first = first
 }
 
 // unresolved returns the records in force in the segment that retention must
 // not drop: claims without a known outcome.
 func (x *index) unresolved(segment uint64) []*clemwire.Record {
 	var records []*clemwire.Record
-	for key, record := range x.open {
-		if x.places[key].segment == segment && record.GetState() != stateVoid {
-			records = append(records, record)
+	for _, record := range x.open {
+		if record.segment == segment && record.GetState() != stateVoid {
+			records = append(records, record.Record)
 		}
 	}
 	return records
--- a/clemclaim/ledger.go
+++ b/clemclaim/ledger.go
@@ -34,8 +34,8 @@
 
 // Defaults of LedgerConfig.
 const (
-	DefaultBuckets   = 16
-	DefaultInterval  = 50 * time.Millisecond
+	DefaultBuckets   = 32
+	DefaultInterval  = 100 * time.Millisecond
 	DefaultRetention = 24 * time.Hour
 	DefaultLimit     = 64 << 10
 	DefaultWorkers   = 16
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -188,6 +188,7 @@
 		g.index.add(record, g.head.number, len(g.head.records)+i)
 	}
 	if more.GetSealed() {
+		g.index.seal(g.head.number)
 		g.head = segment{number: g.head.number + 1}
 		return
 	}
@@ -233,20 +234,30 @@
 }
 
 // find returns the record in force, or nil. Finished records are read from
-// their segment. Errors: KindUnavailable, KindInternal, and KindNotFound if
-// the segment was dropped.
+// their segment. Errors: KindUnavailable, KindInternal.
 func (g *log) find(ctx context.Context, key id) (*clemwire.Record, error) {
 	if record, ok := g.index.open[key]; ok {
-		return record, nil
+		return record.Record, nil
 	}
-	p, ok := g.index.places[key]
-	if !ok {
-		return nil, nil
+	if position, ok := g.index.done[key]; ok {
+		return g.head.records[position], nil
 	}
-	if p.segment == g.head.number {
-		return g.head.records[p.position], nil
+	for _, number := range g.index.runs.candidates(key) {
+		record, err := g.read(ctx, number, key)
+		if record != nil || err != nil {
+			return record, err
+		}
+	}
+	return nil, nil
+}
+
+// read returns the finished record of a key in a sealed segment, or nil. If the
+// segment was dropped there is none.
+func (g *log) read(ctx context.Context, number uint64, key id) (*clemwire.Record, error) {
+	row, err := g.get(ctx, g.segmentKey(number))
+	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+		return nil, nil
 	}
-	row, err := g.get(ctx, g.segmentKey(p.segment))
 	if err != nil {
 		return nil, err
 	}
@@ -254,8 +265,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if int(p.position) >= len(s.GetRecords()) || recordID(s.GetRecords()[p.position]) != key {
-		return nil, clementineturn.Errorf(clementineturn.KindInternal, "segment %d of bucket %d has changed", p.segment, g.bucket)
+	for _, record := range slices.Backward(s.GetRecords()) {
+		if record.GetState() == stateDone && recordID(record) == key {
+			return record, nil
+		}
 	}
-	return s.GetRecords()[p.position], nil
+	return nil, nil
 }
--- a/clemclaim/retain.go
+++ b/clemclaim/retain.go
@@ -61,7 +61,7 @@
 	if moved, err := g.raise(ctx); err != nil || !moved {
 		return false, err
 	}
-	g.index.drop(oldest, g.first-1)
+	g.index.trim(g.first)
 	return true, g.config.Table.Delete(ctx, row.Key(), row.Version())
 }
 
