clemclaim: the table holds the number of buckets

Two hosts with different settings would look for one key in different buckets and both grant its call; TestOtherNumberOfBuckets shows it on the version before. The first ledger inserts the number; one with another number refuses as not run.

--- a/clemclaim/ledger_test.go
+++ b/clemclaim/ledger_test.go
@@ -57,6 +57,24 @@
 	})
 }
 
+// The settings of two hosts differ. Both would find a key free, each in its bucket.
+func TestOtherNumberOfBuckets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := clemstandin.NewTable()
+		few, stopFew := startLedgers(LedgerConfig{Table: table, Buckets: 2}, 1)
+		defer stopFew()
+		many, stopMany := startLedgers(LedgerConfig{Table: table, Buckets: 3}, 1)
+		defer stopMany()
+		table.Inject(clemstandin.TableFaults{LostAnswers: 1})
+		record(t, few[0], "k", stateHeld)
+		for _, key := range []string{"k", "l", "m"} {
+			_, err := many[0].Claim(t.Context(), keyed(key))
+			require.True(t, clementineturn.IsNotRun(err), "%v", err)
+			require.True(t, clementineturn.IsKind(err, clementineturn.KindUnavailable), "%v", err)
+		}
+	})
+}
+
 func TestStoppedLedgerRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ledgers, stop := startLedgers(LedgerConfig{Table: clemstandin.NewTable()}, 1)
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -65,6 +65,9 @@
 
 // load reads the whole log. If retention drops segments meanwhile, it starts again.
 func (g *log) load(ctx context.Context) error {
+	if err := g.checkBuckets(ctx); err != nil {
+		return err
+	}
 	for {
 		first, _, err := g.readFirst(ctx)
 		if err != nil {
@@ -85,6 +88,36 @@
 	}
 }
 
+// bucketsKey is the row that holds the number of buckets.
+const bucketsKey = "claim/buckets"
+
+// checkBuckets checks that the table was made for the number of buckets that
+// this ledger has. Two ledgers with different numbers would look for a key in
+// different buckets and both grant its call. The first ledger inserts the number.
+func (g *log) checkBuckets(ctx context.Context) error {
+	wanted := uint64(g.config.Buckets)
+	row, err := g.get(ctx, bucketsKey)
+	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+		value, marshalErr := proto.Marshal(&clemwire.Segment{Number: wanted})
+		if marshalErr != nil {
+			return marshalErr
+		}
+		_, err = g.put(ctx, bucketsKey, value, "")
+		if err == nil {
+			return nil
+		}
+		row, err = g.get(ctx, bucketsKey)
+	}
+	if err != nil {
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "%w", err)
+	}
+	s, err := DecodeSegment(row.Value())
+	if err == nil && s.GetNumber() != wanted {
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "the table holds claims in %d buckets, the settings say %d", s.GetNumber(), wanted)
+	}
+	return err
+}
+
 func (g *log) readFirst(ctx context.Context) (uint64, clementineturn.Version, error) {
 	row, err := g.get(ctx, g.firstKey())
 	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
