--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -65,6 +65,9 @@
 
 // load reads the whole log. If retention drops segments meanwhile, it starts again.
 func (g *log) load(ctx context.Context) error {
+	if err := g.checkBuckets(ctx); err != nil {
+		return err
+	}
 	for {
 		first, _, err := g.readFirst(ctx)
 		if err != nil {
@@ -85,6 +88,36 @@
 	}
 }
 
+// bucketsKey is the row that holds the number of buckets.
+const bucketsKey = "claim/buckets"
+
+// checkBuckets checks that the table was made for the number of buckets that
+// this ledger has. Two ledgers with different numbers would look for a key in
+// different buckets and both grant its call. The first ledger inserts the number.
+func (g *log) checkBuckets(ctx context.Context) error {
+	wanted := uint64(g.config.Buckets)
+	row, err := g.get(ctx, bucketsKey)
+	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+		value, marshalErr := proto.Marshal(&clemwire.Segment{Number: wanted})
+		if marshalErr != nil {
+			return marshalErr
+		}
+		_, err = g.put(ctx, bucketsKey, value, "")
+		if err == nil {
+			return nil
+		}
+		row, err = g.get(ctx, bucketsKey)
+	}
+	if err != nil {
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "%w", err)
+	}
+	s, err := DecodeSegment(row.Value())
+	if err == nil && s.GetNumber() != wanted {
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "the table holds claims in %d buckets, the settings say %d", s.GetNumber(), wanted)
+	}
+	return err
+}
+
 func (g *log) readFirst(ctx context.Context) (uint64, clementineturn.Version, error) {
 	row, err := g.get(ctx, g.firstKey())
 	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
@@ -188,6 +221,7 @@
 		g.index.add(record, g.head.number, len(g.head.records)+i)
 	}
 	if more.GetSealed() {
+		g.index.seal(g.head.number)
 		g.head = segment{number: g.head.number + 1}
 		return
 	}
@@ -233,20 +267,30 @@
 }
 
 // find returns the record in force, or nil. Finished records are read from
-// their segment. Errors: KindUnavailable, KindInternal, and KindNotFound if
-// the segment was dropped.
+// their segment. Errors: KindUnavailable, KindInternal.
 func (g *log) find(ctx context.Context, key id) (*clemwire.Record, error) {
 	if record, ok := g.index.open[key]; ok {
-		return record, nil
+		return record.Record, nil
 	}
-	p, ok := g.index.places[key]
-	if !ok {
-		return nil, nil
+	if position, ok := g.index.done[key]; ok {
+		return g.head.records[position], nil
+	}
+	for _, number := range g.index.runs.candidates(key) {
+		record, err := g.read(ctx, number, key)
+		if record != nil || err != nil {
+			return record, err
+		}
 	}
-	if p.segment == g.head.number {
-		return g.head.records[p.position], nil
+	return nil, nil
+}
+
+// read returns the finished record of a key in a sealed segment, or nil. If the
+// segment was dropped there is none.
+func (g *log) read(ctx context.Context, number uint64, key id) (*clemwire.Record, error) {
+	row, err := g.get(ctx, g.segmentKey(number))
+	if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+		return nil, nil
 	}
-	row, err := g.get(ctx, g.segmentKey(p.segment))
 	if err != nil {
 		return nil, err
 	}
@@ -254,8 +298,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if int(p.position) >= len(s.GetRecords()) || recordID(s.GetRecords()[p.position]) != key {
-		return nil, clementineturn.Errorf(clementineturn.KindInternal, "segment %d of bucket %d has changed", p.segment, g.bucket)
+	for _, record := range slices.Backward(s.GetRecords()) {
+		if record.GetState() == stateDone && recordID(record) == key {
+			return record, nil
+		}
 	}
-	return s.GetRecords()[p.position], nil
+	return nil, nil
 }
