Reports ask the own entry always; slow bodies on the operators' listener are cut off

Cause: the list of hosts lags, so that a fresh entry's report lacked its own counts without saying so. The operators' listener bounded the header's time only. Shown: go test -race ./clemops passes; without the deadline TestSlowBody fails.

--- a/clemops/fleet.go
+++ b/clemops/fleet.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemburn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemsetting"
@@ -67,20 +68,20 @@
 	return connect.NewResponse(&clemwire.BurnResponse{Lines: clemburn.Report(state, gathered), Silent: silent}), nil
 }
 
-// hosts returns the members of the role, or all for "", sorted by name.
+// hosts returns the members of the role, or all for "", and the own host,
+// sorted by name.
 func (h *Handler) hosts(role string) []*clemwire.Host {
 	members := h.board.Members().Get()
 	if members == nil {
-		return nil
+		members = clemboard.NewMembers(nil)
 	}
-	var hosts []*clemwire.Host
-	for _, host := range members.Hosts() {
-		if role == "" || host.GetRole() == role {
-			hosts = append(hosts, host)
-		}
+	all := slices.Clone(members.Hosts())
+	if h.self != nil && members.Host(h.self.GetName()) == nil {
+		all = append(all, h.self)
 	}
-	slices.SortFunc(hosts, func(a, b *clemwire.Host) int { return strings.Compare(a.GetName(), b.GetName()) })
-	return hosts
+	all = slices.DeleteFunc(all, func(host *clemwire.Host) bool { return role != "" && host.GetRole() != role })
+	slices.SortFunc(all, func(a, b *clemwire.Host) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return all
 }
 
 // ask calls every host, a bounded number at a time, and returns the answers
--- a/clemops/fleet_test.go
+++ b/clemops/fleet_test.go
@@ -86,3 +86,16 @@
 		require.LessOrEqual(t, time.Since(start), askTime)
 	})
 }
+
+// The own entry reports also before the list of hosts names it.
+func TestReportsAskSelf(t *testing.T) {
+	h := direct()
+	h.self = &clemwire.Host{Name: "entry-1", Address: "10.0.0.1:1", Role: "entry"}
+	for _, listed := range []*clemboard.Members{nil, clemboard.NewMembers(nil), clemboard.NewMembers([]*clemwire.Host{h.self})} {
+		h.board.Members().Set(listed)
+		burn, err := h.Burn(t.Context(), req(&clemwire.BurnRequest{}))
+		require.NoError(t, err)
+		require.Len(t, burn.Msg.GetLines(), 2)
+		require.EqualValues(t, 1000, burn.Msg.GetLines()[0].GetTotal(), "asked once")
+	}
+}
--- a/clemops/handler.go
+++ b/clemops/handler.go
@@ -38,6 +38,9 @@
 	Log    *clemconfig.Log
 	Ledger clementineturn.Ledger
 	Peers  clementineturn.Peers
+	// Self is the entry's own host, which reports ask even while the list of
+	// hosts lacks it; may be nil.
+	Self *clemwire.Host
 	// Learn is told of each newer state that a request reached; may be nil.
 	Learn  func(*clemconfig.State)
 	Tokens []Operator
@@ -50,6 +53,7 @@
 	log    *clemconfig.Log
 	ledger clementineturn.Ledger
 	peers  clementineturn.Peers
+	self   *clemwire.Host
 	learn  func(*clemconfig.State)
 	tokens []Operator
 	events *clemevent.Logger
@@ -61,7 +65,7 @@
 func New(c Config) *Handler {
 	return &Handler{
 		board: c.Board, log: c.Log, ledger: c.Ledger, peers: c.Peers,
-		learn: c.Learn, tokens: c.Tokens, events: c.Events,
+		self: c.Self, learn: c.Learn, tokens: c.Tokens, events: c.Events,
 	}
 }
 
@@ -86,7 +90,7 @@
 }
 
 // authenticate refuses requests without an operator's token before any byte
-// of the body is read.
+// of the body is read, and bounds the time to read the body of others.
 func (h *Handler) authenticate(next http.Handler) http.Handler {
 	writer := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -103,6 +107,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.WithValue(r.Context(), operatorKey{}, name), maxTime)
 		defer cancel()
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxTime))
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/clemops/handler_test.go
+++ b/clemops/handler_test.go
@@ -1,16 +1,22 @@
 package clemops
 
 import (
+	"bufio"
 	"context"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-chi/chi/v5"
 	"github.com/stretchr/testify/require"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -160,3 +166,50 @@
 		require.Equal(t, kind, FromError(connect.NewError(code, nil)).Kind(), code.String())
 	}
 }
+
+// A caller that sends its body too slowly is cut off.
+func TestSlowBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		router := chi.NewRouter()
+		New(Config{Board: clemboard.New(), Tokens: []Operator{newOperator("ana", anaToken)}}).Mount(router)
+		server := &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
+		listener := &oneConn{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+		listener.conns <- far
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		start := time.Now()
+		_, err := near.Write([]byte("POST " + clemwire.OperatorsBurnProcedure + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n" +
+			"Authorization: Bearer " + anaToken + "\r\nContent-Length: 100\r\n\r\n{"))
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(near), nil)
+		require.NoError(t, err)
+		require.NotEqual(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, maxTime, time.Since(start))
+		require.NoError(t, near.Close())
+		require.NoError(t, server.Close())
+		require.ErrorIs(t, <-served, http.ErrServerClosed)
+	})
+}
+
+// oneConn is a listener of connections that are made in memory.
+type oneConn struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *oneConn) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (*oneConn) Addr() net.Addr { return &net.TCPAddr{} }
