--- a/clemops/handler_test.go
+++ b/clemops/handler_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -18,6 +17,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemstandin"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -170,16 +170,17 @@
 // A caller that sends its body too slowly is cut off.
 func TestSlowBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		near, far := net.Pipe()
+		network := clemstandin.NewNetwork()
 		router := chi.NewRouter()
 		New(Config{Board: clemboard.New(), Tokens: []Operator{newOperator("ana", anaToken)}}).Mount(router)
 		server := &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
-		listener := &oneConn{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
-		listener.conns <- far
+		listener := network.Listen("entry")
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(listener) }()
 		start := time.Now()
-		_, err := near.Write([]byte("POST " + clemwire.OperatorsBurnProcedure + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n" +
+		near, err := network.Dial(t.Context(), "tcp", "entry")
+		require.NoError(t, err)
+		_, err = near.Write([]byte("POST " + clemwire.OperatorsBurnProcedure + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n" +
 			"Authorization: Bearer " + anaToken + "\r\nContent-Length: 100\r\n\r\n{"))
 		require.NoError(t, err)
 		response, err := http.ReadResponse(bufio.NewReader(near), nil)
@@ -191,25 +192,3 @@
 		require.ErrorIs(t, <-served, http.ErrServerClosed)
 	})
 }
-
-// oneConn is a listener of connections that are made in memory.
-type oneConn struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-func (l *oneConn) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *oneConn) Close() error {
-	close(l.closed)
-	return nil
-}
-
-func (*oneConn) Addr() net.Addr { return &net.TCPAddr{} }
