--- a/clemburn/recorder_test.go
+++ b/clemburn/recorder_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/clementineturn/clementineturn/clemwire"
@@ -145,3 +146,18 @@
 		r.Record(epoch, fmt.Sprint("o", i), "p", false, 0, target)
 	}
 }
+
+// BenchmarkGather gives the size of a report at 6,500 organisations and 4 pools.
+func BenchmarkGather(b *testing.B) {
+	r := New(Config{Now: func() time.Time { return epoch }})
+	for i := range 6500 {
+		for pool := range 4 {
+			r.Record(epoch, fmt.Sprintf("organisation-%d", i), fmt.Sprintf("model-%d", pool), false, 0, target)
+		}
+	}
+	size := 0
+	for b.Loop() {
+		size = proto.Size(r.Gather("entry-1"))
+	}
+	b.ReportMetric(float64(size), "B/report")
+}
--- a/clemburn/report.go
+++ b/clemburn/report.go
@@ -43,26 +43,36 @@
 	total, failed, slow uint64
 }
 
-// Report sums the counts of all entries and sets them against the
-// objectives: two lines, availability and latency, per organisation, pool and
-// window. Latency counts only requests that succeeded. The burn rate is the
-// share of bad events over the share that the objective allows, after the
-// chapter on alerting of Google's Site Reliability Workbook; the budget left
-// is 1 minus the burn rate, since budget and window coincide.
-func Report(state *clemconfig.State, gathered []*clemwire.Gathered) []*clemwire.BurnLine {
-	tallies := map[key]tally{}
-	for _, g := range gathered {
-		for _, c := range g.GetCounts() {
-			t := tallies[keyOf(c)]
-			t.total += c.GetTotal()
-			t.failed += c.GetFailed()
-			t.slow += c.GetSlow()
-			tallies[keyOf(c)] = t
-		}
+// Sum adds up the counts of entries one by one, so that a report holds no
+// entry's counts longer than it takes to add them. The zero Sum is empty.
+type Sum struct {
+	tallies map[key]tally
+}
+
+// Add adds the counts of one entry.
+func (s *Sum) Add(gathered *clemwire.Gathered) {
+	if s.tallies == nil {
+		s.tallies = map[key]tally{}
+	}
+	for _, c := range gathered.GetCounts() {
+		t := s.tallies[keyOf(c)]
+		t.total += c.GetTotal()
+		t.failed += c.GetFailed()
+		t.slow += c.GetSlow()
+		s.tallies[keyOf(c)] = t
 	}
+}
+
+// Lines sets the sums against the objectives: two lines, availability and
+// latency, per organisation, pool and window. Latency counts only requests
+// that succeeded. The burn rate is the share of bad events over the share that
+// the objective allows, after the chapter on alerting of Google's Site
+// Reliability Workbook; the budget left is 1 minus the burn rate, since budget
+// and window coincide.
+func (s *Sum) Lines(state *clemconfig.State) []*clemwire.BurnLine {
 	var lines []*clemwire.BurnLine
-	for _, k := range slices.SortedFunc(maps.Keys(tallies), compareKeys) {
-		t := tallies[k]
+	for _, k := range slices.SortedFunc(maps.Keys(s.tallies), compareKeys) {
+		t := s.tallies[k]
 		objective := Objective(state, k.organisation, k.pool)
 		lines = append(
 			lines,
@@ -73,6 +83,15 @@
 	return lines
 }
 
+// Report returns the lines of the sum of all entries' counts.
+func Report(state *clemconfig.State, gathered []*clemwire.Gathered) []*clemwire.BurnLine {
+	var sum Sum
+	for _, g := range gathered {
+		sum.Add(g)
+	}
+	return sum.Lines(state)
+}
+
 func line(k key, objective string, target float64, total, bad uint64) *clemwire.BurnLine {
 	burn := rate(target, total, bad)
 	return &clemwire.BurnLine{
--- a/clemconfig/repeat_test.go
+++ b/clemconfig/repeat_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -139,3 +141,37 @@
 	_, _, err := log.Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
 	require.True(t, clementineturn.IsKind(err, clementineturn.KindKeyReused), "%v", err)
 }
+
+// The first commit of a process reads the whole window, 16 rows at a time,
+// and no row again later.
+func TestFindReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 5 * time.Millisecond
+		table := clemstandin.NewTable()
+		before := NewLog(LogConfig{Table: table})
+		state := Empty()
+		for i := range Window + 10 {
+			var err error
+			state, _, err = before.Commit(t.Context(), state, createOrganisation("", fmt.Sprintf("o%d", i)))
+			require.NoError(t, err)
+		}
+		table.Inject(clemstandin.TableFaults{Delay: delay})
+		after := NewLog(LogConfig{Table: table})
+		for _, want := range []struct {
+			reads uint64
+			time  time.Duration
+		}{
+			{Window + 1, (Window/readers + 2) * delay},
+			{2, 3 * delay},
+		} {
+			reads, _ := table.Counts()
+			start := time.Now()
+			var err error
+			state, _, err = after.Commit(t.Context(), state, createOrganisation("", fmt.Sprintf("n%d", want.reads)))
+			require.NoError(t, err)
+			now, _ := table.Counts()
+			require.LessOrEqual(t, now-reads, want.reads)
+			require.Equal(t, want.time, time.Since(start))
+		}
+	})
+}
--- a/clemctl/run_test.go
+++ b/clemctl/run_test.go
@@ -283,3 +283,16 @@
 	require.Equal(t, clemcli.ExitUsage, code)
 	require.Contains(t, out.String(), "--token")
 }
+
+// The first configuration of the operators' page works as it stands.
+func TestFirstConfigurationOfPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/operating/run.md")
+	require.NoError(t, err)
+	commands := regexp.MustCompile(`(?s)clementine ctl create (\w+) --file - <<'END'\n(.*?)\nEND`).FindAllStringSubmatch(string(page), -1)
+	require.Len(t, commands, 5)
+	b := newBench(t)
+	for _, command := range commands {
+		require.Zero(t, b.run(t, command[2], "create", command[1], "--file", "-"), b.err.String())
+	}
+	require.Zero(t, b.run(t, "", "key", "add", "acme", "web"), b.err.String())
+}
--- a/clemops/fleet.go
+++ b/clemops/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -32,14 +33,15 @@
 // Generations implements clemwire.OperatorsHandler. With the table down, the
 // newest generation is the highest that any process holds.
 func (h *Handler) Generations(ctx context.Context, _ *connect.Request[clemwire.GenerationsRequest]) (*connect.Response[clemwire.GenerationsResponse], error) {
-	processes, silent := ask(ctx, h, h.hosts(""), func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Probed, error) {
-		return peer.Probe(ctx)
+	response := &clemwire.GenerationsResponse{}
+	probe := func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Probed, error) { return peer.Probe(ctx) }
+	response.Silent = ask(ctx, h, h.hosts(""), probe, func(p *clemwire.Probed) {
+		response.Processes = append(response.Processes, p)
+		response.Generation = max(response.Generation, p.GetGeneration())
 	})
-	newest := h.newest(ctx)
-	for _, p := range processes {
-		newest = max(newest, p.GetGeneration())
-	}
-	return connect.NewResponse(&clemwire.GenerationsResponse{Generation: newest, Processes: processes, Silent: silent}), nil
+	response.Generation = max(response.Generation, h.newest(ctx))
+	slices.SortFunc(response.Processes, func(a, b *clemwire.Probed) int { return strings.Compare(a.GetNode(), b.GetNode()) })
+	return connect.NewResponse(response), nil
 }
 
 // newest returns the newest generation that this process can find.
@@ -62,14 +64,15 @@
 	if err != nil {
 		return nil, err
 	}
-	gathered, silent := ask(ctx, h, h.hosts(clemsetting.RoleEntry), func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Gathered, error) {
+	var sum clemburn.Sum
+	gather := func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Gathered, error) {
 		return peer.Gather(ctx)
-	})
-	return connect.NewResponse(&clemwire.BurnResponse{Lines: clemburn.Report(state, gathered), Silent: silent}), nil
+	}
+	silent := ask(ctx, h, h.hosts(clemsetting.RoleEntry), gather, sum.Add)
+	return connect.NewResponse(&clemwire.BurnResponse{Lines: sum.Lines(state), Silent: silent}), nil
 }
 
-// hosts returns the members of the role, or all for "", and the own host,
-// sorted by name.
+// hosts returns the members of the role, or all for "", and the own host.
 func (h *Handler) hosts(role string) []*clemwire.Host {
 	members := h.board.Members().Get()
 	if members == nil {
@@ -79,40 +82,34 @@
 	if h.self != nil && members.Host(h.self.GetName()) == nil {
 		all = append(all, h.self)
 	}
-	all = slices.DeleteFunc(all, func(host *clemwire.Host) bool { return role != "" && host.GetRole() != role })
-	slices.SortFunc(all, func(a, b *clemwire.Host) int { return strings.Compare(a.GetName(), b.GetName()) })
-	return all
+	return slices.DeleteFunc(all, func(host *clemwire.Host) bool { return role != "" && host.GetRole() != role })
 }
 
-// ask calls every host, a bounded number at a time, and returns the answers
-// in the order of the hosts and the names of those that gave none.
-func ask[T any](ctx context.Context, h *Handler, hosts []*clemwire.Host, call func(context.Context, clementineturn.Peer) (*T, error)) (answers []*T, silent []string) {
+// ask calls every host, a bounded number at a time, passes each answer on as
+// it comes, one after another, and returns the names of those that gave none.
+func ask[T any](ctx context.Context, h *Handler, hosts []*clemwire.Host, call func(context.Context, clementineturn.Peer) (*T, error), take func(*T)) (silent []string) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	results := make([]*T, len(hosts))
+	var mu sync.Mutex // Guards silent and calls of take.
 	var group errgroup.Group
 	group.SetLimit(askers)
-	for i, host := range hosts {
+	for _, host := range hosts {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, answerTime)
 			defer cancel()
 			answer, err := call(ctx, h.peers.Peer(host.GetAddress()))
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
 				h.events.Emit(clemevent.MemberSilent, zap.String("host", host.GetName()), zap.String("address", host.GetAddress()), zap.Error(err))
+				silent = append(silent, host.GetName())
 				return nil
 			}
-			results[i] = answer
+			take(answer)
 			return nil
 		})
 	}
-	// The functions report through results.
-	_ = group.Wait()
-	for i, host := range hosts {
-		if results[i] == nil {
-			silent = append(silent, host.GetName())
-			continue
-		}
-		answers = append(answers, results[i])
-	}
-	return answers, silent
+	_ = group.Wait() // The functions return no errors.
+	slices.Sort(silent)
+	return silent
 }
