Apply a change without copying the whole configuration

Ruled out: one level of shards alone for entities (the indexes cost more than half), and changing in place (readers hold old states). Change: maps of 128 parts, of which a change copies the ones it touches; index entries go and come with their entity.

--- a/clemconfig/check.go
+++ b/clemconfig/check.go
@@ -37,7 +37,7 @@
 	if n.kind == clemwire.EntityKind_ENTITY_KIND_UNSPECIFIED {
 		return clementineturn.Invalid("entity", "one kind of entity is needed")
 	}
-	old := s.entities[n]
+	old, _ := s.entities.get(n)
 	switch change.GetAction() {
 	case clemwire.Action_ACTION_CREATE:
 		if old != nil {
@@ -111,7 +111,7 @@
 		if len(key.GetDigest()) != sha256.Size {
 			return clementineturn.Invalid(field+".digest", "found %d bytes, a SHA-256 digest has %d", len(key.GetDigest()), sha256.Size)
 		}
-		if holder, ok := s.digests[string(key.GetDigest())]; ok && holder != o.GetName() {
+		if holder, ok := s.digests.get(string(key.GetDigest())); ok && holder != o.GetName() {
 			return clementineturn.Invalid(field+".digest", "another organisation holds the key")
 		}
 		if !namePattern.MatchString(key.GetName()) || slices.Contains(names, key.GetName()) {
@@ -128,7 +128,7 @@
 		if p.GetModel() == "" {
 			return clementineturn.Invalid("pool.model", "a model pool needs a model")
 		}
-		if other := s.models[p.GetModel()]; other != nil && other.GetName() != p.GetName() {
+		if other := s.Model(p.GetModel()); other != nil && other.GetName() != p.GetName() {
 			return clementineturn.Invalid("pool.model", "pool %q serves %q", other.GetName(), p.GetModel())
 		}
 	case clemwire.PoolKind_POOL_KIND_PLAIN:
@@ -173,7 +173,7 @@
 	if rule.GetCall() != "*" && !namePattern.MatchString(rule.GetCall()) {
 		return clementineturn.Invalid("rule.call", "found %q, a call's name or \"*\" is needed", rule.GetCall())
 	}
-	if other := s.rules[[2]string{rule.GetService(), rule.GetCall()}]; other != nil && other.GetName() != rule.GetName() {
+	if other, ok := s.rules.get(callOf(rule)); ok && other.GetName() != rule.GetName() {
 		return clementineturn.Invalid("rule.call", "rule %q covers the call", other.GetName())
 	}
 	if rule.GetMode() == clemwire.Mode_MODE_UNSPECIFIED {
@@ -186,7 +186,7 @@
 }
 
 func (s *State) checkUnused(n name) error {
-	for _, entity := range s.entities {
+	for _, entity := range s.entities.all() {
 		used := false
 		switch n.kind {
 		case clemwire.EntityKind_ENTITY_KIND_POOL:
--- a/clemconfig/state.go
+++ b/clemconfig/state.go
@@ -4,7 +4,6 @@
 package clemconfig
 
 import (
-	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -20,52 +19,77 @@
 }
 
 // State is the configuration at one generation. It never changes; Apply
-// returns the next one.
+// returns the next one, which shares what the change leaves alone.
 type State struct {
 	generation uint64
-	entities   map[name]*clemwire.Entity
-	digests    map[string]string
-	models     map[string]*clemwire.Pool
-	rules      map[[2]string]*clemwire.Rule
+	entities   shards[name, *clemwire.Entity]
+	// digests holds the organisation of each key.
+	digests shards[string, string]
+	models  shards[string, *clemwire.Pool]
+	rules   shards[[2]string, *clemwire.Rule]
 }
 
 // Empty returns the state of generation 0.
-func Empty() *State {
-	return newState(0, map[name]*clemwire.Entity{})
-}
+func Empty() *State { return &State{} }
 
-func newState(generation uint64, entities map[name]*clemwire.Entity) *State {
-	s := &State{
-		generation: generation, entities: entities,
-		digests: map[string]string{}, models: map[string]*clemwire.Pool{}, rules: map[[2]string]*clemwire.Rule{},
-	}
-	for _, entity := range entities {
-		s.index(entity)
+// FromSnapshot returns the state of a snapshot.
+func FromSnapshot(snapshot *clemwire.Snapshot) *State {
+	s := &State{generation: snapshot.GetGeneration()}
+	for _, entity := range snapshot.GetEntities() {
+		s.entities.fill(nameOf(entity), entity)
+		switch k := entity.GetKind().(type) {
+		case *clemwire.Entity_Organisation:
+			for _, key := range k.Organisation.GetKeys() {
+				s.digests.fill(string(key.GetDigest()), k.Organisation.GetName())
+			}
+		case *clemwire.Entity_Pool:
+			if k.Pool.GetModel() != "" {
+				s.models.fill(k.Pool.GetModel(), k.Pool)
+			}
+		case *clemwire.Entity_Rule:
+			s.rules.fill(callOf(k.Rule), k.Rule)
+		}
 	}
 	return s
 }
 
-func (s *State) index(entity *clemwire.Entity) {
-	if o := entity.GetOrganisation(); o != nil {
-		for _, key := range o.GetKeys() {
-			s.digests[string(key.GetDigest())] = o.GetName()
+// callOf is what a rule is looked up by.
+func callOf(rule *clemwire.Rule) [2]string { return [2]string{rule.GetService(), rule.GetCall()} }
+
+// add stores the entity and its index entries.
+func (s *State) add(entity *clemwire.Entity) {
+	s.entities = s.entities.with(nameOf(entity), entity)
+	switch k := entity.GetKind().(type) {
+	case *clemwire.Entity_Organisation:
+		for _, key := range k.Organisation.GetKeys() {
+			s.digests = s.digests.with(string(key.GetDigest()), k.Organisation.GetName())
 		}
-	}
-	if p := entity.GetPool(); p.GetModel() != "" {
-		s.models[p.GetModel()] = p
-	}
-	if r := entity.GetRule(); r != nil {
-		s.rules[[2]string{r.GetService(), r.GetCall()}] = r
+	case *clemwire.Entity_Pool:
+		if k.Pool.GetModel() != "" {
+			s.models = s.models.with(k.Pool.GetModel(), k.Pool)
+		}
+	case *clemwire.Entity_Rule:
+		s.rules = s.rules.with(callOf(k.Rule), k.Rule)
 	}
 }
 
-// FromSnapshot returns the state of a snapshot.
-func FromSnapshot(snapshot *clemwire.Snapshot) *State {
-	entities := make(map[name]*clemwire.Entity, len(snapshot.GetEntities()))
-	for _, entity := range snapshot.GetEntities() {
-		entities[nameOf(entity)] = entity
+// remove drops the entity and its index entries.
+func (s *State) remove(n name) {
+	entity, ok := s.entities.get(n)
+	if !ok {
+		return
+	}
+	s.entities = s.entities.without(n)
+	switch k := entity.GetKind().(type) {
+	case *clemwire.Entity_Organisation:
+		for _, key := range k.Organisation.GetKeys() {
+			s.digests = s.digests.without(string(key.GetDigest()))
+		}
+	case *clemwire.Entity_Pool:
+		s.models = s.models.without(k.Pool.GetModel())
+	case *clemwire.Entity_Rule:
+		s.rules = s.rules.without(callOf(k.Rule))
 	}
-	return newState(snapshot.GetGeneration(), entities)
 }
 
 // Snapshot returns the whole state in its wire form, sorted.
@@ -86,7 +110,7 @@
 // List returns the entities of one kind, sorted by name.
 func (s *State) List(kind clemwire.EntityKind) []*clemwire.Entity {
 	var entities []*clemwire.Entity
-	for n, entity := range s.entities {
+	for n, entity := range s.entities.all() {
 		if n.kind == kind {
 			entities = append(entities, entity)
 		}
@@ -102,7 +126,8 @@
 
 // Entity returns the entity of the kind and name, or nil.
 func (s *State) Entity(kind clemwire.EntityKind, n string) *clemwire.Entity {
-	return s.entities[name{kind, n}]
+	entity, _ := s.entities.get(name{kind, n})
+	return entity
 }
 
 // Organisation returns the organisation, or nil.
@@ -112,7 +137,7 @@
 
 // Holder returns the organisation that holds the key of the given SHA-256 digest, or nil.
 func (s *State) Holder(digest []byte) *clemwire.Organisation {
-	n, ok := s.digests[string(digest)]
+	n, ok := s.digests.get(string(digest))
 	if !ok {
 		return nil
 	}
@@ -125,7 +150,10 @@
 }
 
 // Model returns the pool that serves a model, or nil.
-func (s *State) Model(model string) *clemwire.Pool { return s.models[model] }
+func (s *State) Model(model string) *clemwire.Pool {
+	pool, _ := s.models.get(model)
+	return pool
+}
 
 // Service returns the plain service, or nil.
 func (s *State) Service(n string) *clemwire.Service {
@@ -145,10 +173,11 @@
 // Rule returns the rule of a call: the one that names it, else the service's
 // "*" rule, else nil, which means at-most-once.
 func (s *State) Rule(service, call string) *clemwire.Rule {
-	if r := s.rules[[2]string{service, call}]; r != nil {
+	if r, ok := s.rules.get([2]string{service, call}); ok {
 		return r
 	}
-	return s.rules[[2]string{service, "*"}]
+	r, _ := s.rules.get([2]string{service, "*"})
+	return r
 }
 
 // Scope returns the generation of the newest change among the entities that
@@ -169,15 +198,15 @@
 	if change.GetGeneration() != s.generation+1 {
 		return nil, clementineturn.Errorf(clementineturn.KindConflict, "change of generation %d cannot follow generation %d", change.GetGeneration(), s.generation)
 	}
-	entities := maps.Clone(s.entities)
 	entity := proto.CloneOf(change.GetEntity())
-	if change.GetAction() == clemwire.Action_ACTION_DELETE {
-		delete(entities, nameOf(entity))
-	} else {
+	next := *s
+	next.generation = change.GetGeneration()
+	next.remove(nameOf(entity))
+	if change.GetAction() != clemwire.Action_ACTION_DELETE {
 		SetGeneration(entity, change.GetGeneration())
-		entities[nameOf(entity)] = entity
+		next.add(entity)
 	}
-	return newState(change.GetGeneration(), entities), nil
+	return &next, nil
 }
 
 func nameOf(entity *clemwire.Entity) name {
