--- a/clemmember/hold.go
+++ b/clemmember/hold.go
@@ -13,7 +13,7 @@
 	// maxHold bounds the time that a flapping server is kept out.
 	maxHold = time.Minute
 	// halfLife is the time over which a server's penalty halves.
-	halfLife = time.Minute
+	halfLife = 3 * time.Minute
 	// freeFlaps is the penalty up to which a host that returns to the list is
 	// a member at once; a plain restart stays below it.
 	freeFlaps = 1.5
--- a/clemmember/list.go
+++ b/clemmember/list.go
@@ -1,7 +1,7 @@
 package clemmember
 
 import (
-	"slices"
+	"maps"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,12 +33,12 @@
 // fault, and each missing host stays until its connections fail or it refuses.
 type list struct {
 	entries map[string]*entry
-	// lost holds, per group, when hosts went on the list's word alone.
-	lost map[group][]time.Time
+	// lost holds, per group, when each host went on the list's word alone.
+	lost map[group]map[string]time.Time
 }
 
 func newList() *list {
-	return &list{entries: map[string]*entry{}, lost: map[group][]time.Time{}}
+	return &list{entries: map[string]*entry{}, lost: map[group]map[string]time.Time{}}
 }
 
 // change is what an answer of the list changed.
@@ -77,6 +77,7 @@
 // update takes one listed host. A host that is no longer leaving joins again.
 func (l *list) update(host *clemwire.Host, c *change) {
 	old := l.entries[host.GetName()]
+	delete(l.lost[groupOf(host)], host.GetName())
 	if old != nil && !old.missing && proto.Equal(old.host, host) {
 		return
 	}
@@ -92,12 +93,15 @@
 // judge removes the absent hosts of a group, or marks them as missing if they
 // and those lost lately are more than half of it.
 func (l *list) judge(g group, absent []*entry, listed int, now time.Time, c *change) {
-	l.lost[g] = slices.DeleteFunc(l.lost[g], func(t time.Time) bool { return now.Sub(t) > shrinkWindow })
+	if l.lost[g] == nil {
+		l.lost[g] = map[string]time.Time{}
+	}
+	maps.DeleteFunc(l.lost[g], func(_ string, at time.Time) bool { return now.Sub(at) > shrinkWindow })
 	lost := len(l.lost[g]) + len(absent)
 	doubt := lost > listed
 	for _, e := range absent {
 		if !doubt {
-			l.lost[g] = append(l.lost[g], now)
+			l.lost[g][e.host.GetName()] = now
 			l.remove(e, c)
 			continue
 		}
