--- a/clemfault/backend_test.go
+++ b/clemfault/backend_test.go
@@ -130,7 +130,16 @@
 	if err := sink.Start(&clemwire.Start{Status: 200, Media: "application/json"}); err != nil {
 		return err
 	}
-	return sink.Data([]byte(callAnswer(offer.GetKey())))
+	answer := callAnswer(offer.GetKey())
+	half := len(answer) / 2
+	if err := sink.Data([]byte(answer[:half])); err != nil {
+		return err
+	}
+	b.at(StepHalf, b.host.GetName())
+	if !rest(ctx, callTime) || !b.breathe() {
+		return context.Cause(ctx)
+	}
+	return sink.Data([]byte(answer[half:]))
 }
 
 func callAnswer(key string) string { return fmt.Sprintf(`{"done":%q}`, key) }
--- a/clemfault/caller_test.go
+++ b/clemfault/caller_test.go
@@ -60,8 +60,8 @@
 
 // ask sends one request to an entry and waits for the answer or the break.
 func (w *world) ask(entry, path, body string, header map[string]string) *response {
-	n := w.node(entry)
-	if n == nil || n.ctx.Err() != nil {
+	n := w.node(w.balance(entry))
+	if n.ctx.Err() != nil {
 		return &response{cut: true}
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, time.Minute)
@@ -89,6 +89,18 @@
 	return &response{status: c.status, header: c.header, body: c.body.String(), cut: !whole || n.ctx.Err() != nil}
 }
 
+// balance returns the entry, or the other one if that is not ready, as the
+// platform's balancer does.
+func (w *world) balance(entry string) string {
+	if n := w.node(entry); n.ctx.Err() == nil && !n.board.Drain().Get().Active() && n.board.Config().Get() != nil {
+		return entry
+	}
+	if entry == "entry-1" {
+		return "entry-2"
+	}
+	return "entry-1"
+}
+
 var eventID = regexp.MustCompile(`(?m)^id: (.*)\n`)
 
 // chat asks like a caller that wants one whole answer: it resumes a cut stream
--- a/clemfault/matrix_test.go
+++ b/clemfault/matrix_test.go
@@ -1,8 +1,11 @@
 package clemfault
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -10,12 +13,18 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineturn/clementineturn/clemstandin"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
+// pagePath is the page that holds the matrix's result.
+const pagePath = "../docs/FAULTS.md"
+
+var update = flag.Bool("update", false, "write the golden files")
+
 // pairSeed draws the steps at which pairs of faults strike.
 const pairSeed = 20261204
 
@@ -104,8 +113,8 @@
 
 // flap drops a host from the list and brings it back, twice.
 func (w *world) flap(server string) {
-	host := w.node(server).host
 	for range 2 {
+		host := w.listed(server)
 		w.setHost(server, nil)
 		rest(w.ctx, 5*time.Second)
 		w.setHost(server, host)
@@ -137,7 +146,7 @@
 	defer w.mu.Unlock()
 	w.strike = func(step, server string) {
 		w.mu.Lock()
-		if len(cells) == 0 || step != cells[0].step.Name() || !strings.HasPrefix(server, prefixOf(cells[0].step.Scenario())) {
+		if len(cells) == 0 || !cells[0].step.is(step) || !strings.HasPrefix(server, prefixOf(cells[0].step.Scenario())) {
 			w.mu.Unlock()
 			return
 		}
@@ -149,17 +158,28 @@
 	}
 }
 
+// checks returns the check of each scenario.
+func (w *world) checks() map[Scenario]func(*testing.T) []*response {
+	return map[Scenario]func(*testing.T) []*response{
+		Chat: w.checkChat, Reserve: w.checkReserve, Change: w.checkChange, Join: w.checkJoin, Leave: w.checkLeave,
+	}
+}
+
 func (w *world) disarm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.strike = nil
 }
 
+// is reports whether the step is the named one. A process that is not a
+// poller asks its parent where a poller reads the table.
+func (s Step) is(name string) bool {
+	return s.name == name || (s.name == StepPull && s.scenario == Join && name == StepRead)
+}
+
+// prefixOf returns which processes reach the steps of a scenario.
 func prefixOf(s Scenario) string {
-	if s == Reserve {
-		return "order"
-	}
-	return "engine"
+	return map[Scenario]string{Chat: "engine", Reserve: "order", Join: "engine-4", Leave: "engine"}[s]
 }
 
 // runCell runs one scenario under its faults and checks every promise.
@@ -167,11 +187,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		w.arm(cells...)
-		check := map[Scenario]func(*testing.T) []*response{Chat: w.checkChat, Reserve: w.checkReserve}[cells[0].step.Scenario()]
+		check := w.checks()[cells[0].step.Scenario()]
 		seen := check(t)
 		assert.Positive(t, w.struck, "the fault struck")
 		if len(cells) == 1 && strings.HasPrefix(cells[0].fault, "stop") {
-			assert.Len(t, seen, 1, "a graceful shutdown cuts off no request")
+			for _, r := range seen {
+				assert.True(t, r.status == http.StatusOK && !r.cut, "a graceful shutdown cuts off no request: %+v", r)
+			}
 		}
 		// A second fault whose step was not reached must not strike the check below.
 		w.disarm()
@@ -237,26 +259,34 @@
 	return runs
 }
 
-// TestMatrix runs every fault at every step.
+// TestMatrix runs every fault at every step. Its result is docs/FAULTS.md.
 func TestMatrix(t *testing.T) {
+	verdicts := map[cell]string{}
 	for _, step := range Steps() {
-		if step.Scenario() != Chat && step.Scenario() != Reserve {
-			continue
-		}
 		for _, fault := range Faults() {
 			if fault.Impossible(step.Scenario()) != "" {
 				continue
 			}
 			c := cell{step, fault.Name()}
-			t.Run(c.String(), func(t *testing.T) { runCell(t, c) })
+			verdicts[c] = "broken"
+			if t.Run(c.String(), func(t *testing.T) { runCell(t, c) }) {
+				verdicts[c] = Kept
+			}
 		}
 	}
+	got := Page(func(step Step, fault Fault) string { return verdicts[cell{step, fault.Name()}] })
+	if *update {
+		require.NoError(t, os.WriteFile(pagePath, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(pagePath)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got)
 }
 
 // TestPairs runs every pair of faults, each at steps drawn from a seed.
 func TestPairs(t *testing.T) {
 	rng := rand.New(rand.NewPCG(pairSeed, pairSeed))
-	for _, scenario := range []Scenario{Chat, Reserve} {
+	for _, scenario := range Scenarios() {
 		steps := slices.DeleteFunc(Steps(), func(s Step) bool { return s.Scenario() != scenario })
 		for _, first := range Faults() {
 			for _, second := range Faults() {
--- a/clemfault/network_test.go
+++ b/clemfault/network_test.go
@@ -28,7 +28,7 @@
 	if strings.HasPrefix(key, "config/") {
 		t.at(StepRead, t.host.GetName())
 	}
-	if !t.breathe() {
+	if !t.breathe() || t.isIsolated(t.host.GetName()) {
 		return clementineturn.Row{}, errDead()
 	}
 	row, err := t.table.Get(ctx, key)
@@ -57,6 +57,8 @@
 	switch {
 	case strings.HasPrefix(key, "incarnation/"):
 		return StepNumber, ""
+	case strings.HasPrefix(key, "config/"):
+		return StepWrite, StepWritten
 	case !strings.HasPrefix(key, "claim/"):
 		return "", ""
 	}
@@ -178,6 +180,25 @@
 	return true
 }
 
+// isIsolated reports whether either end gets no news of the configuration.
+func (l *link) isIsolated() bool {
+	return l.from.isIsolated(l.from.host.GetName()) || l.from.isIsolated(l.to)
+}
+
+// news passes a reply that carries configuration, unless either end is
+// isolated before the call or by its end.
+func news[T any](l *link, call func() (T, error)) (T, error) {
+	var none T
+	if l.isIsolated() {
+		return none, errReset(false)
+	}
+	reply, err := call()
+	if l.isIsolated() {
+		return none, errReset(false)
+	}
+	return reply, err
+}
+
 // take uses up a fault that strikes one message.
 func (l *link) take(flag func(*network) *bool) bool {
 	l.from.mu.Lock()
@@ -193,6 +214,10 @@
 // Offer implements clementineturn.Peer.
 func (l *link) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
 	l.from.at(StepOffer, l.to)
+	if *removed == removeGeneration {
+		offer = proto.CloneOf(offer)
+		offer.Generation = l.from.node(l.to).generation()
+	}
 	verdict, err := send(ctx, l, true, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Verdict, error) {
 		verdict, err := peer.Offer(ctx, proto.CloneOf(offer))
 		l.from.at(StepVerdict, l.to)
@@ -218,6 +243,9 @@
 // Pull implements clementineturn.Peer.
 func (l *link) Pull(ctx context.Context, pull *clemwire.Pull) (*clemwire.Pulled, error) {
 	l.from.at(StepPull, l.from.host.GetName())
+	if l.isIsolated() {
+		return nil, errReset(false)
+	}
 	return send(ctx, l, false, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Pulled, error) {
 		return peer.Pull(ctx, pull)
 	})
@@ -225,6 +253,10 @@
 
 // Beat implements clementineturn.Peer.
 func (l *link) Beat(ctx context.Context, beat *clemwire.Beat) (*clemwire.BeatReply, error) {
+	l.from.at(StepPull, l.from.host.GetName())
+	if l.isIsolated() {
+		return nil, errReset(false)
+	}
 	return send(ctx, l, false, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.BeatReply, error) {
 		return peer.Beat(ctx, beat)
 	})
@@ -261,9 +293,11 @@
 		})
 		ended <- err
 	}()
+	passed := newEndOf()
 	for {
 		select {
 		case frame := <-frames:
+			passed.add(frame)
 			if !l.pass(ctx, func(n *network) time.Time { return n.back }) || !l.from.breathe() {
 				return clementineturn.Errorf(clementineturn.KindCut, "connection reset")
 			}
@@ -274,6 +308,9 @@
 			if ctx.Err() != nil {
 				return clementineturn.AsError(ctx.Err())
 			}
+			if end := passed.frame(); end != nil {
+				return handler(end)
+			}
 			if clementineturn.IsKind(err, clementineturn.KindUnknown) || clementineturn.IsNotRun(err) || err == nil {
 				return clementineturn.Errorf(clementineturn.KindCut, "connection reset")
 			}
--- a/clemfault/table.go
+++ b/clemfault/table.go
@@ -16,6 +16,9 @@
 	Leave   Scenario = "leave"
 )
 
+// Scenarios returns every scenario of the matrix.
+func Scenarios() []Scenario { return []Scenario{Chat, Reserve, Change, Join, Leave} }
+
 // Step is a point of a scenario at which a fault strikes.
 type Step struct {
 	name     string
@@ -58,6 +61,7 @@
 	StepFirst    = "first"
 	StepMiddle   = "middle"
 	StepRan      = "ran"
+	StepHalf     = "half"
 	StepVerdict  = "verdict"
 	StepRead     = "read"
 	StepWrite    = "write"
@@ -83,15 +87,16 @@
 		{StepDispatch, Reserve, "the sidecar hands the call to the service"},
 		{StepVerdict, Reserve, "the sidecar's verdict is on the way back"},
 		{StepRan, Reserve, "the service has run the call, its answer is on the way"},
+		{StepHalf, Reserve, "half of the answer has arrived"},
 		{StepWrite, Reserve, "the outcome is about to be written"},
 		{StepWritten, Reserve, "the outcome was written, its answer is on the way"},
 		{StepRead, Change, "the newest generation is being read"},
 		{StepWrite, Change, "the change is about to be written"},
 		{StepWritten, Change, "the change was written, its answer is on the way"},
-		{StepPull, Change, "a process asks its parent for the change"},
+		{StepPull, Change, "a process reports to its parent or asks it for the change"},
 		{StepStart, Join, "a sidecar starts"},
 		{StepNumber, Join, "its incarnation is about to be written"},
-		{StepPull, Join, "it asks a peer for the configuration"},
+		{StepPull, Join, "it asks a peer or the table for the configuration"},
 		{StepListed, Leave, "the platform lists the host as leaving while work runs"},
 		{StepMiddle, Leave, "the sidecar was told to stop and its stream is in the middle"},
 	}
@@ -125,20 +130,22 @@
 
 // Faults returns every fault of the matrix.
 func Faults() []Fault {
+	backend := "no backend server takes part in a change of configuration"
+	offer := "a change sends no offer; pulls and beats only read or replace"
 	clock := "time is measured on the monotonic clock; wall time stands in records and logs only, and decides nothing"
 	return []Fault{
 		{FaultKillEntry, "the entry dies and stays dead", nil},
 		{FaultKillSidecar, "the sidecar dies and a new incarnation starts after 5 s", nil},
-		{FaultKillBackend, "the backend server drops its work and is back after 5 s", nil},
-		{FaultKillHost, "both die and are back after 5 s", nil},
+		{FaultKillBackend, "the backend server drops its work and is back after 5 s", map[Scenario]string{Change: backend}},
+		{FaultKillHost, "both die and are back after 5 s", map[Scenario]string{Change: backend}},
 		{FaultFreezeEntry, "the entry stops for 10 s and goes on", nil},
 		{FaultFreeze, "the sidecar stops for 10 s and goes on", nil},
 		{FaultCutThere, "messages to the sidecar are lost for 5 s", nil},
 		{FaultCutBack, "answers of the sidecar are lost for 5 s", nil},
 		{FaultCut, "messages and answers of the sidecar are lost for 5 s", nil},
 		{FaultDelay, "messages take 400 ms more for 5 s", nil},
-		{FaultLostAnswer, "the next answer of the sidecar is lost", nil},
-		{FaultDuplicate, "the next message to the sidecar arrives twice", nil},
+		{FaultLostAnswer, "the next answer of the sidecar is lost", map[Scenario]string{Change: offer}},
+		{FaultDuplicate, "the next message to the sidecar arrives twice", map[Scenario]string{Change: offer}},
 		{FaultStoreDown, "the platform's table is down for 30 s", nil},
 		{FaultStoreSlow, "each call of the table takes 2 s more for 10 s", nil},
 		{FaultStoreLost, "the next write takes effect and its answer is lost", nil},
--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -54,11 +54,11 @@
 	nodes    map[string]*node
 	backends map[string]*backend
 	net      network
+	// isolated names a process that gets no news of the configuration.
+	isolated string
 	// strike is called at each step; struck counts the faults it injected.
 	strike func(step, node string)
 	struck int
-	// removed switches mechanisms off in the mutation check.
-	removed string
 }
 
 // node is one running process. A restarted host is another node.
@@ -188,6 +188,18 @@
 	w.hosts = hosts
 }
 
+// listed returns a host's entry of the list.
+func (w *world) listed(name string) *clemwire.Host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, host := range w.hosts {
+		if host.GetName() == name {
+			return host
+		}
+	}
+	return nil
+}
+
 func (w *world) node(name string) *node {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -221,19 +233,24 @@
 		n.startSidecar(gate)
 	}
 	n.ends = append(n.ends, n.member.Start(n.ctx), n.relay.Start(n.ctx))
-	w.mu.Lock()
-	w.nodes[name] = n
-	w.mu.Unlock()
 	return n
 }
 
+// register lets others reach the process.
+func (n *node) register(peer clementineturn.Peer) {
+	n.peer = peer
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[n.host.GetName()] = n
+}
+
 func (n *node) startEntry() {
 	n.entry = clementry.New(clementry.Config{
 		Name: n.host.GetName(), Board: n.board, Relay: n.relay, Health: n.member, Peers: &nodePeers{n},
 		Ranker: clemrank.New(clemrank.Config{Most: 8}), Burn: clemburn.New(clemburn.Config{}),
 		Metrics: clemmetric.New(), Body: 1 << 20, Deadline: 20 * time.Second,
 	})
-	n.peer = n.entry
+	n.register(n.entry)
 	n.handler = chi.NewRouter()
 	n.entry.Mount(n.handler)
 }
@@ -243,25 +260,24 @@
 	if n.backends[name] == nil {
 		n.backends[name] = newBackend(n.world, name)
 	}
-	ledger := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: &nodeTable{n}})
+	claims := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: &nodeTable{n}})
 	n.sidecar = clemsidecar.New(clemsidecar.Config{
 		Server: name, Pool: n.host.GetPool(), Board: n.board, Gate: gate, Backend: &nodeBackend{n, n.backends[name]},
 		Relay: n.relay, Answers: clemanswer.New(clemanswer.Config{Bytes: 1 << 20, Linger: linger}),
 	})
-	n.peer = n.sidecar
-	n.ends = append(n.ends, n.sidecar.Start(n.ctx), ledger.Start(n.ctx))
+	n.register(n.sidecar)
 	done := make(chan error, 1)
-	n.ends = append(n.ends, done)
-	go func() { done <- n.hold(ledger) }()
+	n.ends = append(n.ends, n.sidecar.Start(n.ctx), claims.Start(n.ctx), done)
+	go func() { done <- n.hold(ledger(claims)) }()
 }
 
 // hold takes the incarnation and runs the keeper under it.
-func (n *node) hold(ledger *clemclaim.Ledger) error {
+func (n *node) hold(ledger clementineturn.Ledger) error {
 	for {
 		incarnation, err := clemfence.Next(n.ctx, &nodeTable{n}, n.host.GetName())
 		if err == nil {
 			keeper := clemclaim.NewKeeper(clemclaim.KeeperConfig{
-				Ledger: ledger, Server: n.host.GetName(), Incarnation: incarnation, Locate: n.locate,
+				Ledger: ledger, Server: n.host.GetName(), Incarnation: number(incarnation), Locate: n.locate,
 			})
 			end := keeper.Start(n.ctx)
 			n.sidecar.Hold(incarnation, keeper)
