Model test: each request id makes at most one generation

Change: three processes with lagging states commit, repeat and restart over a table that is down, loses answers or lets writes take effect late, in virtual time.

--- /dev/null
+++ b/clemconfig/model_test.go
@@ -0,0 +1,128 @@
+package clemconfig
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed makes the random tests repeat; -rapid.seed sets another.
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// processes share one table; each holds its own log and a state that may lag.
+type processes struct {
+	table  *clemstandin.Table
+	logs   []*Log
+	states []*State
+	// answers holds the generation that each request id was answered with.
+	answers map[string]uint64
+}
+
+func (p *processes) restart(i int) {
+	p.logs[i], p.states[i] = NewLog(LogConfig{Table: p.table}), Empty()
+}
+
+// request creates or deletes an organisation under an id that others use too.
+// An id always stands for the same request.
+func (p *processes) request(t *rapid.T, i, id int) {
+	change := createOrganisation(fmt.Sprint("id", id), fmt.Sprint("o", id%3))
+	if id%2 == 1 {
+		change.Action = clemwire.Action_ACTION_DELETE
+	}
+	state, generation, err := p.logs[i].Commit(context.Background(), p.states[i], change)
+	if state != nil {
+		p.states[i] = state
+	}
+	if err != nil {
+		kind := clementineturn.AsError(err).Kind()
+		require.Contains(t, []clementineturn.Kind{
+			clementineturn.KindExists, clementineturn.KindNotFound, clementineturn.KindUnavailable, clementineturn.KindUnknown,
+		}, kind, "%v", err)
+		require.Equal(t, kind != clementineturn.KindUnknown, clementineturn.IsNotRun(err), "%v", err)
+		return
+	}
+	if first, ok := p.answers[change.GetId()]; ok {
+		require.Equal(t, first, generation, "id %d", id)
+	}
+	p.answers[change.GetId()] = generation
+}
+
+// Whatever the table loses and whoever restarts, each id makes at most one
+// generation, and every answer names it.
+func TestEachIDOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { failure = recover() }()
+			run(rt)
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	})
+}
+
+func run(t *rapid.T) {
+	const count = 3
+	p := &processes{
+		table: clemstandin.NewTable(), logs: make([]*Log, count), states: make([]*State, count), answers: map[string]uint64{},
+	}
+	for i := range count {
+		p.restart(i)
+	}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		p.step(t, rapid.IntRange(0, count-1).Draw(t, "process"))
+	}
+	p.table.Inject(clemstandin.TableFaults{})
+	time.Sleep(2 * time.Second)
+	p.check(t)
+}
+
+func (p *processes) step(t *rapid.T, i int) {
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	case 0:
+		p.restart(i)
+	case 1:
+		p.table.Inject(clemstandin.TableFaults{Down: rapid.Bool().Draw(t, "down")})
+	case 2:
+		p.table.Inject(clemstandin.TableFaults{LostAnswers: 1})
+	case 3:
+		p.table.Inject(clemstandin.TableFaults{LateWrites: 1, Late: time.Second})
+	case 4:
+		time.Sleep(2 * time.Second)
+	default:
+		p.request(t, i, rapid.IntRange(0, 11).Draw(t, "id"))
+	}
+}
+
+// check reads the whole log.
+func (p *processes) check(t *rapid.T) {
+	log, ids, generation := NewLog(LogConfig{Table: p.table}), map[string]uint64{}, uint64(0)
+	for {
+		change, err := log.Next(context.Background(), generation)
+		if clementineturn.IsKind(err, clementineturn.KindNotFound) {
+			break
+		}
+		require.NoError(t, err)
+		generation++
+		require.Zero(t, ids[change.GetId()], "id %s made two generations", change.GetId())
+		ids[change.GetId()] = generation
+	}
+	for id, answer := range p.answers {
+		require.Equal(t, ids[id], answer, "id %s", id)
+	}
+}
