--- a/clemconfig/check.go
+++ b/clemconfig/check.go
@@ -22,6 +22,9 @@
 	maxHedge   = 0.2
 	minShare   = 0.05
 	maxTimeout = time.Hour
+	// maxText bounds names that come from elsewhere, in bytes.
+	maxText     = 253
+	maxAdapters = 64
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -47,6 +50,12 @@
 		if err := checkCurrent(n, old, Generation(entity)); err != nil {
 			return err
 		}
+		// Services refer to plain pools only.
+		if old.GetPool().GetKind() != entity.GetPool().GetKind() {
+			if err := s.checkUnused(n); err != nil {
+				return err
+			}
+		}
 	case clemwire.Action_ACTION_DELETE:
 		want := Generation(entity)
 		if want == 0 {
@@ -88,9 +97,7 @@
 	case *clemwire.Entity_Rule:
 		return s.checkRule(k.Rule)
 	case *clemwire.Entity_Drain:
-		if k.Drain.GetServer() == "" {
-			return clementineturn.Invalid("drain.server", "a server is needed")
-		}
+		return checkText("drain.server", k.Drain.GetServer())
 	}
 	return nil
 }
@@ -125,8 +132,8 @@
 func (s *State) checkPool(p *clemwire.Pool) error {
 	switch p.GetKind() {
 	case clemwire.PoolKind_POOL_KIND_MODEL:
-		if p.GetModel() == "" {
-			return clementineturn.Invalid("pool.model", "a model pool needs a model")
+		if err := checkText("pool.model", p.GetModel()); err != nil {
+			return err
 		}
 		if other := s.Model(p.GetModel()); other != nil && other.GetName() != p.GetName() {
 			return clementineturn.Invalid("pool.model", "pool %q serves %q", other.GetName(), p.GetModel())
@@ -138,6 +145,9 @@
 	default:
 		return clementineturn.Invalid("pool.kind", "found %v, allowed are model and plain", p.GetKind())
 	}
+	if err := checkVersion(p); err != nil {
+		return err
+	}
 	checks := []struct {
 		field           string
 		value, low, top float64
@@ -158,6 +168,32 @@
 	return checkObjective("pool.objective", p.GetObjective())
 }
 
+func checkVersion(p *clemwire.Pool) error {
+	if p.GetVersion() != "" {
+		if err := checkText("pool.version", p.GetVersion()); err != nil {
+			return err
+		}
+	}
+	if len(p.GetAdapters()) > maxAdapters {
+		return clementineturn.Invalid("pool.adapters", "found %d, at most %d are allowed", len(p.GetAdapters()), maxAdapters)
+	}
+	for i, adapter := range p.GetAdapters() {
+		if err := checkText(fmt.Sprintf("pool.adapters[%d]", i), adapter); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkText checks names that the platform or the backend servers give.
+func checkText(field, text string) error {
+	strange := strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
+	if text == "" || len(text) > maxText || strange {
+		return clementineturn.Invalid(field, "found %.80q, 1 to %d printable ASCII characters without spaces are needed", text, maxText)
+	}
+	return nil
+}
+
 func (s *State) checkService(service *clemwire.Service) error {
 	pool := s.Pool(service.GetPool())
 	if pool.GetKind() != clemwire.PoolKind_POOL_KIND_PLAIN {
