Catalogue of metrics; gauges of process, board, entry and sidecar

Cause: a sidecar's /metrics was empty and an entry's held two metrics; memory and processor time, which have limits, could not be read. Change: clemmetric has a table of all metrics, gauges that are set when the metrics are served, and the page made from the table; clemnode sets them. A test looks for names in the code that the table lacks.

--- a/clemdoc/page.go
+++ b/clemdoc/page.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,6 +13,7 @@
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clemsetting"
 )
 
@@ -36,6 +38,7 @@
 		{"docs/operating/settings.md", settings()},
 		{"docs/operating/events.md", events()},
 		{"docs/operating/errors.md", kinds()},
+		{"docs/operating/metrics.md", metrics()},
 	}
 }
 
@@ -87,17 +90,16 @@
 	return "no"
 }
 
+// both returns the role, or "both" for none.
+func both(role string) string { return cmp.Or(role, "both") }
+
 func settings() []byte {
 	p := newPage("Settings", "One JSON file per process. "+
 		"`clementine check FILE` reports every fault with the key's path, what was found and what is allowed. "+
 		"Unknown keys, keys of the other role and keys given twice are refused. A dot in a path stands for a nested object.")
 	p.table("Key", "Role", "Value", "Default", "Meaning")
 	for _, key := range clemsetting.Keys() {
-		role := key.Role()
-		if role == "" {
-			role = "both"
-		}
-		p.row(code(key.Path()), role, key.Allowed(), initial(key), key.Doc())
+		p.row(code(key.Path()), both(key.Role()), key.Allowed(), initial(key), key.Doc())
 	}
 	return p.Bytes()
 }
@@ -144,3 +146,14 @@
 	}
 	return p.Bytes()
 }
+
+func metrics() []byte {
+	p := newPage("Metrics", "Served at `/metrics` in Prometheus's text form, where every name starts with `clementine_`, and at `/metrics.json`. "+
+		"Summaries have the quantiles 0.5, 0.95 and 0.99 of about the last five minutes, and a count and a sum over all values. "+
+		"The service-level burn report is `clementine ctl burn`.")
+	p.table("Metric", "Type", "Role", "Labels", "Meaning")
+	for _, info := range clemmetric.Catalogue() {
+		p.row(code(info.Name()), info.Kind(), both(info.Role()), cmp.Or(info.Labels(), "-"), info.Doc())
+	}
+	return p.Bytes()
+}
--- a/clemdoc/page_test.go
+++ b/clemdoc/page_test.go
@@ -38,4 +38,5 @@
 	// docs/operating/settings.md: # Settings
 	// docs/operating/events.md: # Log events
 	// docs/operating/errors.md: # Error kinds
+	// docs/operating/metrics.md: # Metrics
 }
--- /dev/null
+++ b/clemmetric/catalogue.go
@@ -0,0 +1,71 @@
+package clemmetric
+
+// Names of the metrics. Prometheus's text form puts "clementine_" before them.
+const (
+	Requests    = "requests"
+	RequestTime = "request_time"
+	Active      = "active"
+	Running     = "running"
+	Waiting     = "waiting"
+	Load        = "load"
+	Slowness    = "slowness"
+	Generation  = "generation"
+	Hosts       = "hosts"
+	Draining    = "draining"
+	Memory      = "memory_bytes"
+	Goroutines  = "goroutines"
+	Processor   = "cpu_seconds"
+)
+
+// Info describes a metric.
+type Info struct {
+	name   string
+	kind   string
+	role   string
+	labels string
+	doc    string
+}
+
+// Name returns the metric's name.
+func (i Info) Name() string { return i.name }
+
+// Kind returns counter, gauge or summary.
+func (i Info) Kind() string { return i.kind }
+
+// Role returns the only role that has the metric, or "" if every role has it.
+func (i Info) Role() string { return i.role }
+
+// Labels returns the names of the labels, separated by commas.
+func (i Info) Labels() string { return i.labels }
+
+// Doc returns the explanation for the catalogue page.
+func (i Info) Doc() string { return i.doc }
+
+// Catalogue returns every metric.
+func Catalogue() []Info { return append([]Info(nil), catalogue...) }
+
+var catalogue = []Info{
+	{Requests, kindCounter, "entry", "kind", "Callers' requests that ended, by ok or the error kind that the caller was told."},
+	{RequestTime, kindSummary, "entry", "", "Time from the start of a caller's request to its end, in seconds."},
+	{Active, kindGauge, "entry", "", "Callers' requests in progress."},
+	{Running, kindGauge, "sidecar", "", "Requests that run on the backend server."},
+	{Waiting, kindGauge, "sidecar", "", "Requests in the sidecar's queue."},
+	{Load, kindGauge, "sidecar", "", "Work admitted to the backend server, in estimated tokens."},
+	{Slowness, kindGauge, "sidecar", "", "Time per token relative to the median of the pool; 0 if unknown, above 1 if slower."},
+	{Generation, kindGauge, "", "", "Generation of the configuration in force."},
+	{Hosts, kindGauge, "", "", "Hosts that take part, as this process sees them."},
+	{Draining, kindGauge, "", "", "1 while the process takes no new work, else 0."},
+	{Memory, kindGauge, "", "", "Memory that the process got from the operating system, in bytes."},
+	{Goroutines, kindGauge, "", "", "Goroutines of the process."},
+	{Processor, kindGauge, "", "", "Processor time that the process used, in seconds."},
+}
+
+// docOf returns the explanation of a metric, or "".
+func docOf(name string) string {
+	for _, info := range catalogue {
+		if info.name == name {
+			return info.doc
+		}
+	}
+	return ""
+}
--- a/clemmetric/handler.go
+++ b/clemmetric/handler.go
@@ -72,6 +72,9 @@
 		name, labels := splitName(full)
 		v := values[full]
 		if name != last {
+			if doc := docOf(name); doc != "" {
+				fmt.Fprintf(&b, "# HELP %s%s %s\n", prefix, name, doc)
+			}
 			fmt.Fprintf(&b, "# TYPE %s%s %s\n", prefix, name, v.kind)
 			last = name
 		}
@@ -103,6 +106,7 @@
 	if r == nil {
 		return values
 	}
+	r.scrape()
 	r.metrics.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
--- a/clemmetric/registry.go
+++ b/clemmetric/registry.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
@@ -22,11 +23,34 @@
 // nil Registry gives metrics that nobody reads.
 type Registry struct {
 	metrics metrics.Registry
+	mu      sync.Mutex
+	scrapes []func()
 }
 
 // New returns an empty registry.
 func New() *Registry { return &Registry{metrics: metrics.NewRegistry()} }
 
+// OnScrape adds a function that updates gauges before the metrics are served.
+// It must not block.
+func (r *Registry) OnScrape(update func()) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.scrapes = append(r.scrapes, update)
+}
+
+// scrape runs the functions of OnScrape without the lock, since they may add metrics.
+func (r *Registry) scrape() {
+	r.mu.Lock()
+	scrapes := slices.Clone(r.scrapes)
+	r.mu.Unlock()
+	for _, update := range scrapes {
+		update()
+	}
+}
+
 // Counter returns the counter of the name and the label-value pairs.
 func (r *Registry) Counter(name string, labels ...string) metrics.Counter {
 	return register(r, name, labels, metrics.NewCounter)
--- a/clemmetric/registry_test.go
+++ b/clemmetric/registry_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +102,36 @@
 	timer.Update(time.Second)
 	require.EqualValues(t, 1, timer.Snapshot().Count())
 }
+
+func TestOnScrape(t *testing.T) {
+	r := New()
+	r.ObserveProcess()
+	r.OnScrape(func() { r.Gauge(Generation).Update(7) })
+	body := serve(r.Text()).Body.String()
+	require.Contains(t, body, "# HELP clementine_generation Generation of the configuration in force.\n# TYPE clementine_generation gauge\nclementine_generation 7\n")
+	require.Regexp(t, `clementine_memory_bytes [1-9]`, body)
+	require.Regexp(t, `clementine_goroutines [1-9]`, body)
+	require.Regexp(t, `clementine_cpu_seconds [0-9]`, body)
+	var none *Registry
+	none.OnScrape(func() {})
+}
+
+// Every metric that the code names is in the catalogue.
+func TestCatalogueIsWhole(t *testing.T) {
+	files, err := filepath.Glob("../clem*/*.go")
+	require.NoError(t, err)
+	use := regexp.MustCompile(`\.(Counter|Gauge|Float|Timer|Histogram)\("([^"]+)"`)
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		source, err := os.ReadFile(file)
+		require.NoError(t, err)
+		for _, match := range use.FindAllStringSubmatch(string(source), -1) {
+			require.NotEmpty(t, docOf(match[2]), "%s: %s", file, match[2])
+		}
+	}
+	for _, info := range Catalogue() {
+		require.Equal(t, info.Name(), cleanName(info.Name()))
+	}
+}
--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -60,9 +60,12 @@
 	Entry     *clementry.Entry
 	Operators *clemops.Handler
 	Peers     *clemrpc.Peers
+	Metrics   *clemmetric.Registry
 }
 
 func newEntryProcess(parts entryParts) (*process, error) {
+	observeBoard(parts.Metrics, parts.Board)
+	observeEntry(parts.Metrics, parts.Entry)
 	router := chi.NewRouter()
 	parts.Entry.Mount(router)
 	clemrpc.NewServer(clemrpc.ServerConfig{Context: parts.Context, Key: parts.Settings.Fleet(), Peer: parts.Entry}).Mount(router)
--- /dev/null
+++ b/clemnode/metric.go
@@ -0,0 +1,42 @@
+package clemnode
+
+import (
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clementry"
+	"github.com/clementineturn/clementineturn/clemgate"
+	"github.com/clementineturn/clementineturn/clemmetric"
+)
+
+// observeBoard adds the metrics of every role.
+func observeBoard(metrics *clemmetric.Registry, board *clemboard.Board) {
+	metrics.ObserveProcess()
+	metrics.OnScrape(func() {
+		if state := board.Config().Get(); state != nil {
+			metrics.Gauge(clemmetric.Generation).Update(int64(state.Generation()))
+		}
+		if members := board.Members().Get(); members != nil {
+			metrics.Gauge(clemmetric.Hosts).Update(int64(len(members.Hosts())))
+		}
+		draining := int64(0)
+		if board.Drain().Get().Active() {
+			draining = 1
+		}
+		metrics.Gauge(clemmetric.Draining).Update(draining)
+	})
+}
+
+// observeEntry adds the metrics of an entry.
+func observeEntry(metrics *clemmetric.Registry, entry *clementry.Entry) {
+	metrics.OnScrape(func() { metrics.Gauge(clemmetric.Active).Update(entry.Active()) })
+}
+
+// observeGate adds the metrics of a sidecar.
+func observeGate(metrics *clemmetric.Registry, gate *clemgate.Gate) {
+	metrics.OnScrape(func() {
+		report := gate.Report()
+		metrics.Gauge(clemmetric.Running).Update(int64(report.Running()))
+		metrics.Gauge(clemmetric.Waiting).Update(int64(report.Waiting()))
+		metrics.Gauge(clemmetric.Load).Update(int64(report.Load()))
+		metrics.Float(clemmetric.Slowness).Update(report.Slowness())
+	})
+}
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -63,6 +63,7 @@
 	Board    *clemboard.Board
 	Events   *clemevent.Logger
 	Metrics  *clemmetric.Registry
+	Gate     *clemgate.Gate
 	Relay    *clemrelay.Relay
 	Member   *clemmember.Controller
 	Table    clementineturn.Table
@@ -73,6 +74,8 @@
 }
 
 func newSidecarProcess(parts sidecarParts) (*process, error) {
+	observeBoard(parts.Metrics, parts.Board)
+	observeGate(parts.Metrics, parts.Gate)
 	router := chi.NewRouter()
 	parts.mount(router)
 	s, err := listen(parts.Context, parts.Settings, parts.Settings.Listen(), router)
