Reports and claim resolution use the platform's list, not the members

Cause: the board's members leave out hosts that take no new work. So a drained server disappeared from the report of generations, and a held call of a server that was merely drained or flapping counted as abandoned: an operator could have voided a call that still ran, and a repeat would have run it twice. Change: clemops.Config.Hosts, wired in clemnode; reports fall back to the members if the list does not answer, resolution is refused then. Whole numbers in metrics have no exponent. Conclusion: a held call can be settled only if its holder left the list or was restarted.

--- a/clemmetric/handler.go
+++ b/clemmetric/handler.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -152,7 +153,13 @@
 	return "{" + labels + "}"
 }
 
-func number(n float64) string { return strconv.FormatFloat(n, 'g', -1, 64) }
+// number writes whole numbers without an exponent.
+func number(n float64) string {
+	if n == math.Trunc(n) && math.Abs(n) < 1e15 {
+		return strconv.FormatInt(int64(n), 10)
+	}
+	return strconv.FormatFloat(n, 'g', -1, 64)
+}
 
 func compareNames(a, b string) int {
 	nameA, labelsA := splitName(a)
--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -40,9 +40,9 @@
 	})
 }
 
-func newOperators(settings *clemsetting.Settings, self *clemwire.Host, board *clemboard.Board, log *clemconfig.Log, ledger clementineturn.Ledger, peers clementineturn.Peers, relay *clemrelay.Relay, events *clemevent.Logger) *clemops.Handler {
+func newOperators(settings *clemsetting.Settings, self *clemwire.Host, board *clemboard.Board, log *clemconfig.Log, ledger clementineturn.Ledger, peers clementineturn.Peers, hosts clementineturn.Hosts, relay *clemrelay.Relay, events *clemevent.Logger) *clemops.Handler {
 	return clemops.New(clemops.Config{
-		Board: board, Log: log, Ledger: ledger, Peers: peers, Self: self, Learn: relay.Adopt, Tokens: settings.Operators(), Events: events,
+		Board: board, Log: log, Ledger: ledger, Peers: peers, Hosts: hosts, Self: self, Learn: relay.Adopt, Tokens: settings.Operators(), Events: events,
 	})
 }
 
--- a/clemops/claim.go
+++ b/clemops/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"mime"
+	"slices"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -93,17 +94,18 @@
 	default:
 		return clementineturn.Refuse(clementineturn.KindConflict, "the call is in state %v, only one whose outcome is unknown can be resolved", record.GetState())
 	}
-	claim, members := record.GetClaim(), h.board.Members().Get()
-	if members == nil {
-		return clementineturn.Refuse(clementineturn.KindUnready, "the list of hosts is not known yet")
+	hosts, err := h.listed(ctx)
+	if err != nil {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "whether the holder left the list of hosts cannot be read: %w", err)
 	}
-	host := members.Host(claim.GetServer())
-	if host == nil {
+	claim := record.GetClaim()
+	i := slices.IndexFunc(hosts, func(host *clemwire.Host) bool { return host.GetName() == claim.GetServer() })
+	if i < 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	probed, err := h.peers.Peer(host.GetAddress()).Probe(ctx)
+	probed, err := h.peers.Peer(hosts[i].GetAddress()).Probe(ctx)
 	if err != nil {
 		return clementineturn.Refuse(clementineturn.KindUnavailable, "the holder %q does not answer and may still run the call: %w", claim.GetServer(), err)
 	}
--- a/clemops/claim_test.go
+++ b/clemops/claim_test.go
@@ -78,20 +78,23 @@
 	require.Equal(t, done, shown.Msg.GetRecord().GetState())
 }
 
-// A held call can be resolved only if its holder can no longer end it.
+// A held call can be resolved only if its holder can no longer end it. That
+// the holder takes no new work, and so is no member, does not suffice.
 func TestResolveHeld(t *testing.T) {
 	b := newBench(t)
 	b.claim(t, "k", held)
-	_, err := b.resolve(t, anaToken, "k", true, nil)
-	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnready, "")
+	b.board.Members().Set(clemboard.NewMembers(nil))
+	refused := func(code connect.Code, kind clementineturn.Kind) {
+		_, err := b.resolve(t, anaToken, "k", true, nil)
+		requireError(t, err, code, kind, "")
+	}
+	refused(connect.CodeUnavailable, clementineturn.KindUnavailable)
 
-	members(b.board)
+	b.hosts.list = []*clemwire.Host{{Name: "srv-1", Address: "10.0.1.1:1", Role: "sidecar", Leaving: true}}
 	b.peers.probed = map[string]*clemwire.Probed{"10.0.1.1:1": {Node: "srv-1", Incarnation: 4}}
-	_, err = b.resolve(t, anaToken, "k", true, nil)
-	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	refused(connect.CodeAborted, clementineturn.KindConflict)
 	b.peers.probed["10.0.1.1:1"] = nil
-	_, err = b.resolve(t, anaToken, "k", true, nil)
-	requireError(t, err, connect.CodeUnavailable, clementineturn.KindUnavailable, "")
+	refused(connect.CodeUnavailable, clementineturn.KindUnavailable)
 
 	b.peers.probed["10.0.1.1:1"] = &clemwire.Probed{Node: "srv-1", Incarnation: 5}
 	record, err := b.resolve(t, anaToken, "k", true, nil)
@@ -100,7 +103,7 @@
 	require.Nil(t, record.GetOutcome())
 
 	b.claim(t, "gone", held)
-	b.board.Members().Set(clemboard.NewMembers(nil))
+	b.hosts.list = []*clemwire.Host{}
 	record, err = b.resolve(t, anaToken, "gone", false, nil)
 	require.NoError(t, err)
 	require.Equal(t, void, record.GetState())
--- a/clemops/fake_test.go
+++ b/clemops/fake_test.go
@@ -67,12 +67,26 @@
 	return nil, ctx.Err()
 }
 
+// fakeHosts is a list of hosts; nil does not answer.
+type fakeHosts struct {
+	list []*clemwire.Host
+}
+
+// List implements clementineturn.Hosts.
+func (f *fakeHosts) List(context.Context, clementineturn.Version) ([]*clemwire.Host, clementineturn.Version, error) {
+	if f.list == nil {
+		return nil, "", clementineturn.Errorf(clementineturn.KindUnavailable, "the list is down")
+	}
+	return f.list, "1", nil
+}
+
 // bench is a handler over stand-ins.
 type bench struct {
 	table   *clemstandin.Table
 	board   *clemboard.Board
 	ledger  *clemclaim.Ledger
 	peers   *fakePeers
+	hosts   *fakeHosts
 	logs    *observer.ObservedLogs
 	handler *Handler
 	url     string
@@ -87,7 +101,7 @@
 	t.Helper()
 	core, logs := observer.New(zapcore.DebugLevel)
 	b := &bench{
-		table: clemstandin.NewTable(), board: clemboard.New(), logs: logs, peers: &fakePeers{},
+		table: clemstandin.NewTable(), board: clemboard.New(), logs: logs, peers: &fakePeers{}, hosts: &fakeHosts{},
 	}
 	b.ledger = clemclaim.NewLedger(clemclaim.LedgerConfig{Table: b.table, Interval: time.Millisecond, Workers: 1})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,7 +111,7 @@
 		require.NoError(t, <-done)
 	})
 	b.handler = New(Config{
-		Board: b.board, Log: clemconfig.NewLog(clemconfig.LogConfig{Table: b.table}), Ledger: b.ledger, Peers: b.peers,
+		Board: b.board, Log: clemconfig.NewLog(clemconfig.LogConfig{Table: b.table}), Ledger: b.ledger, Peers: b.peers, Hosts: b.hosts,
 		Learn:  b.board.Config().Set,
 		Tokens: []Operator{clemsetting.NewOperator("ana", digest(anaToken)), clemsetting.NewOperator("ben", digest(benToken))},
 		Events: clemevent.New(zap.New(core)),
--- a/clemops/fleet.go
+++ b/clemops/fleet.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	clementineturn "github.com/clementineturn/clementineturn"
-	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemburn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemsetting"
@@ -29,6 +28,8 @@
 	answerTime = 2 * time.Second
 	// askTime bounds a whole report; hosts not reached by then count as silent.
 	askTime = 20 * time.Second
+	// listTime bounds the read of the list of hosts.
+	listTime = 3 * time.Second
 	// newestTime bounds the look for the table's newest generation.
 	newestTime = 3 * time.Second
 )
@@ -38,7 +39,7 @@
 func (h *Handler) Generations(ctx context.Context, _ *connect.Request[clemwire.GenerationsRequest]) (*connect.Response[clemwire.GenerationsResponse], error) {
 	response := &clemwire.GenerationsResponse{}
 	probe := func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Probed, error) { return peer.Probe(ctx) }
-	response.Silent = ask(ctx, h, probers, h.hosts(""), probe, func(p *clemwire.Probed) {
+	response.Silent = ask(ctx, h, probers, h.asked(ctx, ""), probe, func(p *clemwire.Probed) {
 		response.Processes = append(response.Processes, p)
 		response.Generation = max(response.Generation, p.GetGeneration())
 	})
@@ -71,21 +72,36 @@
 	gather := func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Gathered, error) {
 		return peer.Gather(ctx)
 	}
-	silent := ask(ctx, h, gatherers, h.hosts(clemsetting.RoleEntry), gather, sum.Add)
+	silent := ask(ctx, h, gatherers, h.asked(ctx, clemsetting.RoleEntry), gather, sum.Add)
 	return connect.NewResponse(&clemwire.BurnResponse{Lines: sum.Lines(state), Silent: silent}), nil
 }
 
-// hosts returns the members of the role, or all for "", and the own host.
-func (h *Handler) hosts(role string) []*clemwire.Host {
-	members := h.board.Members().Get()
-	if members == nil {
-		members = clemboard.NewMembers(nil)
+// listed returns the hosts of the platform's list, also those that take no new
+// work. Errors: KindUnavailable, KindUnready.
+func (h *Handler) listed(ctx context.Context) ([]*clemwire.Host, error) {
+	if h.hosts == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnready, "there is no list of hosts")
 	}
-	all := slices.Clone(members.Hosts())
-	if h.self != nil && members.Host(h.self.GetName()) == nil {
-		all = append(all, h.self)
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	hosts, _, err := h.hosts.List(ctx, "")
+	return hosts, err
+}
+
+// asked returns the hosts of the role, or of all for "", that a report asks:
+// those of the platform's list, or the board's members if the list does not
+// answer, and the own host.
+func (h *Handler) asked(ctx context.Context, role string) []*clemwire.Host {
+	hosts, err := h.listed(ctx)
+	if members := h.board.Members().Get(); err != nil && members != nil {
+		hosts = members.Hosts()
+	}
+	hosts = slices.Clone(hosts)
+	own := func(host *clemwire.Host) bool { return host.GetName() == h.self.GetName() }
+	if h.self != nil && !slices.ContainsFunc(hosts, own) {
+		hosts = append(hosts, h.self)
 	}
-	return slices.DeleteFunc(all, func(host *clemwire.Host) bool { return role != "" && host.GetRole() != role })
+	return slices.DeleteFunc(hosts, func(host *clemwire.Host) bool { return role != "" && host.GetRole() != role })
 }
 
 // ask calls every host, a bounded number at a time, passes each answer on as
--- a/clemops/fleet_test.go
+++ b/clemops/fleet_test.go
@@ -96,15 +96,27 @@
 	}
 }
 
-// The own entry reports also before the list of hosts names it.
-func TestReportsAskSelf(t *testing.T) {
+// The own entry reports also before the list of hosts names it, and hosts that
+// take no new work report too; without the list the members are asked.
+func TestWhoIsAsked(t *testing.T) {
 	h := direct()
-	h.self = &clemwire.Host{Name: "entry-1", Address: "10.0.0.1:1", Role: "entry"}
-	for _, listed := range []*clemboard.Members{nil, clemboard.NewMembers(nil), clemboard.NewMembers([]*clemwire.Host{h.self})} {
-		h.board.Members().Set(listed)
-		burn, err := h.Burn(t.Context(), req(&clemwire.BurnRequest{}))
-		require.NoError(t, err)
-		require.Len(t, burn.Msg.GetLines(), 2)
-		require.EqualValues(t, 1000, burn.Msg.GetLines()[0].GetTotal(), "asked once")
+	h.self = &clemwire.Host{Name: "self", Role: "entry"}
+	names := func(role string) (names []string) {
+		for _, host := range h.asked(t.Context(), role) {
+			names = append(names, host.GetName())
+		}
+		return names
 	}
+	require.Equal(t, []string{"entry-2", "entry-1", "self"}, names("entry"), "members")
+	list := &fakeHosts{}
+	h.hosts = list
+	require.Equal(t, []string{"entry-2", "entry-1", "self"}, names("entry"), "the list does not answer")
+	list.list = []*clemwire.Host{{Name: "drained", Role: "sidecar"}, {Name: "leaving", Role: "entry", Leaving: true}}
+	require.Equal(t, []string{"drained", "leaving", "self"}, names(""))
+	require.Equal(t, []string{"leaving", "self"}, names("entry"))
+	list.list = append(list.list, h.self)
+	require.Equal(t, []string{"leaving", "self"}, names("entry"), "asked once")
+	h.board.Members().Set(nil)
+	h.hosts = nil
+	require.Equal(t, []string{"self"}, names(""))
 }
--- a/clemops/handler.go
+++ b/clemops/handler.go
@@ -38,6 +38,9 @@
 	Log    *clemconfig.Log
 	Ledger clementineturn.Ledger
 	Peers  clementineturn.Peers
+	// Hosts is the platform's list. Reports ask also hosts that take no new
+	// work, which the board leaves out.
+	Hosts clementineturn.Hosts
 	// Self is the entry's own host, which reports ask even while the list of
 	// hosts lacks it; may be nil.
 	Self *clemwire.Host
@@ -53,6 +56,7 @@
 	log    *clemconfig.Log
 	ledger clementineturn.Ledger
 	peers  clementineturn.Peers
+	hosts  clementineturn.Hosts
 	self   *clemwire.Host
 	learn  func(*clemconfig.State)
 	tokens []Operator
@@ -65,7 +69,7 @@
 func New(c Config) *Handler {
 	return &Handler{
 		board: c.Board, log: c.Log, ledger: c.Ledger, peers: c.Peers,
-		self: c.Self, learn: c.Learn, tokens: c.Tokens, events: c.Events,
+		hosts: c.Hosts, self: c.Self, learn: c.Learn, tokens: c.Tokens, events: c.Events,
 	}
 }
 
