--- a/clemctl/run_test.go
+++ b/clemctl/run_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"flag"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -85,6 +86,7 @@
 // bench is an operators' listener and the last run's output.
 type bench struct {
 	url      string
+	handler  http.Handler
 	table    *clemstandin.Table
 	ledger   *ledger
 	out, err bytes.Buffer
@@ -108,7 +110,7 @@
 	}).Mount(router)
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
-	b.url = server.URL
+	b.url, b.handler = server.URL, router
 	return b
 }
 
