--- a/clemctl/command.go
+++ b/clemctl/command.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"connectrpc.com/connect"
 	"github.com/integrii/flaggy"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -104,6 +105,16 @@
 	return clemwire.EntityKind(value), nil
 }
 
+// send makes one call and writes its answer.
+func send[Q, A any](ctx context.Context, s *session, call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), message *Q, write func(*A)) error {
+	response, err := call(ctx, request(s, message))
+	if err != nil {
+		return err
+	}
+	write(response.Msg)
+	return nil
+}
+
 // fileEntity reads the entity of create and update.
 func (s *session) fileEntity() (*clemwire.Entity, error) {
 	kind, err := s.kind()
@@ -121,12 +132,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := s.client.Create(ctx, request(s, &clemwire.CreateRequest{Id: s.id, Entity: entity}))
-	if err != nil {
-		return err
-	}
-	s.writeChange(response.Msg)
-	return nil
+	return send(ctx, s, s.client.Create, &clemwire.CreateRequest{Id: s.id, Entity: entity}, s.writeChange)
 }
 
 func update(ctx context.Context, s *session) error {
@@ -134,12 +140,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := s.client.Update(ctx, request(s, &clemwire.UpdateRequest{Id: s.id, Entity: entity}))
-	if err != nil {
-		return err
-	}
-	s.writeChange(response.Msg)
-	return nil
+	return send(ctx, s, s.client.Update, &clemwire.UpdateRequest{Id: s.id, Entity: entity}, s.writeChange)
 }
 
 func remove(ctx context.Context, s *session) error {
@@ -147,12 +148,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := s.client.Delete(ctx, request(s, &clemwire.DeleteRequest{Id: s.id, Kind: kind, Name: s.arguments[argName]}))
-	if err != nil {
-		return err
-	}
-	s.writeChange(response.Msg)
-	return nil
+	return send(ctx, s, s.client.Delete, &clemwire.DeleteRequest{Id: s.id, Kind: kind, Name: s.arguments[argName]}, s.writeChange)
 }
 
 func (s *session) entities(ctx context.Context) (*clemwire.ListResponse, error) {
@@ -192,49 +188,24 @@
 
 func addKey(ctx context.Context, s *session) error {
 	message := &clemwire.AddKeyRequest{Id: s.id, Organisation: s.arguments[argOrganisation], Name: s.arguments[argName]}
-	response, err := s.client.AddKey(ctx, request(s, message))
-	if err != nil {
-		return err
-	}
-	s.writeKey(response.Msg)
-	return nil
+	return send(ctx, s, s.client.AddKey, message, s.writeKey)
 }
 
 func drain(ctx context.Context, s *session) error {
-	response, err := s.client.DrainServer(ctx, request(s, &clemwire.DrainServerRequest{Id: s.id, Server: s.arguments[argServer]}))
-	if err != nil {
-		return err
-	}
-	s.writeChange(response.Msg)
-	return nil
+	return send(ctx, s, s.client.DrainServer, &clemwire.DrainServerRequest{Id: s.id, Server: s.arguments[argServer]}, s.writeChange)
 }
 
 func undrain(ctx context.Context, s *session) error {
-	response, err := s.client.UndrainServer(ctx, request(s, &clemwire.DrainServerRequest{Id: s.id, Server: s.arguments[argServer]}))
-	if err != nil {
-		return err
-	}
-	s.writeChange(response.Msg)
-	return nil
+	return send(ctx, s, s.client.UndrainServer, &clemwire.DrainServerRequest{Id: s.id, Server: s.arguments[argServer]}, s.writeChange)
 }
 
 func generations(ctx context.Context, s *session) error {
-	response, err := s.client.Generations(ctx, request(s, &clemwire.GenerationsRequest{}))
-	if err != nil {
-		return err
-	}
-	s.writeGenerations(response.Msg)
-	return nil
+	return send(ctx, s, s.client.Generations, &clemwire.GenerationsRequest{}, s.writeGenerations)
 }
 
 func showClaim(ctx context.Context, s *session) error {
 	message := &clemwire.ShowClaimRequest{Organisation: s.arguments[argOrganisation], Key: s.arguments[argKey]}
-	response, err := s.client.ShowClaim(ctx, request(s, message))
-	if err != nil {
-		return err
-	}
-	s.writeClaim(response.Msg)
-	return nil
+	return send(ctx, s, s.client.ShowClaim, message, s.writeClaim)
 }
 
 func resolveClaim(ctx context.Context, s *session) error {
@@ -242,12 +213,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := s.client.ResolveClaim(ctx, request(s, message))
-	if err != nil {
-		return err
-	}
-	s.writeClaim(response.Msg)
-	return nil
+	return send(ctx, s, s.client.ResolveClaim, message, s.writeClaim)
 }
 
 func (s *session) resolution() (*clemwire.ResolveClaimRequest, error) {
@@ -273,10 +239,5 @@
 }
 
 func burn(ctx context.Context, s *session) error {
-	response, err := s.client.Burn(ctx, request(s, &clemwire.BurnRequest{}))
-	if err != nil {
-		return err
-	}
-	s.writeBurn(response.Msg)
-	return nil
+	return send(ctx, s, s.client.Burn, &clemwire.BurnRequest{}, s.writeBurn)
 }
