--- a/clemmetric/handler.go
+++ b/clemmetric/handler.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -72,6 +73,9 @@
 		name, labels := splitName(full)
 		v := values[full]
 		if name != last {
+			if doc := docOf(name); doc != "" {
+				fmt.Fprintf(&b, "# HELP %s%s %s\n", prefix, name, doc)
+			}
 			fmt.Fprintf(&b, "# TYPE %s%s %s\n", prefix, name, v.kind)
 			last = name
 		}
@@ -103,6 +107,7 @@
 	if r == nil {
 		return values
 	}
+	r.scrape()
 	r.metrics.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
@@ -148,7 +153,13 @@
 	return "{" + labels + "}"
 }
 
-func number(n float64) string { return strconv.FormatFloat(n, 'g', -1, 64) }
+// number writes whole numbers without an exponent.
+func number(n float64) string {
+	if n == math.Trunc(n) && math.Abs(n) < 1e15 {
+		return strconv.FormatInt(int64(n), 10)
+	}
+	return strconv.FormatFloat(n, 'g', -1, 64)
+}
 
 func compareNames(a, b string) int {
 	nameA, labelsA := splitName(a)
--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -40,9 +40,9 @@
 	})
 }
 
-func newOperators(settings *clemsetting.Settings, self *clemwire.Host, board *clemboard.Board, log *clemconfig.Log, ledger clementineturn.Ledger, peers clementineturn.Peers, relay *clemrelay.Relay, events *clemevent.Logger) *clemops.Handler {
+func newOperators(settings *clemsetting.Settings, self *clemwire.Host, board *clemboard.Board, log *clemconfig.Log, ledger clementineturn.Ledger, peers clementineturn.Peers, hosts clementineturn.Hosts, relay *clemrelay.Relay, events *clemevent.Logger) *clemops.Handler {
 	return clemops.New(clemops.Config{
-		Board: board, Log: log, Ledger: ledger, Peers: peers, Self: self, Learn: relay.Adopt, Tokens: settings.Operators(), Events: events,
+		Board: board, Log: log, Ledger: ledger, Peers: peers, Hosts: hosts, Self: self, Learn: relay.Adopt, Tokens: settings.Operators(), Events: events,
 	})
 }
 
@@ -60,9 +60,12 @@
 	Entry     *clementry.Entry
 	Operators *clemops.Handler
 	Peers     *clemrpc.Peers
+	Metrics   *clemmetric.Registry
 }
 
 func newEntryProcess(parts entryParts) (*process, error) {
+	observeBoard(parts.Metrics, parts.Board)
+	observeEntry(parts.Metrics, parts.Entry)
 	router := chi.NewRouter()
 	parts.Entry.Mount(router)
 	clemrpc.NewServer(clemrpc.ServerConfig{Context: parts.Context, Key: parts.Settings.Fleet(), Peer: parts.Entry}).Mount(router)
