Prove the relay: learning, back-filling, long polls, frozen nodes

Cause: with the root hearing less than half of a pool its sum vanished at once, and a frozen node forgot sums that it could still have aged. Change: such a sum stays and ages, until the load bound falls back.

--- a/clemrelay/beat.go
+++ b/clemrelay/beat.go
@@ -246,15 +246,24 @@
 	return r.rootTotals()
 }
 
-// rootTotals returns the sums of a node that no parent answers, for the pools
-// of which it hears at least half the members. A smaller part would take its
-// own load for the pool's mean.
+// rootTotals returns the sums of a node that no parent answers. For a pool of
+// which it hears less than half the members the old sum stays and ages: a
+// small part of the fleet would take its own load for the pool's mean.
 func (r *Relay) rootTotals() sums {
-	totals := r.beats.sum(r.config.Loads(), time.Now())
+	heard := r.beats.sum(r.config.Loads(), time.Now())
 	members := r.config.Board.Members().Get()
-	for pool, p := range totals {
-		if members == nil || 2*int(p.servers) < len(members.Pool(pool)) {
-			delete(totals, pool)
+	if members == nil {
+		return r.beats.latest()
+	}
+	totals := sums{}
+	for pool, p := range r.beats.latest() {
+		if len(members.Pool(pool)) > 0 {
+			totals[pool] = p
+		}
+	}
+	for pool, p := range heard {
+		if 2*int(p.servers) >= len(members.Pool(pool)) {
+			totals[pool] = p
 		}
 	}
 	return totals
--- /dev/null
+++ b/clemrelay/relay_test.go
@@ -0,0 +1,189 @@
+package clemrelay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// alone returns a relay that is not started, over a table that holds so many changes.
+func alone(t *testing.T, changes int) (*Relay, *clemstandin.Table) {
+	table := clemstandin.NewTable()
+	log := clemconfig.NewLog(clemconfig.LogConfig{Table: table})
+	state := clemconfig.Empty()
+	for i := range changes {
+		next, _, err := log.Commit(t.Context(), state, organisation(fmt.Sprintf("o%d", i)))
+		require.NoError(t, err)
+		state = next
+	}
+	r := New(Config{Self: &clemwire.Host{Name: "a"}, Board: clemboard.New(), Log: log})
+	r.contact.heard()
+	return r, table
+}
+
+func changesOf(t *testing.T, r *Relay, from, to uint64) []*clemwire.Change {
+	var changes []*clemwire.Change
+	for g := from; g < to; g++ {
+		change, err := r.config.Log.Next(t.Context(), g)
+		require.NoError(t, err)
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+func TestLearn(t *testing.T) {
+	r, _ := alone(t, 5)
+	r.Learn(changesOf(t, r, 0, 1))
+	require.False(t, r.Ready(), "changes alone are no configuration")
+	r.Adopt(clemconfig.Empty())
+	require.True(t, r.Ready())
+	steps := []struct{ from, to, want uint64 }{
+		{0, 2, 2}, {3, 5, 2}, {0, 1, 2}, {1, 3, 3}, {0, 5, 5}, {0, 5, 5},
+	}
+	for _, s := range steps {
+		r.Learn(changesOf(t, r, s.from, s.to))
+		require.Equal(t, s.want, r.config.Board.Config().Get().Generation(), "changes %d to %d", s.from+1, s.to)
+	}
+	r.Adopt(clemconfig.Empty())
+	require.EqualValues(t, 5, r.config.Board.Config().Get().Generation())
+}
+
+// A state that this process committed leaves a gap in the changes it holds;
+// children get them from the table, or a snapshot if they are far behind.
+func TestAdoptBackfills(t *testing.T) {
+	r, table := alone(t, 200)
+	r.Adopt(clemconfig.Empty())
+	r.Learn(changesOf(t, r, 0, 2))
+	state, err := r.config.Log.Advance(t.Context(), r.config.Board.Config().Get())
+	require.NoError(t, err)
+	r.Adopt(state)
+	pulled, err := r.Pull(t.Context(), &clemwire.Pull{Generation: 150})
+	require.NoError(t, err)
+	require.Len(t, pulled.GetChanges(), 50)
+	require.Nil(t, pulled.GetSnapshot())
+	require.EqualValues(t, 151, pulled.GetChanges()[0].GetGeneration())
+	reads, _ := table.Counts()
+	_, err = r.Pull(t.Context(), &clemwire.Pull{Generation: 160})
+	require.NoError(t, err)
+	after, _ := table.Counts()
+	require.Equal(t, reads, after, "the changes are held now")
+	pulled, err = r.Pull(t.Context(), &clemwire.Pull{Generation: 3})
+	require.NoError(t, err)
+	require.EqualValues(t, 200, pulled.GetSnapshot().GetGeneration())
+}
+
+func TestPullWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := alone(t, 2)
+		_, err := r.Pull(t.Context(), &clemwire.Pull{})
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindUnready))
+		r.Adopt(clemconfig.Empty())
+		start := time.Now()
+		pulled, err := r.Pull(t.Context(), &clemwire.Pull{Wait: durationpb.New(time.Second)})
+		require.NoError(t, err)
+		require.Empty(t, pulled.GetChanges())
+		require.Equal(t, time.Second, time.Since(start))
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			r.Learn(changesOf(t, r, 0, 2))
+		}()
+		start = time.Now()
+		pulled, err = r.Pull(t.Context(), &clemwire.Pull{Wait: durationpb.New(time.Second)})
+		require.NoError(t, err)
+		require.Len(t, pulled.GetChanges(), 2)
+		require.Equal(t, 300*time.Millisecond, time.Since(start))
+		pulled, err = r.Pull(t.Context(), &clemwire.Pull{Generation: 7})
+		require.NoError(t, err)
+		require.EqualValues(t, 2, pulled.GetGeneration(), "a child that is ahead gets nothing")
+	})
+}
+
+// More waiting pulls than the bound are answered at once.
+func TestPullWaitersBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := alone(t, 0)
+		r.Adopt(clemconfig.Empty())
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for range maxWaiters {
+			wg.Go(func() { _, _ = r.Pull(ctx, &clemwire.Pull{Wait: durationpb.New(time.Hour)}) })
+		}
+		synctest.Wait()
+		start := time.Now()
+		_, err := r.Pull(ctx, &clemwire.Pull{Wait: durationpb.New(time.Second)})
+		require.NoError(t, err)
+		require.Zero(t, time.Since(start))
+		cancel()
+		wg.Wait()
+	})
+}
+
+func TestReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, 4))
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		order := f.ordered("r-0")
+		ahead, behind := f.nodes[order[3].GetName()], f.nodes[order[2].GetName()]
+		f.commit("a")
+		state, err := ahead.relay.config.Log.Advance(t.Context(), clemconfig.Empty())
+		require.NoError(t, err)
+		ahead.relay.Adopt(state)
+		require.NoError(t, behind.relay.Reach(t.Context(), 1, ahead.host.GetAddress()))
+		require.EqualValues(t, 1, behind.board.Config().Get().Generation())
+		require.Error(t, behind.relay.Reach(t.Context(), 2, ahead.host.GetAddress()))
+	})
+}
+
+// A node that lost its parents and the table sends its children elsewhere;
+// the root of a data centre does not.
+func TestPullCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := alone(t, 0)
+		r.Adopt(clemconfig.Empty())
+		time.Sleep(2 * cutAfter)
+		_, err := r.Pull(t.Context(), &clemwire.Pull{})
+		require.NoError(t, err)
+		r.tree.Store(&tree{})
+		_, err = r.Pull(t.Context(), &clemwire.Pull{})
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindUnavailable))
+	})
+}
+
+func TestTakeRejectsGaps(t *testing.T) {
+	r, _ := alone(t, 5)
+	require.Error(t, r.take(&clemwire.Pulled{Generation: 5, Changes: changesOf(t, r, 1, 5)}))
+	require.Error(t, r.take(&clemwire.Pulled{Generation: 5}))
+	require.False(t, r.Ready())
+	require.NoError(t, r.take(&clemwire.Pulled{Generation: 5, Changes: changesOf(t, r, 0, 5)}))
+	require.NoError(t, r.take(&clemwire.Pulled{Generation: 2, Snapshot: &clemwire.Snapshot{Generation: 2}}))
+	require.EqualValues(t, 5, r.config.Board.Config().Get().Generation())
+}
+
+func TestSnapshotPacks(t *testing.T) {
+	r, _ := alone(t, 50)
+	state, err := r.config.Log.Advance(t.Context(), clemconfig.Empty())
+	require.NoError(t, err)
+	value, err := pack(state)
+	require.NoError(t, err)
+	back, err := unpackSnapshot(value)
+	require.NoError(t, err)
+	require.Equal(t, state.Snapshot().String(), back.Snapshot().String())
+	for cut := range len(value) {
+		_, err := unpackSnapshot(value[:cut])
+		require.Error(t, err, "cut at %d", cut)
+	}
+}
--- a/clemrelay/spread_test.go
+++ b/clemrelay/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +185,35 @@
 	})
 }
 
+// Operators commit through several processes at once while nodes restart.
+func TestSpreadRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 3, 10))
+		f.table.Inject(clemstandin.TableFaults{Delay: 30 * time.Millisecond})
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			n := f.nodes[f.hosts[i*3].GetName()]
+			wg.Go(func() {
+				for j := range 5 {
+					state, _, err := n.relay.config.Log.Commit(t.Context(), n.board.Config().Get(), organisation(fmt.Sprintf("o%d-%d", i, j)))
+					require.NoError(t, err)
+					n.relay.Adopt(state)
+					time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+				}
+			})
+		}
+		for _, host := range []*clemwire.Host{f.hosts[1], f.hosts[11], f.hosts[28]} {
+			f.stop(host.GetName())
+			f.start(host)
+		}
+		wg.Wait()
+		f.inForce(40, promised)
+	})
+}
+
 // A process far behind gets a snapshot, from a peer or the object store.
 func TestSpreadSnapshot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/clemrelay/sum_test.go
+++ b/clemrelay/sum_test.go
@@ -1,6 +1,7 @@
 package clemrelay
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,6 +105,42 @@
 	})
 }
 
+// One frozen server among many must not make the whole pool's sum too old to
+// use, and a frozen relay no more than that of the nodes below it, which find
+// another parent.
+func TestBeatFrozenNode(t *testing.T) {
+	for _, index := range []int{39, 7, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, region("r", 1, 40))
+			f.startAll()
+			defer f.stopAll()
+			time.Sleep(warmup)
+			order := f.ordered("r-0")
+			below := map[*clemwire.Host]bool{order[index]: true}
+			for i := index + 1; i < len(order); i++ {
+				below[order[i]] = below[order[(i-1)/hostFan]]
+			}
+			f.freeze(order[index].GetName(), true)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				for _, host := range order {
+					load, ok := f.nodes[host.GetName()].board.Loads().Get().Pool("pool-0")
+					require.True(t, ok, "%s (node %d) index %d", host.GetName(), slices.Index(order, host), index)
+					if !below[host] {
+						require.Less(t, time.Since(load.Time()), fallback, "%s beside frozen node %d", host.GetName(), index)
+					}
+				}
+			}
+			for _, host := range order {
+				load, _ := f.nodes[host.GetName()].board.Loads().Get().Pool("pool-0")
+				if host != order[index] {
+					require.Less(t, time.Since(load.Time()), fallback, "nodes below found another parent")
+				}
+			}
+		})
+	}
+}
+
 // A part of the fleet that hears less than half of a pool publishes no sum.
 func TestBeatSmallPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
