Keep hosts that take no new work on the board as known

Cause: a server that drains or is held for a while was no longer to be found by name, yet its answers can still be resumed, its claims voided, and an operator must not resolve a claim that it may be running. Change: Members.Known returns such hosts too; Host, Hosts and Pool stay as they were.

--- a/clemboard/board.go
+++ b/clemboard/board.go
@@ -4,6 +4,7 @@
 package clemboard
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -62,13 +63,15 @@
 	hosts []*clemwire.Host
 	pools map[string][]*clemwire.Host
 	names map[string]*clemwire.Host
+	known map[string]*clemwire.Host
 }
 
 // NewMembers returns the members among the hosts. Hosts must not be changed afterwards.
 func NewMembers(hosts []*clemwire.Host) *Members {
-	m := &Members{pools: map[string][]*clemwire.Host{}, names: map[string]*clemwire.Host{}}
+	m := &Members{pools: map[string][]*clemwire.Host{}, names: map[string]*clemwire.Host{}, known: map[string]*clemwire.Host{}}
 	for _, host := range hosts {
 		if host.GetLeaving() {
+			m.known[host.GetName()] = host
 			continue
 		}
 		m.hosts = append(m.hosts, host)
@@ -80,6 +83,26 @@
 	return m
 }
 
+// WithKnown returns the members with further hosts that exist but take no new
+// work, such as drained ones.
+func (m *Members) WithKnown(hosts []*clemwire.Host) *Members {
+	with := *m
+	with.known = maps.Clone(m.known)
+	for _, host := range hosts {
+		with.known[host.GetName()] = host
+	}
+	return &with
+}
+
+// Known returns the host of the name if the list holds it, member or not, or
+// nil. Running work, answers and claims of a host that leaves are still there.
+func (m *Members) Known(name string) *clemwire.Host {
+	if host := m.names[name]; host != nil {
+		return host
+	}
+	return m.known[name]
+}
+
 // Hosts returns every member.
 func (m *Members) Hosts() []*clemwire.Host { return m.hosts }
 
--- a/clemmember/member.go
+++ b/clemmember/member.go
@@ -226,16 +226,16 @@
 // writeLoop writes the members whenever the list, a record, a hold or the
 // operators' drains change.
 func (c *Controller) writeLoop(ctx context.Context) {
-	var written []*clemwire.Host
+	var written *composition
 	for {
 		config, changed := c.config.Board.Config().Watch()
 		if config == nil {
 			config = clemconfig.Empty()
 		}
-		hosts, expiry := c.compose(time.Now(), config.Drained)
-		if hosts != nil && (written == nil || !slices.Equal(hosts, written)) {
-			written = hosts
-			c.config.Board.Members().Set(clemboard.NewMembers(hosts))
+		composed, expiry := c.compose(time.Now(), config.Drained)
+		if composed != nil && !composed.equal(written) {
+			written = composed
+			c.config.Board.Members().Set(clemboard.NewMembers(composed.open).WithKnown(composed.closed))
 		}
 		c.drainSelf(config.Drained(c.config.Self))
 		if !pause(ctx, settle) {
@@ -263,9 +263,19 @@
 	}
 }
 
-// compose returns the hosts that may take new work, sorted by name, or nil
-// before the first list, and the time to the next end of a hold.
-func (c *Controller) compose(now time.Time, drained func(string) bool) ([]*clemwire.Host, time.Duration) {
+// composition is the hosts that may take new work and those that may not,
+// sorted by name.
+type composition struct {
+	open, closed []*clemwire.Host
+}
+
+func (a *composition) equal(b *composition) bool {
+	return b != nil && slices.Equal(a.open, b.open) && slices.Equal(a.closed, b.closed)
+}
+
+// compose returns the hosts, or nil before the first list, and the time to
+// the next end of a hold.
+func (c *Controller) compose(now time.Time, drained func(string) bool) (*composition, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(now)
@@ -273,31 +283,37 @@
 	if !c.merged {
 		return nil, expiry
 	}
-	open := map[group]int{}
-	hosts, failing := make([]*clemwire.Host, 0, len(c.list.entries)), []*clemwire.Host(nil)
+	composed := &composition{}
+	counts := map[group]int{}
+	var failing []*clemwire.Host
 	for name, e := range c.list.entries {
 		r := c.records[name]
+		if r.held(now) {
+			expiry = min(expiry, r.until.Sub(now))
+		}
 		switch {
-		case e.host.GetLeaving() || drained(name):
-		case !r.held(now):
-			hosts = append(hosts, e.host)
-			open[groupOf(e.host)]++
+		case e.host.GetLeaving() || drained(name) || r.held(now) && r.refused:
+			composed.closed = append(composed.closed, e.host)
+		case r.held(now):
+			failing = append(failing, e.host)
 		default:
-			expiry = min(expiry, r.until.Sub(now))
-			if !r.refused {
-				failing = append(failing, e.host)
-			}
+			composed.open = append(composed.open, e.host)
+			counts[groupOf(e.host)]++
 		}
 	}
 	// If every server of a group fails, the fault may be this process's own
 	// connection, and there is nothing to lose by trying them.
 	for _, host := range failing {
-		if open[groupOf(host)] == 0 {
-			hosts = append(hosts, host)
+		if counts[groupOf(host)] == 0 {
+			composed.open = append(composed.open, host)
+		} else {
+			composed.closed = append(composed.closed, host)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b *clemwire.Host) int { return strings.Compare(a.GetName(), b.GetName()) })
-	return hosts, expiry
+	for _, hosts := range [][]*clemwire.Host{composed.open, composed.closed} {
+		slices.SortFunc(hosts, func(a, b *clemwire.Host) int { return strings.Compare(a.GetName(), b.GetName()) })
+	}
+	return composed, expiry
 }
 
 // forget drops the records that say nothing any more. The caller holds mu.
--- a/clemmember/member_test.go
+++ b/clemmember/member_test.go
@@ -94,6 +94,8 @@
 		time.Sleep(promised)
 		require.False(t, r.member(1))
 		require.False(t, r.member(2))
+		require.NotNil(t, r.board.Members().Get().Known("s1"), "its running work can be reached")
+		require.Nil(t, r.board.Members().Get().Known("s2"))
 		r.has(4)
 	})
 }
@@ -105,6 +107,7 @@
 		require.True(t, r.member(1), "an overloaded server does not leave")
 		r.refuse(1)
 		require.False(t, r.member(1))
+		require.NotNil(t, r.board.Members().Get().Known("s1"))
 		r.Succeeded("s1", time.Now())
 		time.Sleep(2 * settle)
 		require.False(t, r.member(1), "an answer under way does not end a drain")
