--- a/clemconfig/state_test.go
+++ b/clemconfig/state_test.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/clementineturn/clementineturn/clemwire"
@@ -52,6 +54,27 @@
 	}
 }
 
+// BenchmarkStateHeap gives the memory and the wire size of a state.
+func BenchmarkStateHeap(b *testing.B) {
+	for _, organisations := range []int{100, 1000, letterOrganisations} {
+		b.Run(fmt.Sprint(organisations), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				state := largeState(organisations)
+				b.ReportMetric(float64(heap()-before), "heap-B")
+				b.ReportMetric(float64(proto.Size(state.Snapshot())), "wire-B")
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // A state that changes led to equals the one made anew from its snapshot, and
 // older states stay as they were.
 func TestApplyMatchesSnapshot(t *testing.T) {
--- /dev/null
+++ b/clemrelay/cost_test.go
@@ -0,0 +1,72 @@
+package clemrelay
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemrpc"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// parent answers reports at once.
+type parent struct {
+	clementineturn.Peer
+	reply *clemwire.BeatReply
+}
+
+func (p parent) Beat(context.Context, *clemwire.Beat) (*clemwire.BeatReply, error) {
+	return p.reply, nil
+}
+
+// BenchmarkBeatCall gives the processor time of one report and its reply over
+// a loopback connection, both sides and the kernel's part together.
+func BenchmarkBeatCall(b *testing.B) {
+	for _, pools := range []int{1, 8} {
+		b.Run(fmt.Sprintf("pools=%d", pools), func(b *testing.B) {
+			s := sums{}
+			for _, host := range region("r", 1, letterCentre) {
+				for _, load := range busyReport(pools)(host) {
+					s.add(load, time.Now())
+				}
+			}
+			reply := &clemwire.BeatReply{Generation: 100_000, Pools: s.down(time.Now())}
+			beat := &clemwire.Beat{Node: "r0-0-0", Generation: 100_000, Pools: s.up(time.Now())}
+			router := chi.NewRouter()
+			clemrpc.NewServer(clemrpc.ServerConfig{Context: b.Context(), Key: "k", Peer: parent{reply: reply}}).Mount(router)
+			server := httptest.NewServer(router)
+			defer server.Close()
+			peers := clemrpc.NewPeers(clemrpc.ClientConfig{Key: "k"})
+			defer peers.Close()
+			peer := peers.Peer(strings.TrimPrefix(server.URL, "http://"))
+			before := processorTime()
+			for b.Loop() {
+				_, err := peer.Beat(b.Context(), beat)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(proto.Size(beat)), "B-up")
+			b.ReportMetric(float64(proto.Size(reply)), "B-down")
+		})
+	}
+}
+
+// BenchmarkTree gives the cost of finding one's place among all hosts.
+func BenchmarkTree(b *testing.B) {
+	for _, hosts := range []int{22, 88, letterCentre} {
+		all := fleetOf(hosts)
+		b.Run(fmt.Sprint(len(all)), func(b *testing.B) {
+			for b.Loop() {
+				newTree(all[len(all)/2], all)
+			}
+		})
+	}
+}
