--- a/clemrelay/control_test.go
+++ b/clemrelay/control_test.go
@@ -119,16 +119,17 @@
 		}
 		used := processorTime() - before
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.on = false
+		c.mu.Unlock()
 		size, messages := c.sum()
 		top, topMessages := c.most()
 		nodes := float64(len(hosts)) * measured.Seconds()
 		most = float64(top) / measured.Seconds()
 		age, _ := f.oldest("catalogue-0")
-		t.Logf("nodes %5d  pools %2d  bytes/s mean %5.0f most %5.0f  messages/s mean %4.1f most %4.1f  processor %4.0f µs/s  age %v",
+		took := f.wait(f.commit("last"), promised)
+		t.Logf("nodes %5d  pools %2d  bytes/s mean %5.0f most %5.0f  messages/s mean %4.1f most %4.1f  processor %4.0f µs/s  age %v  in force %v",
 			len(hosts), pools, float64(size)/nodes, most, float64(messages)/nodes, float64(topMessages)/measured.Seconds(),
-			float64(used.Microseconds())/nodes, age)
+			float64(used.Microseconds())/nodes, age, took)
 	})
 	return most
 }
--- a/clemrelay/cost_test.go
+++ b/clemrelay/cost_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -70,3 +71,38 @@
 		})
 	}
 }
+
+// BenchmarkConnectionMemory gives the heap and stacks of one idle connection
+// between two processes, both sides together.
+func BenchmarkConnectionMemory(b *testing.B) {
+	for _, connections := range []int{100, 400} {
+		b.Run(fmt.Sprint(connections), func(b *testing.B) {
+			router := chi.NewRouter()
+			clemrpc.NewServer(clemrpc.ServerConfig{Context: b.Context(), Key: "k", Peer: parent{reply: &clemwire.BeatReply{}}}).Mount(router)
+			server := httptest.NewServer(router)
+			defer server.Close()
+			for b.Loop() {
+				before := inUse()
+				var all []*clemrpc.Peers
+				for range connections {
+					peers := clemrpc.NewPeers(clemrpc.ClientConfig{Key: "k"})
+					_, err := peers.Peer(strings.TrimPrefix(server.URL, "http://")).Beat(b.Context(), &clemwire.Beat{})
+					require.NoError(b, err)
+					all = append(all, peers)
+				}
+				b.ReportMetric(float64(inUse()-before)/float64(connections), "B/connection")
+				for _, peers := range all {
+					peers.Close()
+				}
+			}
+		})
+	}
+}
+
+// inUse returns the bytes of heap and stacks in use.
+func inUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
