--- a/clemrpc/client.go
+++ b/clemrpc/client.go
@@ -234,6 +234,12 @@
 	return voided, p.call(ctx, "Void", void, voided)
 }
 
+// Submit implements clementineturn.Peer.
+func (p *peer) Submit(ctx context.Context, submit *clemwire.Submit) (*clemwire.Submitted, error) {
+	submitted := &clemwire.Submitted{}
+	return submitted, p.call(ctx, "Submit", submit, submitted)
+}
+
 // Pull implements clementineturn.Peer.
 func (p *peer) Pull(ctx context.Context, pull *clemwire.Pull) (*clemwire.Pulled, error) {
 	pulled := &clemwire.Pulled{}
--- a/clemrpc/server.go
+++ b/clemrpc/server.go
@@ -138,6 +138,12 @@
 	return reply(voided, got, err)
 }
 
+// Submit serves Peer.Submit.
+func (m *methods) Submit(submit *clemwire.Submit, submitted *clemwire.Submitted) error {
+	got, err := m.peer.Submit(m.ctx, submit)
+	return reply(submitted, got, err)
+}
+
 // Pull serves Peer.Pull.
 func (m *methods) Pull(pull *clemwire.Pull, pulled *clemwire.Pulled) error {
 	got, err := m.peer.Pull(m.ctx, pull)
--- a/clemrpc/unsupported.go
+++ b/clemrpc/unsupported.go
@@ -30,6 +30,11 @@
 	return nil, unsupported("Void")
 }
 
+// Submit implements clementineturn.Peer.
+func (Unsupported) Submit(context.Context, *clemwire.Submit) (*clemwire.Submitted, error) {
+	return nil, unsupported("Submit")
+}
+
 // Fetch implements clementineturn.Peer.
 func (Unsupported) Fetch(context.Context, *clemwire.Fetch, func(*clemwire.Frame) error) error {
 	return unsupported("Fetch")
--- a/peer.go
+++ b/peer.go
@@ -17,6 +17,8 @@
 	Cancel(ctx context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error)
 	// Void asks the sidecar to promise never to run a token.
 	Void(ctx context.Context, void *clemwire.Void) (*clemwire.Voided, error)
+	// Submit asks the sidecar for one step of the claim ledger.
+	Submit(ctx context.Context, submit *clemwire.Submit) (*clemwire.Submitted, error)
 	// Fetch passes the frames of an answer to the handler from the given
 	// sequence number on, until the end frame, an error, or the context's end.
 	// Frames are reused between calls of the handler.
