clemclaim: router to the ledger of each bucket

Nothing is agreed on. A router asks the first sidecar in rank for the bucket, and the second if the first does not answer; both may get the same step, and a ledger recognises a record that it holds. The test that no call begins twice now runs with routers that know different members, lose answers and ask sidecars that are gone.

Ruled out: the process's own ledger as the last resort, since a few hundred sidecars would then read a bucket's whole log at the same time.

--- a/clemclaim/main_test.go
+++ b/clemclaim/main_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemstandin"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -37,6 +39,31 @@
 	nodes map[string]*node
 }
 
+// Peer implements clementineturn.Peers. A host's address is its name.
+func (f *fleet) Peer(address string) clementineturn.Peer {
+	if peer := f.locate(address); peer != nil {
+		return peer
+	}
+	return gone{}
+}
+
+// gone is a host that cannot be reached.
+type gone struct{ clementineturn.Peer }
+
+// Submit implements clementineturn.Peer.
+func (gone) Submit(context.Context, *clemwire.Submit) (*clemwire.Submitted, error) {
+	return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "connection refused")
+}
+
+// members makes the named sidecars the members that the node knows.
+func (n *node) members(servers ...string) {
+	var hosts []*clemwire.Host
+	for _, server := range servers {
+		hosts = append(hosts, &clemwire.Host{Name: server, Address: server, Role: sidecarRole})
+	}
+	n.board.Members().Set(clemboard.NewMembers(hosts))
+}
+
 func (f *fleet) locate(server string) clementineturn.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,10 +77,35 @@
 type node struct {
 	clementineturn.Peer
 	ledger *Ledger
+	board  *clemboard.Board
+	router *Router
 	keeper *Keeper
 	stop   func()
-	// frozen keeps the node from answering other sidecars.
-	frozen atomic.Bool
+	// frozen keeps the node from answering other sidecars, lossy has it
+	// answer every second one only.
+	frozen  atomic.Bool
+	lossy   atomic.Bool
+	submits atomic.Uint64
+}
+
+// Submit implements clementineturn.Peer.
+func (n *node) Submit(ctx context.Context, submit *clemwire.Submit) (*clemwire.Submitted, error) {
+	if n.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	// The caller's end does not reach the other side.
+	answer := make(chan *clemwire.Submitted, 1)
+	go func() { answer <- n.ledger.Submit(context.Background(), proto.CloneOf(submit)) }()
+	if n.submits.Add(1)%2 == 0 && n.lossy.Load() {
+		return nil, clementineturn.Errorf(clementineturn.KindUnknown, "the connection broke")
+	}
+	select {
+	case got := <-answer:
+		return proto.CloneOf(got), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // Void implements clementineturn.Peer.
@@ -71,9 +123,10 @@
 
 func (f *fleet) start(server string, incarnation uint64) *node {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{ledger: NewLedger(LedgerConfig{Table: f.table})}
+	n := &node{ledger: NewLedger(LedgerConfig{Table: f.table}), board: clemboard.New()}
+	n.router = NewRouter(RouterConfig{Ledger: n.ledger, Board: n.board, Peers: f, Self: server})
 	n.keeper = NewKeeper(KeeperConfig{
-		Ledger: n.ledger, Server: server, Incarnation: incarnation,
+		Ledger: n.router, Server: server, Incarnation: incarnation,
 		Locate: f.locate,
 	})
 	ledgerDone, keeperDone := n.ledger.Start(ctx), n.keeper.Start(ctx)
--- a/clemclaim/measure_test.go
+++ b/clemclaim/measure_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,8 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemstandin"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -32,6 +35,8 @@
 	ledgers  int
 	buckets  int
 	interval time.Duration
+	// routed has routers pass the claims to one ledger for each bucket.
+	routed bool
 }
 
 // result is what a load cost.
@@ -48,8 +53,9 @@
 func (l load) run(t *testing.T) (r result) {
 	synctest.Test(t, func(t *testing.T) {
 		table := clemstandin.NewTable()
-		ledgers, stop := startLedgers(LedgerConfig{Table: table, Buckets: l.buckets, Interval: l.interval}, l.ledgers)
+		started, stop := startLedgers(LedgerConfig{Table: table, Buckets: l.buckets, Interval: l.interval}, l.ledgers)
 		defer stop()
+		ledgers := l.front(started)
 		table.Inject(clemstandin.TableFaults{Delay: tableDelay})
 		random := rand.New(rand.NewPCG(1, 2))
 		var mu sync.Mutex
@@ -85,6 +91,32 @@
 	return r
 }
 
+// network reaches the ledgers of other sidecars by their numbers.
+type network []*Ledger
+
+// Peer implements clementineturn.Peers.
+func (n network) Peer(address string) clementineturn.Peer {
+	i, _ := strconv.Atoi(address)
+	return &node{ledger: n[i]}
+}
+
+// front returns what the sidecars use: their ledgers, or routers to them.
+func (l load) front(ledgers []*Ledger) []clementineturn.Ledger {
+	board := clemboard.New()
+	if l.routed {
+		var hosts []*clemwire.Host
+		for i := range ledgers {
+			hosts = append(hosts, &clemwire.Host{Name: strconv.Itoa(i), Address: strconv.Itoa(i), Role: sidecarRole})
+		}
+		board.Members().Set(clemboard.NewMembers(hosts))
+	}
+	var front []clementineturn.Ledger
+	for i, ledger := range ledgers {
+		front = append(front, NewRouter(RouterConfig{Ledger: ledger, Board: board, Peers: network(ledgers), Self: strconv.Itoa(i)}))
+	}
+	return front
+}
+
 // sized returns a claim with names of the usual lengths.
 func sized(n int) *clemwire.Claim {
 	return &clemwire.Claim{
@@ -98,35 +130,38 @@
 var all = flag.Bool("all", false, "measure group commit under every load")
 
 func loads() []load {
-	designed := load{1100, 1, DefaultBuckets, DefaultInterval}
+	designed := load{1100, 8, DefaultBuckets, DefaultInterval, true}
 	if !*all {
 		return []load{designed}
 	}
 	var loads []load
 	for _, rate := range []int{20, 200, 1100} {
 		for _, interval := range []time.Duration{time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond} {
-			loads = append(loads, load{rate, 1, DefaultBuckets, interval})
+			loads = append(loads, load{rate, 1, DefaultBuckets, interval, false})
 		}
 	}
 	for _, buckets := range []int{4, 16, 64, 128} {
-		loads = append(loads, load{1100, 1, buckets, DefaultInterval})
+		loads = append(loads, load{1100, 1, buckets, DefaultInterval, false})
 	}
 	for _, ledgers := range []int{2, 4, 8} {
-		loads = append(loads, load{1100, ledgers, DefaultBuckets, DefaultInterval})
+		loads = append(loads, load{1100, ledgers, DefaultBuckets, DefaultInterval, false})
+	}
+	for _, ledgers := range []int{8, 100} {
+		loads = append(loads, load{1100, ledgers, DefaultBuckets, DefaultInterval, true})
 	}
 	return loads
 }
 
 // TestMeasureGroupCommit logs what claims cost the table and their caller.
 func TestMeasureGroupCommit(t *testing.T) {
-	t.Log("claims/s  ledgers  buckets  interval   writes/claim  reads/claim  writes/s   p50      p99      failed")
+	t.Log("claims/s  ledgers  routed  buckets  interval   writes/claim  reads/claim  writes/s   p50      p99      failed")
 	for _, l := range loads() {
 		r := l.run(t)
 		n := float64(r.claims)
-		t.Logf("%8d  %7d  %7d  %8s  %12.2f  %11.2f  %8.0f  %7s  %7s  %6d", l.rate, l.ledgers, l.buckets, l.interval,
+		t.Logf("%8d  %7d  %6t  %7d  %8s  %12.2f  %11.2f  %8.0f  %7s  %7s  %6d", l.rate, l.ledgers, l.routed, l.buckets, l.interval,
 			float64(r.writes)/n, float64(r.reads)/n, float64(r.writes)/measured.Seconds(),
 			r.quantile(0.5).Round(100*time.Microsecond), r.quantile(0.99).Round(100*time.Microsecond), r.failed)
-		if l.ledgers == 1 {
+		if l.ledgers == 1 || l.routed {
 			require.Zero(t, r.failed)
 			// Claims and outcomes together, over the time until the last outcome.
 			most := float64(l.buckets) * (1 + float64(measured+time.Second)/float64(l.interval))
--- a/clemclaim/once_test.go
+++ b/clemclaim/once_test.go
@@ -149,6 +149,13 @@
 	server := rapid.SampledFrom(o.servers).Draw(t, "server")
 	o.incarnation++
 	o.stops = append(o.stops, o.start(server, o.incarnation).stop)
+	o.route(t)
+}
+
+// route has a sidecar learn of some members, which may differ from what others know.
+func (o *once) route(t *rapid.T) {
+	n := o.nodes[rapid.SampledFrom(o.servers).Draw(t, "server")]
+	n.members(rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "gone"}), rapid.ID).Draw(t, "members")...)
 }
 
 func (o *once) check(t *rapid.T) {
@@ -169,6 +176,7 @@
 	o.table.Inject(clemstandin.TableFaults{})
 	for _, n := range o.nodes {
 		n.frozen.Store(false)
+		n.lossy.Store(false)
 	}
 	o.running.Wait()
 	for _, stop := range o.stops {
