Wire the claims' router into sidecar and entry

The keeper and the operators' interface use the router; each sidecar serves the steps of others with its ledger. Two tests name the new default.

--- a/clemnode/node.go
+++ b/clemnode/node.go
@@ -43,13 +43,13 @@
 	constructors := []any{
 		func() *clemsetting.Settings { return settings },
 		func() context.Context { return ctx },
-		newLogger, newSelf, newPlatform, newPeers, newLog, newLedger, newMember,
+		newLogger, newSelf, newPlatform, newPeers, newLog, newLedger, newClaims, newMember,
 		clemboard.New, clemmetric.New,
 		func(c *clemplatform.Client) clementineturn.Table { return c.Table() },
 		func(c *clemplatform.Client) clementineturn.Hosts { return c.Hosts() },
 		func(c *clemplatform.Client) clementineturn.Objects { return c.Objects() },
 		func(p *clemrpc.Peers) clementineturn.Peers { return p },
-		func(l *clemclaim.Ledger) clementineturn.Ledger { return l },
+		func(r *clemclaim.Router) clementineturn.Ledger { return r },
 	}
 	constructors = append(constructors, roleConstructors[settings.Role()]...)
 	for _, constructor := range constructors {
@@ -112,6 +112,10 @@
 	})
 }
 
+func newClaims(settings *clemsetting.Settings, ledger *clemclaim.Ledger, board *clemboard.Board, peers clementineturn.Peers) *clemclaim.Router {
+	return clemclaim.NewRouter(clemclaim.RouterConfig{Ledger: ledger, Board: board, Peers: peers, Self: settings.Name()})
+}
+
 func newMember(settings *clemsetting.Settings, hosts clementineturn.Hosts, board *clemboard.Board, events *clemevent.Logger) *clemmember.Controller {
 	return clemmember.New(clemmember.Config{Hosts: hosts, Board: board, Events: events, Self: settings.Name()})
 }
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -47,9 +47,9 @@
 	})
 }
 
-func newSidecar(settings *clemsetting.Settings, board *clemboard.Board, gate *clemgate.Gate, relay *clemrelay.Relay, backend *clembackend.Backend, events *clemevent.Logger) *clemsidecar.Sidecar {
+func newSidecar(settings *clemsetting.Settings, board *clemboard.Board, gate *clemgate.Gate, relay *clemrelay.Relay, backend *clembackend.Backend, ledger *clemclaim.Ledger, events *clemevent.Logger) *clemsidecar.Sidecar {
 	return clemsidecar.New(clemsidecar.Config{
-		Server: settings.Name(), Pool: settings.Pool(), Board: board, Gate: gate, Backend: backend, Relay: relay, Events: events,
+		Server: settings.Name(), Pool: settings.Pool(), Board: board, Gate: gate, Backend: backend, Relay: relay, Ledger: ledger, Events: events,
 		Answers: clemanswer.New(clemanswer.Config{Bytes: int(settings.Buffer()), Linger: settings.Linger()}),
 	})
 }
@@ -67,6 +67,7 @@
 	Member   *clemmember.Controller
 	Table    clementineturn.Table
 	Ledger   *clemclaim.Ledger
+	Claims   clementineturn.Ledger
 	Backend  *clembackend.Backend
 	Sidecar  *clemsidecar.Sidecar
 	Peers    *clemrpc.Peers
@@ -121,7 +122,7 @@
 		return nil // The process stops before the table answered.
 	}
 	keeper := clemclaim.NewKeeper(clemclaim.KeeperConfig{
-		Ledger: i.Ledger, Server: i.Settings.Name(), Incarnation: incarnation, Locate: i.locate, Events: i.Events,
+		Ledger: i.Claims, Server: i.Settings.Name(), Incarnation: incarnation, Locate: i.locate, Events: i.Events,
 	})
 	end := keeper.Start(ctx)
 	i.Sidecar.Hold(incarnation, keeper)
--- a/clemsetting/parse_test.go
+++ b/clemsetting/parse_test.go
@@ -51,7 +51,7 @@
 	require.EqualValues(t, 4<<20, s.Body())
 	require.Equal(t, 2*time.Minute, s.Deadline())
 	require.Nil(t, s.TLS())
-	require.Equal(t, 16, s.ClaimBuckets())
+	require.Equal(t, 32, s.ClaimBuckets())
 	require.Equal(t, 24*time.Hour, s.ClaimRetention())
 	require.Zero(t, s.Buffer(), "a key of the other role")
 
@@ -76,7 +76,7 @@
 	require.Zero(t, s.Grace())
 	require.EqualValues(t, 1024, s.Body())
 	require.Equal(t, 5*time.Millisecond, s.ClaimInterval())
-	require.Equal(t, 16, s.ClaimBuckets())
+	require.Equal(t, 32, s.ClaimBuckets())
 	require.Len(t, s.Operators(), 1)
 	require.Equal(t, "ana", s.Operators()[0].Name())
 	require.Len(t, s.Operators()[0].Digest(), 32)
--- a/clemsetting/table.go
+++ b/clemsetting/table.go
@@ -101,7 +101,7 @@
 	{path: "buffer", kind: KindInteger, role: RoleSidecar, initial: int64(16 * mib), low: 64 * kib, top: 16 * gib, doc: "Bytes of answers kept for callers that resume."},
 	{path: "linger", kind: KindDuration, role: RoleSidecar, initial: 30 * time.Second, low: int64(time.Second), top: int64(time.Hour), doc: "How long an answer that ended or that nobody reads is kept."},
 	{path: "claims", kind: KindGroup, doc: "Ledger of at-most-once calls."},
-	{path: "claims.buckets", kind: KindInteger, initial: int64(16), low: 1, top: 65536, doc: "Number of logs that claims are spread over. Equal on all processes; it cannot change while claims are kept."},
-	{path: "claims.interval", kind: KindDuration, initial: 50 * time.Millisecond, low: int64(time.Millisecond), top: int64(10 * time.Second), doc: "Time for which claims of a bucket are gathered into one write."},
+	{path: "claims.buckets", kind: KindInteger, initial: int64(32), low: 1, top: 65536, doc: "Number of logs that claims are spread over. Equal on all processes; it cannot change while claims are kept."},
+	{path: "claims.interval", kind: KindDuration, initial: 100 * time.Millisecond, low: int64(time.Millisecond), top: int64(10 * time.Second), doc: "Time for which claims of a bucket are gathered into one write."},
 	{path: "claims.retention", kind: KindDuration, initial: 24 * time.Hour, low: int64(time.Minute), top: math.MaxInt64, doc: "How long a finished call is remembered. A repeat after this time can run again, so it must exceed the longest time over which callers repeat."},
 }
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -48,7 +48,9 @@
 	Answers *clemanswer.Store
 	Backend clementineturn.Backend
 	Relay   Relay
-	Events  *clemevent.Logger
+	// Ledger serves the claims of other sidecars; without one the sidecar serves none.
+	Ledger *clemclaim.Ledger
+	Events *clemevent.Logger
 }
 
 // Sidecar implements clementineturn.Peer beside one backend server. Lock
@@ -63,6 +65,7 @@
 	answers *clemanswer.Store
 	backend clementineturn.Backend
 	relay   Relay
+	ledger  *clemclaim.Ledger
 	events  *clemevent.Logger
 
 	// held is nil until the platform's table gave the sidecar an incarnation.
@@ -95,7 +98,8 @@
 // New returns the sidecar that the configuration describes.
 func New(c Config) *Sidecar {
 	return &Sidecar{
-		server: c.Server, pool: c.Pool, board: c.Board, gate: c.Gate, answers: c.Answers, backend: c.Backend, relay: c.Relay, events: c.Events,
+		server: c.Server, pool: c.Pool, board: c.Board, gate: c.Gate, answers: c.Answers, backend: c.Backend, relay: c.Relay,
+		ledger: c.Ledger, events: c.Events,
 		attempts: map[string]*attempt{},
 	}
 }
@@ -408,6 +412,14 @@
 	return voided, nil
 }
 
+// Submit implements clementineturn.Peer.
+func (s *Sidecar) Submit(ctx context.Context, submit *clemwire.Submit) (*clemwire.Submitted, error) {
+	if s.ledger == nil {
+		return s.Unsupported.Submit(ctx, submit)
+	}
+	return s.ledger.Submit(ctx, submit), nil
+}
+
 // Fetch implements clementineturn.Peer.
 func (s *Sidecar) Fetch(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
 	return s.answers.Fetch(ctx, fetch, handler)
