--- a/clemfault/network_test.go
+++ b/clemfault/network_test.go
@@ -190,6 +190,13 @@
 	return true
 }
 
+// Submit implements clementineturn.Peer.
+func (l *link) Submit(ctx context.Context, submit *clemwire.Submit) (*clemwire.Submitted, error) {
+	return send(ctx, l, true, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Submitted, error) {
+		return peer.Submit(ctx, proto.CloneOf(submit))
+	})
+}
+
 // Offer implements clementineturn.Peer.
 func (l *link) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
 	l.from.at(StepOffer, l.to)
--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -246,17 +246,18 @@
 	ledger := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: &nodeTable{n}})
 	n.sidecar = clemsidecar.New(clemsidecar.Config{
 		Server: name, Pool: n.host.GetPool(), Board: n.board, Gate: gate, Backend: &nodeBackend{n, n.backends[name]},
-		Relay: n.relay, Answers: clemanswer.New(clemanswer.Config{Bytes: 1 << 20, Linger: linger}),
+		Relay: n.relay, Ledger: ledger, Answers: clemanswer.New(clemanswer.Config{Bytes: 1 << 20, Linger: linger}),
 	})
 	n.peer = n.sidecar
 	n.ends = append(n.ends, n.sidecar.Start(n.ctx), ledger.Start(n.ctx))
 	done := make(chan error, 1)
 	n.ends = append(n.ends, done)
-	go func() { done <- n.hold(ledger) }()
+	claims := clemclaim.NewRouter(clemclaim.RouterConfig{Ledger: ledger, Board: n.board, Peers: &nodePeers{n}, Self: name})
+	go func() { done <- n.hold(claims) }()
 }
 
 // hold takes the incarnation and runs the keeper under it.
-func (n *node) hold(ledger *clemclaim.Ledger) error {
+func (n *node) hold(ledger clementineturn.Ledger) error {
 	for {
 		incarnation, err := clemfence.Next(n.ctx, &nodeTable{n}, n.host.GetName())
 		if err == nil {
