--- a/clemconfig/model_test.go
+++ b/clemconfig/model_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +15,6 @@
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
-func TestMain(m *testing.M) {
-	// A fixed seed makes the random tests repeat; -rapid.seed sets another.
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
-
 // processes share one table; each holds its own log and a state that may lag.
 type processes struct {
 	table  *clemstandin.Table
--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -263,12 +263,13 @@
 	claims := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: &nodeTable{n}})
 	n.sidecar = clemsidecar.New(clemsidecar.Config{
 		Server: name, Pool: n.host.GetPool(), Board: n.board, Gate: gate, Backend: &nodeBackend{n, n.backends[name]},
-		Relay: n.relay, Answers: clemanswer.New(clemanswer.Config{Bytes: 1 << 20, Linger: linger}),
+		Relay: n.relay, Ledger: claims, Answers: clemanswer.New(clemanswer.Config{Bytes: 1 << 20, Linger: linger}),
 	})
 	n.register(n.sidecar)
 	done := make(chan error, 1)
 	n.ends = append(n.ends, n.sidecar.Start(n.ctx), claims.Start(n.ctx), done)
-	go func() { done <- n.hold(ledger(claims)) }()
+	router := clemclaim.NewRouter(clemclaim.RouterConfig{Ledger: claims, Board: n.board, Peers: &nodePeers{n}, Self: name})
+	go func() { done <- n.hold(ledger(router)) }()
 }
 
 // hold takes the incarnation and runs the keeper under it.
