make demo: the whole path as separate processes, step by step

A caller subcommand of the stand-ins replaces curl, so that Go and a shell are enough.

The stand-ins take their command-line plumbing from clemcli. Orders to plain pools do nothing.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 build:
 	go build -o bin/ ./cmd/...
 
+demo:
+	STAY=$(STAY) ./tools/demo
+
 test:
 	go test -race -timeout 20m ./...
 
--- a/clembackend/order.go
+++ b/clembackend/order.go
@@ -25,7 +25,7 @@
 // there it does nothing. Errors: KindConflict if the engine has seen a higher
 // fence, KindUnavailable if the order had no effect, KindUnknown if it may have.
 func (b *Backend) Order(ctx context.Context, pool *clemwire.Pool, fence uint64) error {
-	if b.plain {
+	if b.plain || pool.GetKind() == clemwire.PoolKind_POOL_KIND_PLAIN {
 		return nil
 	}
 	body, err := json.Marshal(loadOrder{Version: pool.GetVersion(), Adapters: pool.GetAdapters(), Fence: fence})
--- a/cmd/clementine-standin/main.go
+++ b/cmd/clementine-standin/main.go
@@ -1,12 +1,12 @@
 // Command clementine-standin runs a small stand-in for a system around the
-// fleet: the platform's services, a model engine or a plain service. It
-// exits with 0 after a graceful shutdown, 1 on a failure and 2 on wrong usage.
+// fleet: the platform's services, a model engine, a plain service or a caller.
+// It exits with 0 after a graceful shutdown, 1 on a failure and 2 on wrong usage.
 package main
 
 import (
 	"context"
 	"errors"
-	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,45 +15,43 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/clementineturn/clementineturn/clemcli"
 	"github.com/clementineturn/clementineturn/clemevent"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 const (
 	headerTimeout = 10 * time.Second
 	// drainTimeout bounds the end of running requests at shutdown.
 	drainTimeout = 30 * time.Second
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
 
-func run(args []string) int {
-	o, err := parse(args)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+// run runs one command line until the context ends and returns the exit code.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	o, code := parse(args, out, errs)
+	if o == nil {
+		return code
 	}
-	z, err := zap.NewProduction()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
+	if o.role == roleCaller {
+		return o.caller.run(ctx, out, errs)
 	}
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	z := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(errs), zapcore.InfoLevel))
 	log := clemevent.New(z).With(zap.String("role", o.role), zap.String("name", o.name))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	if err := serve(ctx, o, log); err != nil {
 		log.Emit(clemevent.ProcessFailed, zap.Error(err))
-		return exitFailure
+		return clemcli.ExitFailed
 	}
 	log.Emit(clemevent.ProcessStopped)
-	return exitOK
+	return clemcli.ExitOK
 }
 
 // serve answers requests until the context ends, then lets the running ones end.
--- a/cmd/clementine-standin/options.go
+++ b/cmd/clementine-standin/options.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"github.com/clementineturn/clementineturn/clemcli"
 	"github.com/clementineturn/clementineturn/clemstandin"
 )
 
@@ -15,6 +17,7 @@
 	rolePlatform = "platform"
 	roleEngine   = "engine"
 	roleService  = "service"
+	roleCaller   = "caller"
 )
 
 const exitCodes = "Exit codes: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 on a failure, 2 on wrong usage."
@@ -27,6 +30,7 @@
 	hosts   string
 	engine  clemstandin.EngineConfig
 	service clemstandin.ServiceConfig
+	caller  caller
 	lag     time.Duration
 	delay   time.Duration
 	reads   float64
@@ -34,30 +38,34 @@
 	weights float64
 }
 
-// parse returns the options of a command line. Unknown flags and subcommands
-// print the help and exit with 2.
-func parse(args []string) (*options, error) {
+// parse returns the options of a command line, or nil and the exit code.
+func parse(args []string, out, errs io.Writer) (*options, int) {
 	o := &options{listen: "127.0.0.1:0"}
 	p := flaggy.NewParser("clementine-standin")
 	p.Description = "Small stand-ins for the systems around the fleet, for tests and the demo."
 	p.AdditionalHelpAppend = exitCodes
-	p.ShowCompletion = false
-	p.ShowVersionWithVersionFlag = false
-	commands := []*flaggy.Subcommand{o.platformCommand(), o.engineCommand(), o.serviceCommand()}
-	for _, c := range commands {
+	servers := []*flaggy.Subcommand{o.platformCommand(), o.engineCommand(), o.serviceCommand()}
+	for _, c := range servers {
 		c.String(&o.listen, "l", "listen", "Address to listen on; port 0 takes a free one, which the log names.")
+	}
+	commands := append(servers, o.caller.command())
+	for _, c := range commands {
 		c.AdditionalHelpAppend = exitCodes
 		p.AttachSubcommand(c, 1)
 	}
-	if err := p.ParseArgs(args); err != nil {
-		return nil, err
+	cli := clemcli.Config{Parser: p, Args: args, Out: out, Err: errs}
+	if code, run := clemcli.Parse(cli); !run {
+		return nil, code
 	}
 	for _, c := range commands {
 		if c.Used {
 			o.role = c.Name
 		}
 	}
-	return o, o.check()
+	if err := o.check(); err != nil {
+		return nil, clemcli.Usage(cli, "%v", err)
+	}
+	return o, clemcli.ExitOK
 }
 
 func (o *options) platformCommand() *flaggy.Subcommand {
@@ -102,12 +110,15 @@
 // check reports every fault of the options.
 func (o *options) check() error {
 	if o.role == "" {
-		return errors.New("a subcommand is needed: platform, engine or service; see --help")
+		return errors.New("a subcommand is needed: platform, engine, service or caller")
 	}
 	var faults []error
 	if o.role == roleEngine && o.engine.Model == "" {
 		faults = append(faults, errors.New("--model is needed"))
 	}
+	if o.role == roleCaller && o.caller.url == "" {
+		faults = append(faults, errors.New("--url is needed"))
+	}
 	for _, limit := range []struct {
 		flag  string
 		value float64
