--- a/clemplatform/client_test.go
+++ b/clemplatform/client_test.go
@@ -41,6 +41,7 @@
 		ended := make(chan error, 1)
 		listener := network.Listen("platform:80")
 		go func() { ended <- b.server.Serve(listener) }()
+		synctest.Wait()
 		b.client = clemplatform.New(clemplatform.Config{URL: "http://platform:80", Client: network.Client(), Timeout: timeout})
 		t.Cleanup(func() {
 			b.client.Close()
--- a/clemstandin/answer.go
+++ b/clemstandin/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -85,17 +86,24 @@
 	return c
 }
 
-// events writes server-sent events.
+// events writes server-sent events. Events of a resumable stream carry their
+// number as id; those up to the last that the caller has are left out.
 type events struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
+	w         http.ResponseWriter
+	control   *http.ResponseController
+	resumable bool
+	last      int
+	number    int
 }
 
-func newEvents(w http.ResponseWriter) *events {
+// newEvents starts a stream. It is resumable if the request has a
+// Last-Event-ID, which is 0 for a stream from its start.
+func newEvents(w http.ResponseWriter, r *http.Request) *events {
 	w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
 	w.Header().Set("Cache-Control", "no-cache")
 	w.WriteHeader(http.StatusOK)
-	return &events{w: w, control: http.NewResponseController(w)}
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	return &events{w: w, control: http.NewResponseController(w), resumable: err == nil, last: last}
 }
 
 func (e *events) send(c completion) error {
@@ -107,8 +115,18 @@
 }
 
 func (e *events) raw(data string) error {
+	e.number++
+	if e.held() {
+		return nil
+	}
+	if e.resumable {
+		data += "\nid: " + strconv.Itoa(e.number)
+	}
 	if _, err := fmt.Fprintf(e.w, "data: %s\n\n", data); err != nil {
 		return err
 	}
 	return e.control.Flush()
 }
+
+// held reports whether the caller has the current event.
+func (e *events) held() bool { return e.number <= e.last }
--- a/clemstandin/client_test.go
+++ b/clemstandin/client_test.go
@@ -22,6 +22,7 @@
 		ended := make(chan error, 1)
 		listener := network.Listen("engine:80")
 		go func() { ended <- server.Serve(listener) }()
+		synctest.Wait()
 		httpClient := network.Client()
 		t.Cleanup(func() {
 			httpClient.CloseIdleConnections()
--- a/clemstandin/engine_test.go
+++ b/clemstandin/engine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -171,6 +172,28 @@
 	})
 }
 
+// TestEngineResume continues a stream after each of its events.
+func TestEngineResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEngine(EngineConfig{Model: "m"})
+		stream := func(last int) (string, time.Duration) {
+			start := time.Now()
+			w := ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", chatBody("a", `,"stream":true`), "Last-Event-ID", strconv.Itoa(last))
+			created := regexp.MustCompile(`"created":\d+`)
+			return created.ReplaceAllString(w.Body.String(), ""), time.Since(start)
+		}
+		whole, long := stream(0)
+		events := strings.SplitAfter(whole, "\n\n")
+		for last := range len(events) {
+			rest, short := stream(last)
+			require.Equal(t, strings.Join(events[last:], ""), rest)
+			require.LessOrEqual(t, short, long)
+		}
+		_, short := stream(len(events))
+		require.Less(t, short, defaultStep, "held tokens are not generated again")
+	})
+}
+
 func TestEngineOrders(t *testing.T) {
 	order := func(e *Engine, version string, fence int) int {
 		return ask(context.Background(), e, http.MethodPost, "/v1/load", fmt.Sprintf(`{"version":%q,"adapters":["cots"],"fence":%d}`, version, fence)).Code
@@ -213,6 +236,7 @@
 		ended := make(chan error, 1)
 		listener := network.Listen("platform:80")
 		go func() { ended <- server.Serve(listener) }()
+		synctest.Wait()
 		client := network.Client()
 		e := NewEngine(EngineConfig{Model: "m", Weights: "http://platform:80", Client: client})
 		load := func(version string) int {
