--- a/clementry/router.go
+++ b/clementry/router.go
@@ -31,6 +31,9 @@
 	// verdictGrace is how long after the deadline an entry waits for the
 	// sidecar's own word on whether the work was run.
 	verdictGrace = 250 * time.Millisecond
+	// eagerTimeout bounds an eager offer of idempotent work, which a sidecar
+	// decides at once: one that does not answer may be frozen.
+	eagerTimeout = time.Second
 )
 
 // router places requests on backend servers.
@@ -156,8 +159,13 @@
 
 // ask makes one offer. It waits a little past the deadline, and past the end
 // of the caller, for the sidecar's verdict: only that tells whether the work
-// was run.
+// was run. An attempt that gets no verdict is withdrawn.
 func (r *router) ask(ctx context.Context, peer clementineturn.Peer, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	if offer.GetEager() && offer.GetMode() == clemwire.Mode_MODE_IDEMPOTENT {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, eagerTimeout)
+		defer stop()
+	}
 	patient, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
--- a/clemstandin/service.go
+++ b/clemstandin/service.go
@@ -22,6 +22,8 @@
 type ServiceFaults struct {
 	// Delay is the time that each call runs.
 	Delay Duration `json:"delay"`
+	// Answer is the time between a run and its answer.
+	Answer Duration `json:"answer"`
 	// Refuse is the number of coming calls answered 503 without running.
 	Refuse int `json:"refuse"`
 	// Before is the number of coming calls whose connection breaks before they run.
@@ -102,13 +104,20 @@
 	if sleep(r.Context(), delay) != nil {
 		abort()
 	}
+	answer := s.answerDelay()
 	done, lost := s.run(chi.URLParam(r, "service"), chi.URLParam(r, "call"), r.Header.Get("Idempotency-Key"))
-	if lost {
+	if lost || sleep(r.Context(), answer) != nil {
 		abort()
 	}
 	writeJSON(w, http.StatusOK, done)
 }
 
+func (s *Service) answerDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.faults.Answer)
+}
+
 // enter applies the faults that come before a run.
 func (s *Service) enter() (delay time.Duration, refused bool) {
 	s.mu.Lock()
