--- a/clemplatform/client_test.go
+++ b/clemplatform/client_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// TestLostWriteSentOnce loses the answer of a write on a reused connection,
+// which is where net/http would send a replayable request again.
+func TestLostWriteSentOnce(t *testing.T) {
+	inBubble(t, clemstandin.PlatformConfig{}, func(t *testing.T, b *bench) {
+		row, err := b.client.Table().Put(t.Context(), "k", nil, "")
+		require.NoError(t, err)
+		b.platform.Inject(clemstandin.PlatformFaults{Table: clemstandin.Faults{Lost: 1}})
+		before := b.platform.Counts().Table.Writes
+		requireKind(t, clementineturn.KindUnknown, b.client.Table().Delete(t.Context(), "k", row.Version()))
+		require.Equal(t, before+1, b.platform.Counts().Table.Writes)
+	})
+}
+
 func requireValue(t *testing.T, b *bench, want string) {
 	t.Helper()
 	row, err := b.client.Table().Get(t.Context(), "k")
--- a/clemstandin/chat.go
+++ b/clemstandin/chat.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net/http"
 	"strings"
+
+	clementineturn "github.com/clementineturn/clementineturn"
 )
 
 const (
@@ -121,6 +123,13 @@
 	return &apiError{status: http.StatusServiceUnavailable, Message: message, Type: serverError}
 }
 
+// refused returns the API's form of an error of the closed list.
+func refused(err error) *apiError {
+	e := clementineturn.AsError(err)
+	info := e.Kind().Info()
+	return (&apiError{status: info.Status(), Message: e.Message(), Type: info.Family()}).withCode(info.Name())
+}
+
 func (e *apiError) withCode(code string) *apiError {
 	e.Code = &code
 	return e
--- a/clemstandin/engine_test.go
+++ b/clemstandin/engine_test.go
@@ -172,6 +172,29 @@
 	})
 }
 
+func TestEngineBadInput(t *testing.T) {
+	e := NewEngine(EngineConfig{Model: "m"})
+	for body, want := range map[string]int{
+		`{`:                           http.StatusBadRequest,
+		`{"model":1}`:                 http.StatusBadRequest,
+		`{"model":"m","messages":[]}`: http.StatusBadRequest,
+		`{"model":"m","messages":[{"content":"no role"}]}`:  http.StatusBadRequest,
+		chatBody("a", `,"max_tokens":0`):                    http.StatusBadRequest,
+		`{"model":"x","messages":[{"role":"user"}]}`:        http.StatusNotFound,
+		`{"model":"m"` + strings.Repeat(" ", maxChat) + `}`: http.StatusRequestEntityTooLarge,
+	} {
+		w := ask(t.Context(), e, http.MethodPost, "/v1/chat/completions", body)
+		require.Equal(t, want, w.Code, w.Body)
+		var answer struct {
+			Error struct{ Message, Type string }
+		}
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+		require.NotEmpty(t, answer.Error.Message)
+		require.Equal(t, invalidRequest, answer.Error.Type)
+	}
+	require.Equal(t, http.StatusNotFound, ask(t.Context(), e, http.MethodGet, "/v2", "").Code)
+}
+
 // TestEngineResume continues a stream after each of its events.
 func TestEngineResume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/clemstandin/gate.go
+++ b/clemstandin/gate.go
@@ -82,16 +82,16 @@
 	delay := g.faults.Delay
 	g.mu.Unlock()
 	if err := sleep(ctx, delay); err != nil {
-		return clementineturn.Errorf(clementineturn.KindUnavailable, "table: %w", err)
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "platform: %w", err)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.faults.Down {
-		return clementineturn.Errorf(clementineturn.KindUnavailable, "table is down")
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "the service is down")
 	}
 	limit, count := side()
 	if limit != nil && !limit.Allow() {
-		return clementineturn.Errorf(clementineturn.KindUnavailable, "table: %w", errRate)
+		return clementineturn.Errorf(clementineturn.KindUnavailable, "platform: %w", errRate)
 	}
 	*count++
 	return nil
--- a/clemstandin/generate.go
+++ b/clemstandin/generate.go
@@ -19,7 +19,7 @@
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
 	body, err := readBody(w, r, maxChat)
 	if err != nil {
-		writeAPIError(w, invalid("", err.Error()))
+		writeAPIError(w, refused(err))
 		return
 	}
 	request, fault := decodeChat(body)
--- a/clemstandin/platform.go
+++ b/clemstandin/platform.go
@@ -77,6 +77,9 @@
 // Objects returns the object store behind the platform's HTTP interface.
 func (p *Platform) Objects() *Objects { return p.objects }
 
+// Weights returns the weight store behind the platform's HTTP interface.
+func (p *Platform) Weights() *Objects { return p.weights }
+
 // Hosts returns the list behind the platform's HTTP interface.
 func (p *Platform) Hosts() *Hosts { return p.hosts }
 
