Sidecar: limits follow a configuration change before the next offer

Cause: the gate got its limits at the next 100 ms tick, so an offer that came right after a change met the older ones and was refused as overloaded (the demo's repeated chat went to another engine in 1 of 6 runs). The sidecar compares the configuration's pointer at each offer.

--- a/clemfault/mutation_test.go
+++ b/clemfault/mutation_test.go
@@ -34,19 +34,19 @@
 func (freeLedger) Advance(context.Context, *clemwire.Record) error { return nil }
 
 // ledger returns the ledger that keepers use.
-func ledger(real clementineturn.Ledger) clementineturn.Ledger {
+func ledger(claims clementineturn.Ledger) clementineturn.Ledger {
 	if *removed == removeClaim {
-		return freeLedger{real}
+		return freeLedger{claims}
 	}
-	return real
+	return claims
 }
 
 // number returns the incarnation that a sidecar believes to be.
-func number(real uint64) uint64 {
+func number(incarnation uint64) uint64 {
 	if *removed == removeIncarnation {
 		return 1
 	}
-	return real
+	return incarnation
 }
 
 // voided answers a request for a token without the sidecar's promise.
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/clementineturn/clementineturn/clemanswer"
 	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemclaim"
+	"github.com/clementineturn/clementineturn/clemconfig"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemgate"
 	"github.com/clementineturn/clementineturn/clemrelay"
@@ -68,6 +69,8 @@
 	ledger  *clemclaim.Ledger
 	events  *clemevent.Logger
 
+	// limited is the configuration that the gate's limits come from.
+	limited atomic.Pointer[clemconfig.State]
 	// held is nil until the platform's table gave the sidecar an incarnation.
 	held atomic.Pointer[holder]
 
@@ -150,12 +153,21 @@
 	s.forget(now)
 }
 
+// catchUp brings the gate to a configuration that came since the last tick,
+// so that an offer never meets limits older than the one it rests on.
+func (s *Sidecar) catchUp(now time.Time) {
+	if s.limited.Load() != s.board.Config().Get() {
+		s.refreshLimits(now)
+	}
+}
+
 // refreshLimits passes configuration and pool load to the gate.
 func (s *Sidecar) refreshLimits(now time.Time) {
 	state := s.board.Config().Get()
 	if state == nil {
 		return
 	}
+	s.limited.Store(state)
 	pool := state.Pool(s.pool)
 	if pool == nil {
 		return
@@ -193,6 +205,7 @@
 		cancel()
 		return s.await(ctx, a)
 	}
+	s.catchUp(time.Now())
 	err := s.check(offer)
 	if err == nil {
 		err = s.admit(runCtx, a)
