--- a/clemnode/node.go
+++ b/clemnode/node.go
@@ -39,6 +39,15 @@
 // signal and the work has ended, or until it fails. Further signals change
 // nothing: a graceful shutdown is bounded by the grace setting alone.
 func Run(ctx context.Context, settings *clemsetting.Settings, stop <-chan os.Signal) error {
+	p, err := assemble(ctx, settings)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, stop)
+}
+
+// assemble builds the process and opens its listeners.
+func assemble(ctx context.Context, settings *clemsetting.Settings) (*process, error) {
 	container := dig.New()
 	constructors := []any{
 		func() *clemsetting.Settings { return settings },
@@ -54,10 +63,12 @@
 	constructors = append(constructors, roleConstructors[settings.Role()]...)
 	for _, constructor := range constructors {
 		if err := container.Provide(constructor); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return container.Invoke(func(p *process) error { return p.run(ctx, stop) })
+	var built *process
+	err := container.Invoke(func(p *process) { built = p })
+	return built, err
 }
 
 // roleConstructors holds what each role adds; both end in a *process.
