Entry: strict event ids, checked frames, named fields, aborted answers recorded

The entry had no tests of bad input. With the tests of this commit the code before it failed on: a status that net/http does not know (panic), frames in place of a start (a second start replaced the first), a resumed answer whose last frame was missing (it looked whole), an id past the end, a resume at a server that drains or leaves (410, though the answer is still held), a resume without a deadline and without reading the body (a hang-up went unnoticed), an oversized body without the field, a wrong type without the field, an answer that was cut off after a part (not in metrics and report), and a mismatch that was reported as unavailable since no server took the repeat. An attempt that was given up ran on at the sidecar; it is cancelled now. Writes end a little after the deadline when the caller no longer reads. The claims' holder is looked up among known hosts too, since one that drains still answers.

--- a/clementry/chat.go
+++ b/clementry/chat.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
-	"strings"
 	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,7 +45,7 @@
 	}
 	chat := &chatRequest{}
 	if err := json.Unmarshal(body, chat); err != nil {
-		return nil, clementineturn.Invalid("body", "malformed JSON: %v", err)
+		return nil, malformed(err)
 	}
 	if chat.Model == "" {
 		return nil, clementineturn.Invalid("model", "a model's name is needed")
@@ -61,6 +61,15 @@
 	return chat, nil
 }
 
+// malformed names the field of a value of the wrong type.
+func malformed(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return clementineturn.Invalid(wrong.Field, "found a JSON %s, a %s is needed", wrong.Value, wrong.Type.Kind())
+	}
+	return clementineturn.Invalid("body", "malformed JSON: %v", err)
+}
+
 // conversation returns a digest that the turns of one chat share: the
 // caller's cache key, or else the messages up to the first of the user, which
 // every later turn repeats.
@@ -89,7 +98,7 @@
 }
 
 func (e *Entry) chat(ctx context.Context, c *call) error {
-	if id := c.r.Header.Get("Last-Event-ID"); id != "" {
+	if id := c.r.Header.Get(headerEvent); id != "" {
 		return e.resume(ctx, c, id)
 	}
 	body, err := e.body(c)
@@ -118,39 +127,6 @@
 	return e.run(ctx, c, t, 0)
 }
 
-// resume takes up a stream after the event that the caller saw last. The id
-// names attempt, backend server and frame, so any entry can serve it.
-func (e *Entry) resume(ctx context.Context, c *call, id string) error {
-	parts := strings.Split(id, "/")
-	if len(parts) != 3 {
-		return clementineturn.Invalid("Last-Event-ID", "found %q, an id of an event of this API is needed", id)
-	}
-	seq, err := strconv.ParseUint(parts[2], 10, 64)
-	if err != nil {
-		return clementineturn.Invalid("Last-Event-ID", "found %q, an id of an event of this API is needed", id)
-	}
-	attempt, server := parts[0], parts[1]
-	request, _, ok := strings.Cut(attempt, ".")
-	members := e.Board.Members().Get()
-	if !ok || members == nil || members.Host(server) == nil {
-		return clementineturn.Errorf(clementineturn.KindEvicted, "no answer of %q is held", id)
-	}
-	host := members.Host(server)
-	c.request, c.pool = request, host.GetPool()
-	c.w.Header().Set(headerRequest, request)
-	s := &session{host: host, peer: e.Peers.Peer(host.GetAddress()), offer: &clemwire.Offer{
-		Request: request, Attempt: attempt, Organisation: c.organisation.GetName(), Mode: clemwire.Mode_MODE_IDEMPOTENT,
-	}}
-	out := c.floor.output()
-	out.resume(server, seq+1)
-	err = e.router.relay(ctx, s, out)
-	if err != nil && out.complete {
-		// The answer itself ended in an error: no later resume can complete it.
-		return clementineturn.Errorf(clementineturn.KindEvicted, "the answer cannot be completed: %w", err)
-	}
-	return err
-}
-
 // modelList is the answer to GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
--- /dev/null
+++ b/clementry/fake_test.go
@@ -0,0 +1,168 @@
+package clementry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"flag"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemburn"
+	"github.com/clementineturn/clementineturn/clemconfig"
+	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemrpc"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	secret  = "ct-cribs"
+	maxBody = 4096
+	chat    = `{"model":"m","stream":true,"messages":[{"role":"user","content":"a cot"}]}`
+	plain   = `{"model":"m","messages":[{"role":"user","content":"a cot"}]}`
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed gives one verdict every time; the command line may set another.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+// fakeSidecar accepts every offer and answers as the test says.
+type fakeSidecar struct {
+	clemrpc.Unsupported
+	// offer and frames replace the accepting verdict and the empty answer.
+	offer  func(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error)
+	frames func(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error
+
+	mu        sync.Mutex
+	offers    []*clemwire.Offer
+	fetches   []*clemwire.Fetch
+	cancelled []string
+}
+
+func (f *fakeSidecar) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	f.mu.Lock()
+	f.offers = append(f.offers, offer)
+	f.mu.Unlock()
+	if f.offer != nil {
+		return f.offer(ctx, offer)
+	}
+	return &clemwire.Verdict{}, nil
+}
+
+func (f *fakeSidecar) Cancel(_ context.Context, cancel *clemwire.Cancel) (*clemwire.Cancelled, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, cancel.GetAttempt())
+	return &clemwire.Cancelled{}, nil
+}
+
+func (f *fakeSidecar) Fetch(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
+	f.mu.Lock()
+	f.fetches = append(f.fetches, fetch)
+	f.mu.Unlock()
+	return f.frames(ctx, fetch, handler)
+}
+
+// fakePeers holds the sidecars by address.
+type fakePeers map[string]clementineturn.Peer
+
+func (p fakePeers) Peer(address string) clementineturn.Peer { return p[address] }
+
+// asListed ranks the servers as the board lists them.
+type asListed struct{}
+
+func (asListed) Rank(_ clementineturn.Work, hosts []*clemwire.Host) []*clemwire.Host { return hosts }
+
+type noHealth struct{}
+
+func (noHealth) Refused(string, clementineturn.Kind, time.Time) {}
+func (noHealth) Failed(string, time.Time)                       {}
+func (noHealth) Succeeded(string, time.Time)                    {}
+
+func board(names ...string) *clemboard.Board {
+	digest := sha256.Sum256([]byte(secret))
+	b := clemboard.New()
+	b.Config().Set(clemconfig.FromSnapshot(&clemwire.Snapshot{Generation: 5, Entities: []*clemwire.Entity{
+		{Kind: &clemwire.Entity_Organisation{Organisation: &clemwire.Organisation{
+			Name: "cribs", Weight: 1, Queue: 10, Generation: 1, Keys: []*clemwire.Key{{Name: "k", Digest: digest[:]}},
+		}}},
+		{Kind: &clemwire.Entity_Pool{Pool: &clemwire.Pool{Name: "chats", Kind: clemwire.PoolKind_POOL_KIND_MODEL, Model: "m", Generation: 2}}},
+		{Kind: &clemwire.Entity_Service{Service: &clemwire.Service{Name: "orders", Pool: "chats", Generation: 3}}},
+	}}))
+	var hosts []*clemwire.Host
+	for _, name := range names {
+		hosts = append(hosts, &clemwire.Host{Name: name, Address: name, Pool: "chats"})
+	}
+	b.Members().Set(clemboard.NewMembers(hosts))
+	return b
+}
+
+// newEntry returns an entry in front of the sidecars srv-1, srv-2 and so on.
+func newEntry(sidecars ...*fakeSidecar) *Entry {
+	peers, names := fakePeers{}, []string{}
+	for i, sidecar := range sidecars {
+		name := "srv-" + string(rune('1'+i))
+		peers[name] = sidecar
+		names = append(names, name)
+	}
+	return New(Config{
+		Name: "entry-1", Board: board(names...), Health: noHealth{}, Peers: peers, Ranker: asListed{},
+		Burn: clemburn.New(clemburn.Config{}), Metrics: clemmetric.New(), Body: maxBody, Deadline: time.Minute,
+	})
+}
+
+// ask serves one request in this goroutine.
+func ask(e *Entry, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	router := chi.NewRouter()
+	e.Mount(router)
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	request.Header.Set("Authorization", bearer+secret)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	router.ServeHTTP(recorder, request)
+	return recorder
+}
+
+// requireError checks an answer in the OpenAI error form.
+func requireError(t *testing.T, kind clementineturn.Kind, field string, got *httptest.ResponseRecorder) {
+	t.Helper()
+	var body openAIError
+	require.NoError(t, json.Unmarshal(got.Body.Bytes(), &body), got.Body)
+	require.Equal(t, kind.String(), body.Error.Code, body.Error.Message)
+	require.Equal(t, kind.Info().Status(), got.Code)
+	param := ""
+	if body.Error.Param != nil {
+		param = *body.Error.Param
+	}
+	require.Equal(t, field, param)
+}
+
+// script returns a Fetch that sends the frames from the asked one on and ends
+// as a broken connection does.
+func script(build func(fetch *clemwire.Fetch) []*clemwire.Frame) func(context.Context, *clemwire.Fetch, func(*clemwire.Frame) error) error {
+	return func(_ context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
+		frames := build(fetch)
+		for _, frame := range frames[min(fetch.GetFrom(), uint64(len(frames))):] {
+			if err := handler(frame); err != nil || frame.GetEnd() != nil {
+				return err
+			}
+		}
+		return clementineturn.Errorf(clementineturn.KindCut, "no end: %w", io.ErrUnexpectedEOF)
+	}
+}
--- /dev/null
+++ b/clementry/frame_test.go
@@ -0,0 +1,173 @@
+package clementry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+var events = []string{"data: {\"n\":1}\n\n", "data: {\"n\":2}\n\n", "data: [DONE]\n\n"}
+
+// whole returns the frames of a whole answer.
+func whole(fetch *clemwire.Fetch, media string, data []string) []*clemwire.Frame {
+	frames := []*clemwire.Frame{{Start: &clemwire.Start{Status: http.StatusOK, Media: media}}}
+	digest, length := xxhash.New(), 0
+	for _, text := range data {
+		_, _ = digest.WriteString(text)
+		length += len(text)
+		frames = append(frames, &clemwire.Frame{Data: []byte(text)})
+	}
+	frames = append(frames, &clemwire.Frame{End: &clemwire.End{Length: uint64(length), Digest: digest.Sum64()}})
+	for i, frame := range frames {
+		frame.Request, frame.Attempt, frame.Seq = fetch.GetRequest(), fetch.GetAttempt(), uint64(i)
+	}
+	return frames
+}
+
+// spoiled returns a sidecar whose answers a test changes.
+func spoiled(media string, data []string, change func([]*clemwire.Frame) []*clemwire.Frame) *fakeSidecar {
+	return &fakeSidecar{frames: script(func(fetch *clemwire.Fetch) []*clemwire.Frame { return change(whole(fetch, media, data)) })}
+}
+
+// frameFaults are answers that must never look whole. Some end in a cut, all
+// others in a mismatch.
+var frameFaults = map[string]struct {
+	kind   clementineturn.Kind
+	change func([]*clemwire.Frame) []*clemwire.Frame
+}{
+	"another request":     {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[2].Request = "other"; return f }},
+	"another attempt":     {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[2].Attempt = "other.1"; return f }},
+	"another's from 0 on": {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[0].Attempt = "other.1"; return f }},
+	"crossed":             {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[1], f[2] = f[2], f[1]; return f }},
+	"doubled":             {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { return append(f[:2], f[1:]...) }},
+	"missing":             {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { return append(f[:2], f[3:]...) }},
+	"missing, renumbered": {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame {
+		f = append(f[:2], f[3:]...)
+		for i := range f {
+			f[i].Seq = uint64(i)
+		}
+		return f
+	}},
+	"changed":          {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[2].Data[8] ^= 1; return f }},
+	"wrong length":     {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[len(f)-1].End.Length++; return f }},
+	"wrong digest":     {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[len(f)-1].End.Digest++; return f }},
+	"no start":         {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[0].Start = nil; return f }},
+	"second start":     {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[2].Start = f[0].Start; return f }},
+	"status 0":         {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[0].Start.Status = 0; return f }},
+	"status 1xx":       {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[0].Start.Status = 101; return f }},
+	"status 4 figures": {clementineturn.KindMismatch, func(f []*clemwire.Frame) []*clemwire.Frame { f[0].Start.Status = 1000; return f }},
+	"cut":              {clementineturn.KindCut, func(f []*clemwire.Frame) []*clemwire.Frame { return f[:len(f)-1] }},
+	"cut in between":   {clementineturn.KindCut, func(f []*clemwire.Frame) []*clemwire.Frame { return f[:2] }},
+}
+
+func TestFrameFaults(t *testing.T) {
+	for name, fault := range frameFaults {
+		t.Run("stream/"+name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := ask(newEntry(spoiled(eventStream, events, fault.change)), "/v1/chat/completions", chat, nil)
+				require.NotContains(t, got.Body.String(), "[DONE]")
+				require.Contains(t, got.Body.String(), `"code":"`+fault.kind.String()+`"`)
+			})
+		})
+		t.Run("whole/"+name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				data := []string{`{"number":1,`, `"number2":2,`, `"number3":3}`}
+				got := ask(newEntry(spoiled("application/json", data, fault.change)), "/v1/chat/completions", plain, nil)
+				requireError(t, fault.kind, "", got)
+				require.NotContains(t, got.Body.String(), "number")
+			})
+		})
+	}
+}
+
+// TestWholeAnswers checks the bytes that a caller gets if nothing goes wrong
+// and if one fetch breaks.
+func TestWholeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := ask(newEntry(spoiled("application/json", []string{"{", "}"}, same)), "/v1/chat/completions", plain, nil)
+		require.Equal(t, "{}", got.Body.String())
+		require.Equal(t, "2", got.Header().Get("Content-Length"))
+		require.Equal(t, "srv-1", got.Header().Get(headerServer))
+		sidecar := spoiled(eventStream, events, same)
+		uncut := sidecar.frames
+		sidecar.frames = func(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
+			n := 0
+			return uncut(ctx, fetch, func(frame *clemwire.Frame) error {
+				if n++; n > 2 {
+					return clementineturn.Errorf(clementineturn.KindCut, "broken: %w", io.ErrUnexpectedEOF)
+				}
+				return handler(frame)
+			})
+		}
+		got = ask(newEntry(sidecar), "/v1/chat/completions", chat, nil)
+		id := "id: " + got.Header().Get(headerRequest) + ".1/srv-1/"
+		require.Equal(t, id+"1\n"+events[0]+id+"2\n"+events[1]+id+"3\n"+events[2], got.Body.String())
+		require.Len(t, sidecar.fetches, 3)
+	})
+}
+
+func same(frames []*clemwire.Frame) []*clemwire.Frame { return frames }
+
+// TestResumeFrames resumes from an id of the right form.
+func TestResumeFrames(t *testing.T) {
+	attempt := strings.Repeat("A", 26) + ".1"
+	tests := map[string]struct {
+		seq    string
+		change func([]*clemwire.Frame) []*clemwire.Frame
+		kind   clementineturn.Kind
+		field  string
+		body   string
+	}{
+		"middle":        {seq: "1", change: same, body: "id: " + attempt + "/srv-1/2\n" + events[1] + "id: " + attempt + "/srv-1/3\n" + events[2]},
+		"all seen":      {seq: "3", change: same},
+		"past the end":  {seq: "9", change: func(f []*clemwire.Frame) []*clemwire.Frame { return pad(f, 12) }, kind: clementineturn.KindInvalid, field: headerEvent},
+		"missing frame": {seq: "1", change: func(f []*clemwire.Frame) []*clemwire.Frame { return append(f[:2], f[3:]...) }, kind: clementineturn.KindMismatch},
+		"missing last":  {seq: "2", change: func(f []*clemwire.Frame) []*clemwire.Frame { return append(f[:3], f[4:]...) }, kind: clementineturn.KindMismatch},
+		"another's":     {seq: "1", change: func(f []*clemwire.Frame) []*clemwire.Frame { f[2].Attempt = "other.1"; return f }, kind: clementineturn.KindMismatch},
+		"failed answer": {seq: "2", change: func(f []*clemwire.Frame) []*clemwire.Frame {
+			f[3].Data, f[3].End = nil, &clemwire.End{Refusal: clementineturn.Errorf(clementineturn.KindTimeout, "late").Refusal()}
+			return f
+		}, kind: clementineturn.KindEvicted},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEntry(spoiled(eventStream, events, test.change))
+				got := ask(e, "/v1/chat/completions", "", map[string]string{headerEvent: attempt + "/srv-1/" + test.seq})
+				if test.kind != clementineturn.KindInternal {
+					requireError(t, test.kind, test.field, got)
+					return
+				}
+				require.Equal(t, http.StatusOK, got.Code)
+				require.Equal(t, test.body, got.Body.String())
+			})
+		})
+	}
+}
+
+// pad repeats the end frame, as a fetch from past the end gets it.
+func pad(frames []*clemwire.Frame, n int) []*clemwire.Frame {
+	for len(frames) < n {
+		frames = append(frames, frames[len(frames)-1])
+	}
+	return frames
+}
+
+// TestResumeLeaving resumes at a server that takes no new work any more.
+func TestResumeLeaving(t *testing.T) {
+	e := newEntry(spoiled(eventStream, events, same))
+	e.Board.Members().Set(clemboard.NewMembers([]*clemwire.Host{{Name: "srv-1", Address: "srv-1", Pool: "chats", Leaving: true}}))
+	got := ask(e, "/v1/chat/completions", "", map[string]string{headerEvent: strings.Repeat("A", 26) + ".1/srv-1/2"})
+	require.Equal(t, http.StatusOK, got.Code)
+	require.Contains(t, got.Body.String(), events[2])
+}
--- a/clementry/http.go
+++ b/clementry/http.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,7 +22,11 @@
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
-const bearer = "Bearer "
+const (
+	bearer = "Bearer "
+	// writeGrace is the time past a request's deadline to tell the caller of its end.
+	writeGrace = 5 * time.Second
+)
 
 // Mount adds the callers' paths to the router.
 func (e *Entry) Mount(router chi.Router) {
@@ -96,7 +101,8 @@
 func (e *Entry) finish(c *call, err error) {
 	failure := clementineturn.AsError(err)
 	if failure != nil {
-		c.fail(failure)
+		// Last, since it panics to cut an answer off.
+		defer c.fail(failure)
 	}
 	now := time.Now()
 	kind := "ok"
@@ -191,14 +197,33 @@
 // body reads the request's body up to the limit.
 func (e *Entry) body(c *call) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.Body))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return data, nil
+}
+
+// bodyError returns the error of a body that could not be read.
+func bodyError(err error) error {
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return nil, clementineturn.Refuse(clementineturn.KindTooLarge, "the body is larger than %d bytes", large.Limit)
-	case err != nil:
-		return nil, clementineturn.Invalid("body", "reading failed: %v", err)
+		return clementineturn.NewError(clementineturn.ErrorConfig{
+			Kind: clementineturn.KindTooLarge, Field: "body", NotRun: true,
+			Message: fmt.Sprintf("the body is larger than %d bytes", large.Limit),
+		})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return clementineturn.Invalid("body", "the body did not arrive in time")
+	}
+	return clementineturn.Invalid("body", "reading failed: %v", err)
+}
+
+// bound ends writes to a caller that no longer reads, a little after the
+// request's deadline.
+func (c *call) bound(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.floor.controller.SetWriteDeadline(deadline.Add(writeGrace))
 	}
-	return data, nil
 }
 
 // run serves the task within its deadline.
@@ -210,5 +235,6 @@
 	defer cancel()
 	c.request = t.request
 	c.w.Header().Set(headerRequest, t.request)
+	c.bound(ctx)
 	return e.router.serve(ctx, t, c.floor)
 }
--- a/clementry/output.go
+++ b/clementry/output.go
@@ -23,6 +23,7 @@
 	// wholeLimit is the size in bytes up to which an answer that is no event
 	// stream is held back until its end marker is checked.
 	wholeLimit = 1 << 20
+	maxStatus  = 599
 )
 
 var doneEvent = []byte("data: [DONE]")
@@ -103,8 +104,10 @@
 
 // frame takes the next frame of the attempt.
 func (o *output) frame(frame *clemwire.Frame) error {
-	if o.resumed && frame.GetEnd() != nil {
-		return o.end(frame.GetEnd())
+	// A fetch from past the end gets the end frame.
+	if o.resumed && frame.GetEnd() != nil && frame.GetSeq() < o.next {
+		o.complete = true
+		return clementineturn.Invalid(headerEvent, "the answer has no event %d", o.next-1)
 	}
 	if frame.GetSeq() != o.next {
 		return clementineturn.Errorf(clementineturn.KindMismatch, "frame %d came in place of %d", frame.GetSeq(), o.next)
@@ -120,6 +123,13 @@
 }
 
 func (o *output) begin(start *clemwire.Start) error {
+	if o.start != nil {
+		return clementineturn.Errorf(clementineturn.KindMismatch, "a second start came")
+	}
+	// net/http panics on a status that is none, and sends one below 200 before the answer's.
+	if status := start.GetStatus(); status < http.StatusOK || status > maxStatus {
+		return clementineturn.Errorf(clementineturn.KindMismatch, "an answer came with status %d", status)
+	}
 	if o.repeatable && start.GetStatus() >= http.StatusInternalServerError {
 		return clementineturn.Errorf(clementineturn.KindUnavailable, "%s answered with status %d", o.server, start.GetStatus())
 	}
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -74,6 +74,7 @@
 	defer hedge.Stop()
 	taken := r.floor.taken
 	r.launch(false)
+	var failed error
 	for repeats := 0; ; {
 		select {
 		case <-hedge.C:
@@ -90,11 +91,15 @@
 			if res.err == nil || r.floor.owner() == res.output {
 				return res.err
 			}
+			// What broke an attempt tells more than that no server took its repeat.
+			if res.session != nil || failed == nil {
+				failed = res.err
+			}
 			if len(r.running) > 0 {
 				continue
 			}
 			if repeats == maxRepeats || !r.mayRepeat(res) {
-				return res.err
+				return failed
 			}
 			repeats++
 			r.launch(false)
@@ -157,8 +162,9 @@
 	if !clementineturn.IsNotRun(err) {
 		t.touch()
 	}
-	// A caller that saw events of a stream may come back for the rest.
-	if ctx.Err() != nil && !out.isResumable() {
+	// A caller that saw events of a stream may come back for the rest. Any
+	// other answer that was given up would run on for nobody.
+	if err != nil && !out.complete && !out.isResumable() {
 		s.cancel(ctx)
 	}
 	return s, err
--- a/clementry/service.go
+++ b/clementry/service.go
@@ -14,14 +14,16 @@
 )
 
 const (
-	headerKey = "Idempotency-Key"
+	headerKey   = "Idempotency-Key"
+	headerMedia = "Content-Type"
 	// callCost is the work, in tokens, that a call of a plain service counts as.
 	callCost = 1
 )
 
 var (
-	callPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-	keyPattern  = regexp.MustCompile(`^[\x21-\x7e]{1,255}$`)
+	callPattern  = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	mediaPattern = regexp.MustCompile(`^[\x20-\x7e]{0,255}$`)
+	keyPattern   = regexp.MustCompile(`^[\x21-\x7e]{1,255}$`)
 )
 
 func (e *Entry) service(ctx context.Context, c *call) error {
@@ -33,6 +35,10 @@
 	if key != "" && !keyPattern.MatchString(key) {
 		return clementineturn.Invalid(headerKey, "allowed are 1 to 255 visible ASCII characters")
 	}
+	media := c.r.Header.Get(headerMedia)
+	if !mediaPattern.MatchString(media) {
+		return clementineturn.Invalid(headerMedia, "allowed are up to 255 printable ASCII characters")
+	}
 	body, err := e.body(c)
 	if err != nil {
 		return err
@@ -56,7 +62,7 @@
 			})
 		}
 		return &plan{offer: &clemwire.Offer{
-			Pool: service.GetPool(), Service: name, Call: method, Media: c.r.Header.Get("Content-Type"), Body: body,
+			Pool: service.GetPool(), Service: name, Call: method, Media: media, Body: body,
 			Mode: mode, Key: key, Conversation: affinity(key, body), Prompt: callCost,
 		}}, nil
 	}
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -145,13 +145,14 @@
 	}
 }
 
-// locate returns the sidecar of a backend server, or nil if the host is unknown.
+// locate returns the sidecar of a backend server, or nil if the host is
+// unknown. A server that takes no new work still answers for its claims.
 func (i *incarnator) locate(server string) clementineturn.Peer {
 	members := i.Board.Members().Get()
 	if members == nil {
 		return nil
 	}
-	host := members.Host(server)
+	host := members.Known(server)
 	if host == nil {
 		return nil
 	}
