Listeners: limits of header and body tested, metrics off the callers' paths

Tests in virtual time show what the listeners' limits do: a slow header, a slow body, a body that the handler does not read and a large header end the request in time, an answer that takes longer than the read timeout is not cut, and a write deadline ends with its request. Two tries were dropped, since their tests pass without them: a read deadline of our own in place of http.Server.ReadTimeout, and a reset of the write deadline for each request. net/http does both. The sidecar's and operators' listeners had no limit for the body and have one now.

/metrics of an entry needs no key and told callers about all organisations. It is served on the operators' listener now; a test asks each listener for the other's paths with the other's secrets.

--- a/clementry/http.go
+++ b/clementry/http.go
@@ -32,8 +32,6 @@
 func (e *Entry) Mount(router chi.Router) {
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", e.ready)
-	router.Method(http.MethodGet, "/metrics", e.Metrics.Text())
-	router.Method(http.MethodGet, "/metrics.json", e.Metrics.JSON())
 	router.Get("/v1/models", e.caller(e.models))
 	router.Post("/v1/chat/completions", e.caller(e.chat))
 	router.Post("/v1/services/{service}/{call}", e.caller(e.service))
--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -73,11 +73,11 @@
 	if err != nil {
 		return nil, err
 	}
-	callers.ReadTimeout = parts.Settings.Read()
 	servers := []*server{callers}
 	if address := parts.Settings.Admin(); address != "" {
 		adminRouter := chi.NewRouter()
 		parts.Operators.Mount(adminRouter)
+		mountMetrics(adminRouter, parts.Metrics)
 		admin, err := listen(parts.Context, parts.Settings, address, adminRouter)
 		if err != nil {
 			return nil, err
--- a/clemnode/metric.go
+++ b/clemnode/metric.go
@@ -1,12 +1,23 @@
 package clemnode
 
 import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
 	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clementry"
 	"github.com/clementineturn/clementineturn/clemgate"
 	"github.com/clementineturn/clementineturn/clemmetric"
 )
 
+// mountMetrics serves the metrics. Callers' listeners do not: the metrics tell
+// of all organisations together.
+func mountMetrics(router chi.Router, metrics *clemmetric.Registry) {
+	router.Method(http.MethodGet, "/metrics", metrics.Text())
+	router.Method(http.MethodGet, "/metrics.json", metrics.JSON())
+}
+
 // observeBoard adds the metrics of every role.
 func observeBoard(metrics *clemmetric.Registry, board *clemboard.Board) {
 	metrics.ObserveProcess()
--- a/clemnode/node.go
+++ b/clemnode/node.go
@@ -3,6 +3,7 @@
 package clemnode
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -148,10 +149,7 @@
 	if err != nil {
 		return nil, clementineturn.Errorf(clementineturn.KindUnavailable, "listen: %w", err)
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Header(), IdleTimeout: time.Minute}
-	if s.ReadHeaderTimeout == 0 {
-		s.ReadHeaderTimeout = platformTimeout
-	}
+	s := newServer(cmp.Or(settings.Header(), platformTimeout), cmp.Or(settings.Read(), platformTimeout), handler)
 	if t := settings.TLS(); t != nil {
 		config := t.Server()
 		// The switch of a connection to net/rpc needs HTTP/1.1.
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -102,8 +102,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	router.Method(http.MethodGet, "/metrics", p.Metrics.Text())
-	router.Method(http.MethodGet, "/metrics.json", p.Metrics.JSON())
+	mountMetrics(router, p.Metrics)
 }
 
 // incarnator takes the sidecar's incarnation, however long the table is down,
