--- a/clemnode/node.go
+++ b/clemnode/node.go
@@ -3,6 +3,7 @@
 package clemnode
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -39,6 +40,15 @@
 // signal and the work has ended, or until it fails. Further signals change
 // nothing: a graceful shutdown is bounded by the grace setting alone.
 func Run(ctx context.Context, settings *clemsetting.Settings, stop <-chan os.Signal) error {
+	p, err := assemble(ctx, settings)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, stop)
+}
+
+// assemble builds the process and opens its listeners.
+func assemble(ctx context.Context, settings *clemsetting.Settings) (*process, error) {
 	container := dig.New()
 	constructors := []any{
 		func() *clemsetting.Settings { return settings },
@@ -54,10 +64,12 @@
 	constructors = append(constructors, roleConstructors[settings.Role()]...)
 	for _, constructor := range constructors {
 		if err := container.Provide(constructor); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return container.Invoke(func(p *process) error { return p.run(ctx, stop) })
+	var built *process
+	err := container.Invoke(func(p *process) { built = p })
+	return built, err
 }
 
 // roleConstructors holds what each role adds; both end in a *process.
@@ -137,10 +149,7 @@
 	if err != nil {
 		return nil, clementineturn.Errorf(clementineturn.KindUnavailable, "listen: %w", err)
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Header(), IdleTimeout: time.Minute}
-	if s.ReadHeaderTimeout == 0 {
-		s.ReadHeaderTimeout = platformTimeout
-	}
+	s := newServer(cmp.Or(settings.Header(), platformTimeout), cmp.Or(settings.Read(), platformTimeout), handler)
 	if t := settings.TLS(); t != nil {
 		config := t.Server()
 		// The switch of a connection to net/rpc needs HTTP/1.1.
