--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -38,6 +38,8 @@
 	restartDelay = 5 * time.Second
 	freezeTime   = 10 * time.Second
 	outage       = 30 * time.Second
+	// settleTime is how long a stopping process waits for the balancer.
+	settleTime = 2 * time.Second
 )
 
 // world is a small fleet in one process: real entries, sidecars, relays and
@@ -250,9 +252,9 @@
 		Ranker: clemrank.New(clemrank.Config{Most: 8}), Burn: clemburn.New(clemburn.Config{}),
 		Metrics: clemmetric.New(), Body: 1 << 20, Deadline: 20 * time.Second,
 	})
-	n.register(n.entry)
 	n.handler = chi.NewRouter()
 	n.entry.Mount(n.handler)
+	n.register(n.entry)
 }
 
 func (n *node) startSidecar(gate *clemgate.Gate) {
@@ -336,6 +338,7 @@
 	for range 2 {
 		n.board.Drain().Update(func(d *clemboard.Drain) *clemboard.Drain { return d.With("shutdown", true) })
 	}
+	rest(n.ctx, settleTime)
 	for n.ctx.Err() == nil && !n.idle() {
 		rest(n.ctx, 50*time.Millisecond)
 	}
