clemclaim: summaries of sealed segments for a takeover

A summary depends on sealed segments alone and is inserted if absent, so it does not matter who writes it or whether a write is lost or late.

A bucket's failures are now reported every 10 s at most; an outage would have logged a line for each batch.

--- a/clemclaim/commit.go
+++ b/clemclaim/commit.go
@@ -20,6 +20,8 @@
 	settleTries = 6
 	// settlePause is the mean pause before the second of these; it doubles.
 	settlePause = 20 * time.Millisecond
+	// failureReport is the least time between two reports of one bucket's failures.
+	failureReport = 10 * time.Second
 )
 
 // commit carries out the operations with one write, and answers them. After a
@@ -73,8 +75,12 @@
 	}
 }
 
+// fail ends the operations. A log that keeps failing is reported from time to time.
 func (g *log) fail(ops []*operation, err error) {
-	g.config.Events.Emit(clemevent.ClaimWriteFailed, bucketField(g.bucket), zap.Int("operations", len(ops)), zap.Error(err))
+	if now := time.Now(); now.Sub(g.failed) >= failureReport {
+		g.failed = now
+		g.config.Events.Emit(clemevent.ClaimWriteFailed, bucketField(g.bucket), zap.Int("operations", len(ops)), zap.Error(err))
+	}
 	for _, op := range ops {
 		op.fail(err)
 	}
--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -44,8 +44,7 @@
 }
 
 // add takes in the next record of the log, at a position of the head.
-func (x *index) add(record *clemwire.Record, segment uint64, position int) {
-	key := recordID(record)
+func (x *index) add(key id, record *clemwire.Record, segment uint64, position int) {
 	if record.GetState() == stateDone {
 		delete(x.open, key)
 		x.done[key] = position
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -29,8 +29,14 @@
 	// first is the number of the oldest segment that is kept.
 	first uint64
 	head  segment
+	// span collects the span that holds the head.
+	span span
+	// summaries wait to be written.
+	summaries []*clemwire.Summary
 	// checked is when retention was last applied.
 	checked time.Time
+	// failed is when a failure was last reported.
+	failed time.Time
 }
 
 // segment is the head as the log last saw it. Without a version it is the
@@ -73,8 +79,7 @@
 		if err != nil {
 			return err
 		}
-		g.index, g.first, g.head = newIndex(), first, segment{number: first}
-		if err := g.follow(ctx); err != nil {
+		if err := g.readAll(ctx, first); err != nil {
 			return err
 		}
 		again, _, err := g.readFirst(ctx)
@@ -88,6 +93,21 @@
 	}
 }
 
+// readAll reads the log from the first segment to the head.
+func (g *log) readAll(ctx context.Context, first uint64) error {
+	g.index, g.first, g.head, g.span = newIndex(), first, segment{number: first}, newSpan(first)
+	for more := true; more; {
+		if err := g.skip(ctx); err != nil {
+			return err
+		}
+		var err error
+		if more, err = g.next(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // bucketsKey is the row that holds the number of buckets.
 const bucketsKey = "claim/buckets"
 
@@ -159,29 +179,34 @@
 // follow reads the head and what comes after it.
 func (g *log) follow(ctx context.Context) error {
 	for {
-		row, err := g.get(ctx, g.segmentKey(g.head.number))
-		absent := clementineturn.IsKind(err, clementineturn.KindNotFound)
-		if err != nil && !absent {
+		if more, err := g.next(ctx); err != nil || !more {
 			return err
 		}
-		if g.head.version == "" && g.loaded {
-			if err := g.verify(ctx); err != nil || !g.loaded {
-				return err
-			}
-		}
-		if absent {
-			// A head that was in the table has been dropped by retention.
-			g.loaded = g.loaded && g.head.version == ""
-			return nil
-		}
-		if row.Version() == g.head.version {
-			return nil
-		}
-		sealed, err := g.accept(row)
-		if err != nil || !sealed {
-			return err
+	}
+}
+
+// next reads the head and reports whether it is sealed, so that the next
+// segment is the head.
+func (g *log) next(ctx context.Context) (bool, error) {
+	row, err := g.get(ctx, g.segmentKey(g.head.number))
+	absent := clementineturn.IsKind(err, clementineturn.KindNotFound)
+	if err != nil && !absent {
+		return false, err
+	}
+	if g.head.version == "" && g.loaded {
+		if err := g.verify(ctx); err != nil || !g.loaded {
+			return false, err
 		}
 	}
+	if absent {
+		// A head that was in the table has been dropped by retention.
+		g.loaded = g.loaded && g.head.version == ""
+		return false, nil
+	}
+	if row.Version() == g.head.version {
+		return false, nil
+	}
+	return g.accept(row)
 }
 
 // verify checks that the head, which the log has not seen in the table yet, is
@@ -218,10 +243,13 @@
 // head, the head, or the next segment if it is sealed.
 func (g *log) advance(row clementineturn.Row, more *clemwire.Segment) {
 	for i, record := range more.GetRecords() {
-		g.index.add(record, g.head.number, len(g.head.records)+i)
+		key := recordID(record)
+		g.index.add(key, record, g.head.number, len(g.head.records)+i)
+		g.span.add(key, record, g.head.number)
 	}
 	if more.GetSealed() {
 		g.index.seal(g.head.number)
+		g.endSpan(g.head.number)
 		g.head = segment{number: g.head.number + 1}
 		return
 	}
--- a/clemclaim/measure_test.go
+++ b/clemclaim/measure_test.go
@@ -181,8 +181,8 @@
 	for n := range claims {
 		held := &clemwire.Record{Claim: sized(n), State: stateHeld}
 		done := &clemwire.Record{Claim: held.GetClaim(), State: stateDone, Outcome: outcome(fmt.Sprintf("%0200d", n))}
-		x.add(held, 0, 2*n)
-		x.add(done, 0, 2*n+1)
+		x.add(recordID(held), held, 0, 2*n)
+		x.add(recordID(done), done, 0, 2*n+1)
 		row += sizeOf(held) + sizeOf(done)
 		if n%64 == 63 {
 			x.seal(uint64(n / 64))
--- a/clemclaim/retain.go
+++ b/clemclaim/retain.go
@@ -15,9 +15,10 @@
 // retentionChecks is the number of times retention is applied in one retention time.
 const retentionChecks = 24
 
-// maintain applies retention if it is due. A failure is left to the next time.
+// maintain writes summaries, and applies retention if it is due. A failure is
+// left to the next time.
 func (g *log) maintain(ctx context.Context, now time.Time) {
-	if !g.loaded || now.Sub(g.checked) < g.config.Retention/retentionChecks {
+	if g.summarise(ctx) != nil || !g.loaded || now.Sub(g.checked) < g.config.Retention/retentionChecks {
 		return
 	}
 	g.checked = now
@@ -62,7 +63,10 @@
 		return false, err
 	}
 	g.index.trim(g.first)
-	return true, g.config.Table.Delete(ctx, row.Key(), row.Version())
+	if err := g.config.Table.Delete(ctx, row.Key(), row.Version()); err != nil {
+		return false, err
+	}
+	return true, g.dropSummary(ctx)
 }
 
 // trim takes over the first number that another ledger raised.
--- a/clemclaim/state_test.go
+++ b/clemclaim/state_test.go
@@ -78,7 +78,7 @@
 		x := newIndex()
 		for i, record := range s.GetRecords() {
 			require.NotNil(t, record.GetClaim())
-			x.add(record, s.GetNumber(), i)
+			x.add(recordID(record), record, s.GetNumber(), i)
 		}
 		for _, record := range s.GetRecords() {
 			key := recordID(record)
