clemclaim: tests for mechanisms that no test noticed

A trial of 14 more mutants on a scratch copy left six alive. Tests now notice three of them: doubt about an unanswered ledger, dropped segments in runs, two acquisitions within the clock's resolution. The other three were of no use and are gone: a check for a repeated token that the void of its own claim covers, the removal of a finished claim that cannot be in the head any longer, a flag that the span's number tells.

--- a/clemclaim/acquire.go
+++ b/clemclaim/acquire.go
@@ -63,7 +63,11 @@
 	}
 	switch record.GetState() {
 	case stateHeld:
-		return k.judgeHeld(ctx, claim, record)
+		if sameClaim(holder, claim) {
+			return nil, false, nil
+		}
+		err := k.contest(ctx, record)
+		return nil, err == nil, err
 	case stateDone:
 		outcome, err := replay(record)
 		return outcome, false, err
@@ -72,18 +76,6 @@
 	}
 }
 
-func (k *Keeper) judgeHeld(ctx context.Context, claim *clemwire.Claim, record *clemwire.Record) (*clemwire.Outcome, bool, error) {
-	switch holder := record.GetClaim(); {
-	case sameClaim(holder, claim):
-		return nil, false, nil
-	case k.reused(holder, claim):
-		return nil, false, errRepeated(claim)
-	default:
-		err := k.contest(ctx, record)
-		return nil, err == nil, err
-	}
-}
-
 func replay(record *clemwire.Record) (*clemwire.Outcome, error) {
 	if record.GetOutcome() == nil {
 		return nil, clementineturn.Errorf(clementineturn.KindEvicted, "the call of key %q ran; its answer was too large to be kept", record.GetClaim().GetKey())
@@ -91,13 +83,6 @@
 	return record.GetOutcome(), nil
 }
 
-// reused reports whether the holder is an earlier acquisition of the same
-// token at this keeper, which has ended without a grant.
-func (k *Keeper) reused(holder, claim *clemwire.Claim) bool {
-	return holder.GetToken() == claim.GetToken() && holder.GetServer() == claim.GetServer() &&
-		holder.GetIncarnation() == claim.GetIncarnation()
-}
-
 // contest asks the holder of the call to give it up, and voids the claim if it
 // does. It returns nil if the call may be claimed anew.
 func (k *Keeper) contest(ctx context.Context, record *clemwire.Record) error {
--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -50,8 +50,6 @@
 		x.done[key] = position
 		return
 	}
-	// A key whose finished claim was dropped may be claimed again.
-	delete(x.done, key)
 	x.open[key] = openRecord{Record: record, segment: segment}
 }
 
--- a/clemclaim/keeper_test.go
+++ b/clemclaim/keeper_test.go
@@ -238,3 +238,18 @@
 		f.nodes["b"].acquire(t, offer("k", "2", "cot"))
 	})
 }
+
+// A token was voided for another sidecar, which is suspended before it records
+// the void. The token must not run, also if it is offered once more within the
+// resolution of the clock.
+func TestRepeatedAttemptAfterVoid(t *testing.T) {
+	inFleet(t, []string{"a"}, func(t *testing.T, f *fleet) {
+		keeper := f.nodes["a"].keeper
+		grant := f.nodes["a"].acquire(t, offer("k", "1", "cot"))
+		voided := keeper.Void(&clemwire.Void{Token: "1", Incarnation: 1})
+		require.Equal(t, clemwire.TokenState_TOKEN_STATE_VOIDED, voided.GetState())
+		require.True(t, clementineturn.IsNotRun(grant.Begin()))
+		f.nodes["a"].refused(t, offer("k", "1", "cot"), clementineturn.KindUnavailable, true)
+		f.nodes["a"].acquire(t, offer("k", "2", "cot"))
+	})
+}
--- a/clemclaim/router_test.go
+++ b/clemclaim/router_test.go
@@ -130,6 +130,18 @@
 	})
 }
 
+// The first in rank may have got the claim, and the second cannot be reached.
+func TestRouterKeepsDoubtOfUnanswered(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		f.nodes["b"].frozen.Store(true)
+		f.nodes["a"].members("b", "gone")
+		for i := range 8 {
+			_, err := f.nodes["a"].router.Claim(t.Context(), keyed(fmt.Sprint(i)))
+			require.True(t, clementineturn.IsKind(err, clementineturn.KindUnknown), "%v", err)
+		}
+	})
+}
+
 // A lost member moves its own buckets only.
 func TestRankMovesFewBuckets(t *testing.T) {
 	var hosts []*clemwire.Host
--- a/clemclaim/runs_test.go
+++ b/clemclaim/runs_test.go
@@ -30,6 +30,8 @@
 			s.first = segments / 4
 		}
 	}
+	require.Less(t, s.size(), segments*keys)
+	s.first = segments - 5
 	require.LessOrEqual(t, len(s.list), 16)
 	for segment := range segments {
 		for i := range keys {
@@ -41,7 +43,6 @@
 		}
 	}
 	require.Empty(t, s.candidates(newID("no", "key")))
-	require.Less(t, s.size(), segments*keys)
 }
 
 // Two keys whose digests share eight bytes are told apart by their segments.
--- a/clemclaim/summary.go
+++ b/clemclaim/summary.go
@@ -23,10 +23,10 @@
 // span collects the last record of each key in spanSegments consecutive
 // segments, the first of which has a number that is a multiple of that.
 type span struct {
+	// number is that of the first segment that was collected. It lies within
+	// the span if retention dropped the segments before.
 	number uint64
-	// whole is set if the span was collected from its first segment on.
-	whole bool
-	last  map[id]spanRecord
+	last   map[id]spanRecord
 }
 
 // spanRecord is the last record of a key in a span. Finished ones are not held.
@@ -36,7 +36,7 @@
 }
 
 func newSpan(segment uint64) span {
-	return span{number: segment, whole: segment%spanSegments == 0, last: map[id]spanRecord{}}
+	return span{number: segment, last: map[id]spanRecord{}}
 }
 
 func (s *span) add(key id, record *clemwire.Record, segment uint64) {
@@ -159,7 +159,7 @@
 	if (sealed+1)%spanSegments != 0 {
 		return
 	}
-	if g.span.whole && len(g.summaries) < summaryBacklog {
+	if g.span.number%spanSegments == 0 && len(g.summaries) < summaryBacklog {
 		g.summaries = append(g.summaries, g.span.summary())
 	}
 	g.span = newSpan(sealed + 1)
