--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -30,6 +30,9 @@
 // incarnationDelay is the pause between attempts to take an incarnation.
 const incarnationDelay = time.Second
 
+// reasonSuperseded is the drain reason of a sidecar that has a newer incarnation.
+const reasonSuperseded = "superseded"
+
 var sidecarConstructors = []any{newBackend, newGate, newSidecarRelay, newSidecar, newSidecarProcess}
 
 func newBackend(settings *clemsetting.Settings) *clembackend.Backend {
@@ -129,9 +132,20 @@
 	end := keeper.Start(ctx)
 	i.Sidecar.Hold(incarnation, keeper)
 	i.Events.Emit(clemevent.IncarnationTaken, zap.Uint64("incarnation", incarnation))
+	if err := <-i.order(ctx, incarnation); clementineturn.IsKind(err, clementineturn.KindConflict) {
+		i.Board.Drain().Update(func(d *clemboard.Drain) *clemboard.Drain { return d.With(reasonSuperseded, true) })
+	}
 	return <-end
 }
 
+// order keeps the backend server at what its pool asks for.
+func (i *incarnator) order(ctx context.Context, incarnation uint64) <-chan error {
+	return clemfence.New(clemfence.Config{
+		Board: i.Board, Backend: i.Backend, Table: i.Table, Server: i.Settings.Name(), Pool: i.Settings.Pool(),
+		Incarnation: incarnation, Events: i.Events,
+	}).Start(ctx)
+}
+
 func (i *incarnator) take(ctx context.Context) (uint64, error) {
 	for {
 		incarnation, err := clemfence.Next(ctx, i.Table, i.Settings.Name())
