clemclaim: pass over a frozen sidecar for longer; pace reads apart from writes

While the sidecar of a bucket was stopped, claims of its buckets took 2 s longer every 5 s. The time doubles now up to a minute. Batches without a write make the next one wait for a quarter of the interval.

--- a/clemclaim/bucket.go
+++ b/clemclaim/bucket.go
@@ -25,6 +25,9 @@
 	queueLimit = 8192
 	// batchLimit bounds the bytes of the records of one write.
 	batchLimit = 128 << 10
+	// readShare is the part of the interval that passes after a batch that
+	// needed no write. The table serves several times as many reads as writes.
+	readShare = 4
 )
 
 // operation is one call of the ledger on its way through a bucket.
@@ -124,12 +127,15 @@
 
 func (b *bucket) serve(ctx context.Context) {
 	start := time.Now()
-	b.log.commit(ctx, b.take())
+	pause := b.interval
+	if wrote := b.log.commit(ctx, b.take()); !wrote {
+		pause /= readShare
+	}
 	b.log.maintain(ctx, start)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.active = false
-	b.next = start.Add(b.interval)
+	b.next = start.Add(pause)
 	if len(b.queue) > 0 {
 		b.schedule()
 	}
--- a/clemclaim/commit.go
+++ b/clemclaim/commit.go
@@ -28,15 +28,16 @@
 // lost race or a lost answer it reads the log and decides anew: operations
 // whose records are in the log find themselves there, and the others are
 // written again. The new write is conditional on the same version as the one
-// whose answer was lost, so at most one of the two takes effect.
-func (g *log) commit(ctx context.Context, ops []*operation) {
+// whose answer was lost, so at most one of the two takes effect. It reports
+// whether there was a write.
+func (g *log) commit(ctx context.Context, ops []*operation) (wrote bool) {
 	pause := settlePause
 	failures := 0
-	g.fresh = false
+	g.fresh, g.wrote = false, false
 	for try := 0; try < raceTries; try++ {
 		rest, err := g.try(ctx, ops)
 		if len(rest) == 0 {
-			return
+			return g.wrote
 		}
 		ops = rest
 		if err == nil || clementineturn.IsKind(err, clementineturn.KindConflict) {
@@ -45,12 +46,13 @@
 		failures++
 		if failures == settleTries || ctx.Err() != nil || !settles(err, ops) {
 			g.fail(ops, err)
-			return
+			return g.wrote
 		}
 		wait(ctx, pause/2+rand.N(pause))
 		pause *= 2
 	}
 	g.fail(ops, clementineturn.Errorf(clementineturn.KindConflict, "%d races for bucket %d were lost", raceTries, g.bucket))
+	return g.wrote
 }
 
 // settles reports whether another try is of use: only if a write may still take effect.
@@ -111,6 +113,7 @@
 // write appends what the plan asks for. If that fails it reads the log, so
 // that the next plan rests on what took effect.
 func (g *log) write(ctx context.Context, p *plan) ([]*operation, error) {
+	g.wrote = true
 	err := g.append(ctx, p.records)
 	if err == nil {
 		p.answer()
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -25,6 +25,8 @@
 	// fresh is set while everything that was in the table when the present
 	// commit began has been read.
 	fresh bool
+	// wrote is set if the present commit wrote.
+	wrote bool
 	index index
 	// first is the number of the oldest segment that is kept.
 	first uint64
--- a/clemclaim/router.go
+++ b/clemclaim/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,8 +17,10 @@
 const (
 	// submitTimeout bounds one request to the ledger of another sidecar.
 	submitTimeout = 2 * time.Second
-	// avoidTime is how long a sidecar that did not answer is passed over.
+	// avoidTime is how long a sidecar that did not answer is passed over. It
+	// doubles while the sidecar does not answer.
 	avoidTime   = 5 * time.Second
+	avoidMost   = time.Minute
 	sidecarRole = "sidecar"
 )
 
@@ -48,13 +51,18 @@
 	members *clemboard.Members
 	// owners holds the two best ranked sidecars of each bucket.
 	owners [][]*clemwire.Host
-	// avoid holds until when a sidecar is passed over.
-	avoid map[string]time.Time
+	avoid  map[string]avoidance
+}
+
+// avoidance tells until when a sidecar is passed over.
+type avoidance struct {
+	until time.Time
+	pause time.Duration
 }
 
 // NewRouter returns the router that the configuration describes.
 func NewRouter(c RouterConfig) *Router {
-	return &Router{config: c, avoid: map[string]time.Time{}}
+	return &Router{config: c, avoid: map[string]avoidance{}}
 }
 
 // Claim implements clementineturn.Ledger.
@@ -123,6 +131,7 @@
 		r.pass(owner.GetName())
 		return nil, false, unanswered(err)
 	}
+	r.answered(owner.GetName())
 	if refusal := answer.GetRefusal(); refusal != nil {
 		return nil, true, clementineturn.FromRefusal(refusal)
 	}
@@ -142,12 +151,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for other, until := range r.avoid {
-		if until.Before(now) {
-			delete(r.avoid, other)
-		}
-	}
-	r.avoid[name] = now.Add(avoidTime)
+	maps.DeleteFunc(r.avoid, func(_ string, a avoidance) bool { return now.Sub(a.until) > avoidMost })
+	pause := min(max(2*r.avoid[name].pause, avoidTime), avoidMost)
+	r.avoid[name] = avoidance{until: now.Add(pause), pause: pause}
+}
+
+// answered notes that the sidecar answers.
+func (r *Router) answered(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.avoid, name)
 }
 
 // ranked returns the sidecars that serve the bucket, the best first. Those
@@ -163,7 +176,7 @@
 		r.members, r.owners = members, rank(members, len(r.config.Ledger.buckets))
 	}
 	owners := r.owners[bucket]
-	if len(owners) == 2 && time.Now().Before(r.avoid[owners[0].GetName()]) {
+	if len(owners) == 2 && time.Now().Before(r.avoid[owners[0].GetName()].until) {
 		return []*clemwire.Host{owners[1], owners[0]}
 	}
 	return owners
--- a/clemclaim/router_test.go
+++ b/clemclaim/router_test.go
@@ -76,8 +76,19 @@
 		start := time.Now()
 		other.refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
 		require.Less(t, time.Since(start), time.Second)
+		// A sidecar that stays frozen is asked less and less often.
+		slow := 0
+		for range 600 {
+			time.Sleep(time.Second)
+			start := time.Now()
+			other.refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+			if time.Since(start) > time.Second {
+				slow++
+			}
+		}
+		require.Less(t, slow, 15)
 		owner.frozen.Store(false)
-		time.Sleep(avoidTime)
+		time.Sleep(avoidMost)
 		found, err := owner.router.Lookup(t.Context(), "shishu", "k")
 		require.NoError(t, err)
 		require.Equal(t, "1", found.GetClaim().GetToken())
@@ -93,7 +104,7 @@
 			owner := f.owner(key)
 			owner.lossy.Store(true)
 			for _, n := range f.nodes {
-				n.router.avoid = map[string]time.Time{}
+				clear(n.router.avoid)
 			}
 			grant := f.nodes["a"].acquire(t, offer(key, key, "cot"))
 			require.NoError(t, grant.Begin())
