clemclaim: a slow table passes no steps to another sidecar

TestRouterWaitsForSlowTable: with 1.5 s a call every claim was answered as unknown after 2 s at the first sidecar and 2 s at the second, which raced. A sidecar that does not answer for a second is probed instead.

--- a/clemclaim/main_test.go
+++ b/clemclaim/main_test.go
@@ -39,6 +39,15 @@
 	nodes map[string]*node
 }
 
+// Probe implements clementineturn.Peer.
+func (n *node) Probe(ctx context.Context) (*clemwire.Probed, error) {
+	if n.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &clemwire.Probed{}, nil
+}
+
 // Peer implements clementineturn.Peers. A host's address is its name.
 func (f *fleet) Peer(address string) clementineturn.Peer {
 	if peer := f.locate(address); peer != nil {
--- a/clemclaim/router.go
+++ b/clemclaim/router.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// submitTimeout bounds one request to the ledger of another sidecar.
-	submitTimeout = 2 * time.Second
+	// submitTimeout bounds one request to the ledger of another sidecar whose
+	// caller sets no deadline.
+	submitTimeout = 30 * time.Second
+	// probeAfter is the time after which a sidecar that has not answered is
+	// probed, and how long the probe may take. A slow table makes a ledger slow
+	// to answer, and passing its steps to another one would not help.
+	probeAfter = time.Second
 	// avoidTime is how long a sidecar that did not answer is passed over. It
 	// doubles while the sidecar does not answer.
 	avoidTime   = 5 * time.Second
@@ -121,12 +126,7 @@
 		answer, err := r.config.Ledger.step(ctx, record)
 		return answer, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	deadline, _ := ctx.Deadline()
-	answer, err := r.config.Peers.Peer(owner.GetAddress()).Submit(ctx, &clemwire.Submit{
-		Record: record, Timeout: durationpb.New(time.Until(deadline)),
-	})
+	answer, err := ask(ctx, r.config.Peers.Peer(owner.GetAddress()), record)
 	if err != nil {
 		r.pass(owner.GetName())
 		return nil, false, unanswered(err)
@@ -138,6 +138,39 @@
 	return answer.GetRecord(), true, nil
 }
 
+// ask submits the record to a peer, and gives up early if that does not answer probes.
+func ask(ctx context.Context, peer clementineturn.Peer, record *clemwire.Record) (*clemwire.Submitted, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	var answer *clemwire.Submitted
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		answer, err = peer.Submit(ctx, &clemwire.Submit{Record: record, Timeout: durationpb.New(time.Until(deadline))})
+		done <- err
+	}()
+	ticker := time.NewTicker(probeAfter)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return answer, err
+		case <-ticker.C:
+			if !alive(ctx, peer) {
+				cancel()
+			}
+		}
+	}
+}
+
+func alive(ctx context.Context, peer clementineturn.Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeAfter)
+	defer cancel()
+	_, err := peer.Probe(ctx)
+	return err == nil
+}
+
 // unanswered returns the error of a request without an answer.
 func unanswered(err error) error {
 	if clementineturn.IsNotRun(err) {
--- a/clemclaim/router_test.go
+++ b/clemclaim/router_test.go
@@ -95,6 +95,21 @@
 	})
 }
 
+// A slow table is no reason to pass steps to another sidecar.
+func TestRouterWaitsForSlowTable(t *testing.T) {
+	inRouters(t, []string{"a", "b", "c"}, func(t *testing.T, f *fleet) {
+		f.table.Inject(clemstandin.TableFaults{Delay: 1500 * time.Millisecond})
+		for i := range 4 {
+			key := fmt.Sprint(i)
+			for _, n := range f.nodes {
+				_, err := n.router.Claim(t.Context(), keyed(key))
+				require.NoError(t, err)
+				require.Empty(t, n.router.avoid)
+			}
+		}
+	})
+}
+
 // The answer is lost after the ledger got the claim, and the second in rank
 // gets it, too.
 func TestRouterLostAnswer(t *testing.T) {
