clemclaim: unused buckets give their memory back; lookups leave no doubt

After ten minutes without an operation a large index is dropped. A lookup that was cut short answers unavailable, as the interface says, and not unknown.

--- a/clemclaim/bucket.go
+++ b/clemclaim/bucket.go
@@ -28,6 +28,11 @@
 	// readShare is the part of the interval that passes after a batch that
 	// needed no write. The table serves several times as many reads as writes.
 	readShare = 4
+	// idleTime is the time after which the index of an unused bucket is dropped,
+	// unless it holds no more than idleClaims. Buckets move between sidecars
+	// with the members, and each would otherwise gather all of them.
+	idleTime   = 10 * time.Minute
+	idleClaims = 10_000
 )
 
 // operation is one call of the ledger on its way through a bucket.
@@ -73,6 +78,8 @@
 	closed bool
 	// next is the earliest start of the next write.
 	next time.Time
+	// idle has the index dropped; operations stop it.
+	idle *time.Timer
 }
 
 func newBucket(c LedgerConfig, number uint64, due chan<- *bucket) *bucket {
@@ -101,6 +108,9 @@
 // that the channel, which has room for every bucket, never blocks.
 func (b *bucket) schedule() {
 	b.active = true
+	if b.idle != nil {
+		b.idle.Stop()
+	}
 	wait := time.Until(b.next)
 	if wait <= 0 {
 		b.due <- b
@@ -128,16 +138,33 @@
 func (b *bucket) serve(ctx context.Context) {
 	start := time.Now()
 	pause := b.interval
-	if wrote := b.log.commit(ctx, b.take()); !wrote {
+	ops := b.take()
+	if wrote := b.log.commit(ctx, ops); !wrote {
 		pause /= readShare
 	}
 	b.log.maintain(ctx, start)
+	if len(ops) == 0 {
+		b.log.unload()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.active = false
 	b.next = start.Add(pause)
 	if len(b.queue) > 0 {
 		b.schedule()
+		return
+	}
+	if len(ops) > 0 {
+		b.idle = time.AfterFunc(idleTime, b.rest)
+	}
+}
+
+// rest has the bucket served without operations, unless some came meanwhile.
+func (b *bucket) rest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.active && !b.closed {
+		b.schedule()
 	}
 }
 
@@ -163,6 +190,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	if b.idle != nil {
+		b.idle.Stop()
+	}
 	for _, op := range b.queue {
 		op.fail(context.Canceled)
 	}
--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -53,6 +53,9 @@
 	x.open[key] = openRecord{Record: record, segment: segment}
 }
 
+// size returns the number of keys, with finished ones that were dropped but not merged away.
+func (x *index) size() int { return len(x.open) + len(x.done) + x.runs.size() }
+
 // seal moves the finished claims of the head to the runs.
 func (x *index) seal(segment uint64) {
 	keys := make([]id, 0, len(x.done))
--- a/clemclaim/ledger.go
+++ b/clemclaim/ledger.go
@@ -126,9 +126,18 @@
 
 // Lookup implements clementineturn.Ledger.
 func (l *Ledger) Lookup(ctx context.Context, organisation, key string) (*clemwire.Record, error) {
-	return l.submit(ctx, &operation{kind: opLookup, record: &clemwire.Record{
+	found, err := l.submit(ctx, &operation{kind: opLookup, record: &clemwire.Record{
 		Claim: &clemwire.Claim{Organisation: organisation, Key: key},
 	}})
+	return found, unread(err)
+}
+
+// unread returns the error of a lookup. It writes nothing that could be in doubt.
+func unread(err error) error {
+	if clementineturn.IsKind(err, clementineturn.KindUnknown) {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "lookup: %w", err)
+	}
+	return err
 }
 
 func (l *Ledger) submit(ctx context.Context, op *operation) (*clemwire.Record, error) {
--- a/clemclaim/ledger_test.go
+++ b/clemclaim/ledger_test.go
@@ -75,6 +75,45 @@
 	})
 }
 
+// A bucket that other sidecars serve meanwhile gives its memory back.
+func TestIdleBucketIsUnloaded(t *testing.T) {
+	inLedgers(t, 2, func(t *testing.T, _ *clemstandin.Table, ledgers []*Ledger) {
+		b := ledgers[0].buckets[0]
+		size := func(add int) int {
+			synctest.Wait()
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			for i := range add {
+				b.log.index.done[newID("shishu", fmt.Sprint(i))] = 0
+			}
+			return b.log.index.size()
+		}
+		held := record(t, ledgers[0], "k", stateHeld)
+		time.Sleep(2 * idleTime)
+		require.Equal(t, 1, size(0))
+		size(idleClaims + 1)
+		record(t, ledgers[0], "l", stateHeld)
+		time.Sleep(idleTime / 2)
+		require.Greater(t, size(0), idleClaims)
+		time.Sleep(idleTime)
+		require.Zero(t, size(0))
+		found, err := ledgers[0].Lookup(t.Context(), "shishu", "k")
+		require.NoError(t, err)
+		require.True(t, sameClaim(held, found.GetClaim()))
+	})
+}
+
+// A lookup leaves nothing in doubt.
+func TestLookupIsNeverUnknown(t *testing.T) {
+	inLedgers(t, 1, func(t *testing.T, table *clemstandin.Table, ledgers []*Ledger) {
+		table.Inject(clemstandin.TableFaults{Delay: time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err := ledgers[0].Lookup(ctx, "shishu", "k")
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindUnavailable), "%v", err)
+	})
+}
+
 func TestStoppedLedgerRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ledgers, stop := startLedgers(LedgerConfig{Table: clemstandin.NewTable()}, 1)
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// unload drops the index, unless it is small. The next operation reads the log.
+func (g *log) unload() {
+	if g.index.size() > idleClaims {
+		g.loaded, g.index, g.head, g.span = false, newIndex(), segment{}, span{}
+	}
+}
+
 // readAll reads the log from the first segment to the head.
 func (g *log) readAll(ctx context.Context, first uint64) error {
 	g.index, g.first, g.head, g.span = newIndex(), first, segment{number: first}, newSpan(first)
--- a/clemclaim/router.go
+++ b/clemclaim/router.go
@@ -83,7 +83,8 @@
 
 // Lookup implements clementineturn.Ledger.
 func (r *Router) Lookup(ctx context.Context, organisation, key string) (*clemwire.Record, error) {
-	return r.route(ctx, &clemwire.Record{Claim: &clemwire.Claim{Organisation: organisation, Key: key}})
+	found, err := r.route(ctx, &clemwire.Record{Claim: &clemwire.Claim{Organisation: organisation, Key: key}})
+	return found, unread(err)
 }
 
 func (r *Router) route(ctx context.Context, record *clemwire.Record) (*clemwire.Record, error) {
--- a/clemclaim/runs.go
+++ b/clemclaim/runs.go
@@ -27,6 +27,15 @@
 	first uint64
 }
 
+// size returns the number of entries, with those that no longer count.
+func (s *runs) size() int {
+	n := 0
+	for _, r := range s.list {
+		n += len(r.digests)
+	}
+	return n
+}
+
 func shortDigest(key id) uint64 { return binary.BigEndian.Uint64(key[:8]) }
 
 // add enters the keys of a segment.
--- a/clemclaim/runs_test.go
+++ b/clemclaim/runs_test.go
@@ -7,15 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// size returns the number of entries, with those that no longer count.
-func (s *runs) size() int {
-	n := 0
-	for _, r := range s.list {
-		n += len(r.digests)
-	}
-	return n
-}
-
 func TestRuns(t *testing.T) {
 	var s runs
 	const segments, keys = 500, 60
