clemclaim: pending covers claims and records on their way

Pending counted what the background had to repeat. A process that left while a claim was being written, or a void recorded for the first time, left the key held by an incarnation that is gone, and in the end to an operator. TestPendingCoversEveryStep fails on the version before with 0 pending.

--- a/clemclaim/backlog.go
+++ b/clemclaim/backlog.go
@@ -36,9 +36,9 @@
 type backlog struct {
 	mu    sync.Mutex
 	queue []*ending
-	// active counts the endings that are being written.
-	active int
-	wake   chan struct{}
+	// without counts the endings without a grant, also while they are written.
+	without int
+	wake    chan struct{}
 }
 
 func newBacklog() backlog { return backlog{wake: make(chan struct{}, 1)} }
@@ -46,8 +46,11 @@
 func (b *backlog) add(e *ending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e.grant == nil && len(b.queue) >= backlogLimit {
-		return
+	if e.grant == nil {
+		if len(b.queue) >= backlogLimit {
+			return
+		}
+		b.without++
 	}
 	b.queue = append(b.queue, e)
 	select {
@@ -60,26 +63,44 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	queue := b.queue
-	b.queue, b.active = nil, len(queue)
+	b.queue = nil
 	return queue
 }
 
-// putBack ends the write of what take returned; the failed endings wait again.
-func (b *backlog) putBack(failed []*ending) {
+// putBack has the endings of taken that failed wait again.
+func (b *backlog) putBack(taken, failed []*ending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.queue, b.active = append(failed, b.queue...), 0
+	b.queue = append(failed, b.queue...)
+	b.without += loose(failed) - loose(taken)
 }
 
-func (b *backlog) size() int {
+func loose(endings []*ending) int {
+	n := 0
+	for _, e := range endings {
+		if e.grant == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// loose returns the number of endings without a grant.
+func (b *backlog) loose() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.queue) + b.active
+	return b.without
 }
 
-// Pending returns the number of ends of calls that the ledger does not hold
-// yet. A graceful shutdown waits until it is 0.
-func (k *Keeper) Pending() int { return k.backlog.size() }
+// Pending returns the number of calls that were claimed, or may have been, and
+// whose end the ledger does not hold yet. A process that exits earlier leaves
+// their keys to an operator, so that a graceful shutdown waits until it is 0.
+func (k *Keeper) Pending() int {
+	k.mu.Lock()
+	grants := len(k.grants)
+	k.mu.Unlock()
+	return grants + k.backlog.loose()
+}
 
 // Start records what is pending until the context ends. The channel then
 // yields nil, or a KindUnknown error if ends of calls are still pending.
@@ -131,7 +152,7 @@
 			rest = append(rest, e)
 		}
 	}
-	k.backlog.putBack(rest)
+	k.backlog.putBack(queue, rest)
 	return len(rest) == 0
 }
 
--- a/clemclaim/grant.go
+++ b/clemclaim/grant.go
@@ -37,7 +37,9 @@
 	claim    *clemwire.Claim
 	deadline time.Time
 	phase    phase
-	replay   *clemwire.Outcome
+	// abandoned is set if the void is recorded by this keeper.
+	abandoned bool
+	replay    *clemwire.Outcome
 }
 
 // Replay returns the outcome of an earlier run, or nil if the call is to be run.
@@ -89,6 +91,7 @@
 		return false
 	}
 	g.phase = to
+	g.abandoned = to == phaseVoided
 	return true
 }
 
--- a/clemclaim/keeper.go
+++ b/clemclaim/keeper.go
@@ -145,12 +145,12 @@
 	return nil
 }
 
-// forget drops a grant that was voided. The attempt that voided it, or the
-// next one, records the void.
+// forget drops a grant that was voided for another attempt. That attempt, or
+// the next one, records the void.
 func (k *Keeper) forget(grant *Grant) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if grant.phase == phaseVoided {
+	if grant.phase == phaseVoided && !grant.abandoned {
 		grant.phase = phaseEnded
 		delete(k.grants, grant.claim.GetToken())
 	}
--- a/clemclaim/keeper_test.go
+++ b/clemclaim/keeper_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -228,6 +230,43 @@
 	}
 }
 
+// A graceful shutdown must not leave while a claim, a call or the record of
+// its end is on the way.
+func TestPendingCoversEveryStep(t *testing.T) {
+	inFleet(t, []string{"a"}, func(t *testing.T, f *fleet) {
+		keeper := f.nodes["a"].keeper
+		f.nodes["a"].acquire(t, offer("warm", "0", "cot")).giveUp()
+		f.nodes["a"].settled(t)
+		f.table.Inject(clemstandin.TableFaults{Delay: time.Second})
+		for _, end := range []func(*Grant) error{
+			func(g *Grant) error { return g.Finish(t.Context(), outcome("booked")) },
+			func(g *Grant) error { return g.Lose(t.Context(), context.Canceled) },
+			func(g *Grant) error { return g.Abandon(t.Context()) },
+		} {
+			o := offer(rand.Text(), rand.Text(), "cot")
+			done := make(chan error, 1)
+			go func() {
+				grant, err := keeper.Acquire(t.Context(), o)
+				if err == nil {
+					err = grant.Begin()
+				}
+				if err == nil {
+					err = end(grant)
+				}
+				done <- err
+			}()
+			synctest.Wait()
+			for len(done) == 0 {
+				require.Equal(t, 1, keeper.Pending())
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+			}
+			require.NoError(t, <-done)
+			require.Zero(t, keeper.Pending())
+		}
+	})
+}
+
 // An attempt that is offered twice runs once.
 func TestRepeatedAttempt(t *testing.T) {
 	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
