--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -44,18 +44,18 @@
 }
 
 // add takes in the next record of the log, at a position of the head.
-func (x *index) add(record *clemwire.Record, segment uint64, position int) {
-	key := recordID(record)
+func (x *index) add(key id, record *clemwire.Record, segment uint64, position int) {
 	if record.GetState() == stateDone {
 		delete(x.open, key)
 		x.done[key] = position
 		return
 	}
-	// A key whose finished claim was dropped may be claimed again.
-	delete(x.done, key)
 	x.open[key] = openRecord{Record: record, segment: segment}
 }
 
+// size returns the number of keys, with finished ones that were dropped but not merged away.
+func (x *index) size() int { return len(x.open) + len(x.done) + x.runs.size() }
+
 // seal moves the finished claims of the head to the runs.
 func (x *index) seal(segment uint64) {
 	keys := make([]id, 0, len(x.done))
--- a/clemclaim/router.go
+++ b/clemclaim/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,10 +15,17 @@
 )
 
 const (
-	// submitTimeout bounds one request to the ledger of another sidecar.
-	submitTimeout = 2 * time.Second
-	// avoidTime is how long a sidecar that did not answer is passed over.
+	// submitTimeout bounds one request to the ledger of another sidecar whose
+	// caller sets no deadline.
+	submitTimeout = 30 * time.Second
+	// probeAfter is the time after which a sidecar that has not answered is
+	// probed, and how long the probe may take. A slow table makes a ledger slow
+	// to answer, and passing its steps to another one would not help.
+	probeAfter = time.Second
+	// avoidTime is how long a sidecar that did not answer is passed over. It
+	// doubles while the sidecar does not answer.
 	avoidTime   = 5 * time.Second
+	avoidMost   = time.Minute
 	sidecarRole = "sidecar"
 )
 
@@ -48,13 +56,18 @@
 	members *clemboard.Members
 	// owners holds the two best ranked sidecars of each bucket.
 	owners [][]*clemwire.Host
-	// avoid holds until when a sidecar is passed over.
-	avoid map[string]time.Time
+	avoid  map[string]avoidance
+}
+
+// avoidance tells until when a sidecar is passed over.
+type avoidance struct {
+	until time.Time
+	pause time.Duration
 }
 
 // NewRouter returns the router that the configuration describes.
 func NewRouter(c RouterConfig) *Router {
-	return &Router{config: c, avoid: map[string]time.Time{}}
+	return &Router{config: c, avoid: map[string]avoidance{}}
 }
 
 // Claim implements clementineturn.Ledger.
@@ -70,7 +83,8 @@
 
 // Lookup implements clementineturn.Ledger.
 func (r *Router) Lookup(ctx context.Context, organisation, key string) (*clemwire.Record, error) {
-	return r.route(ctx, &clemwire.Record{Claim: &clemwire.Claim{Organisation: organisation, Key: key}})
+	found, err := r.route(ctx, &clemwire.Record{Claim: &clemwire.Claim{Organisation: organisation, Key: key}})
+	return found, unread(err)
 }
 
 func (r *Router) route(ctx context.Context, record *clemwire.Record) (*clemwire.Record, error) {
@@ -113,22 +127,51 @@
 		answer, err := r.config.Ledger.step(ctx, record)
 		return answer, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	deadline, _ := ctx.Deadline()
-	answer, err := r.config.Peers.Peer(owner.GetAddress()).Submit(ctx, &clemwire.Submit{
-		Record: record, Timeout: durationpb.New(time.Until(deadline)),
-	})
+	answer, err := ask(ctx, r.config.Peers.Peer(owner.GetAddress()), record)
 	if err != nil {
 		r.pass(owner.GetName())
 		return nil, false, unanswered(err)
 	}
+	r.answered(owner.GetName())
 	if refusal := answer.GetRefusal(); refusal != nil {
 		return nil, true, clementineturn.FromRefusal(refusal)
 	}
 	return answer.GetRecord(), true, nil
 }
 
+// ask submits the record to a peer, and gives up early if that does not answer probes.
+func ask(ctx context.Context, peer clementineturn.Peer, record *clemwire.Record) (*clemwire.Submitted, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	var answer *clemwire.Submitted
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		answer, err = peer.Submit(ctx, &clemwire.Submit{Record: record, Timeout: durationpb.New(time.Until(deadline))})
+		done <- err
+	}()
+	ticker := time.NewTicker(probeAfter)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return answer, err
+		case <-ticker.C:
+			if !alive(ctx, peer) {
+				cancel()
+			}
+		}
+	}
+}
+
+func alive(ctx context.Context, peer clementineturn.Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeAfter)
+	defer cancel()
+	_, err := peer.Probe(ctx)
+	return err == nil
+}
+
 // unanswered returns the error of a request without an answer.
 func unanswered(err error) error {
 	if clementineturn.IsNotRun(err) {
@@ -142,12 +185,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for other, until := range r.avoid {
-		if until.Before(now) {
-			delete(r.avoid, other)
-		}
-	}
-	r.avoid[name] = now.Add(avoidTime)
+	maps.DeleteFunc(r.avoid, func(_ string, a avoidance) bool { return now.Sub(a.until) > avoidMost })
+	pause := min(max(2*r.avoid[name].pause, avoidTime), avoidMost)
+	r.avoid[name] = avoidance{until: now.Add(pause), pause: pause}
+}
+
+// answered notes that the sidecar answers.
+func (r *Router) answered(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.avoid, name)
 }
 
 // ranked returns the sidecars that serve the bucket, the best first. Those
@@ -163,7 +210,7 @@
 		r.members, r.owners = members, rank(members, len(r.config.Ledger.buckets))
 	}
 	owners := r.owners[bucket]
-	if len(owners) == 2 && time.Now().Before(r.avoid[owners[0].GetName()]) {
+	if len(owners) == 2 && time.Now().Before(r.avoid[owners[0].GetName()].until) {
 		return []*clemwire.Host{owners[1], owners[0]}
 	}
 	return owners
--- a/clemclaim/router_test.go
+++ b/clemclaim/router_test.go
@@ -76,14 +76,40 @@
 		start := time.Now()
 		other.refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
 		require.Less(t, time.Since(start), time.Second)
+		// A sidecar that stays frozen is asked less and less often.
+		slow := 0
+		for range 600 {
+			time.Sleep(time.Second)
+			start := time.Now()
+			other.refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+			if time.Since(start) > time.Second {
+				slow++
+			}
+		}
+		require.Less(t, slow, 15)
 		owner.frozen.Store(false)
-		time.Sleep(avoidTime)
+		time.Sleep(avoidMost)
 		found, err := owner.router.Lookup(t.Context(), "shishu", "k")
 		require.NoError(t, err)
 		require.Equal(t, "1", found.GetClaim().GetToken())
 	})
 }
 
+// A slow table is no reason to pass steps to another sidecar.
+func TestRouterWaitsForSlowTable(t *testing.T) {
+	inRouters(t, []string{"a", "b", "c"}, func(t *testing.T, f *fleet) {
+		f.table.Inject(clemstandin.TableFaults{Delay: 1500 * time.Millisecond})
+		for i := range 4 {
+			key := fmt.Sprint(i)
+			for _, n := range f.nodes {
+				_, err := n.router.Claim(t.Context(), keyed(key))
+				require.NoError(t, err)
+				require.Empty(t, n.router.avoid)
+			}
+		}
+	})
+}
+
 // The answer is lost after the ledger got the claim, and the second in rank
 // gets it, too.
 func TestRouterLostAnswer(t *testing.T) {
@@ -93,7 +119,7 @@
 			owner := f.owner(key)
 			owner.lossy.Store(true)
 			for _, n := range f.nodes {
-				n.router.avoid = map[string]time.Time{}
+				clear(n.router.avoid)
 			}
 			grant := f.nodes["a"].acquire(t, offer(key, key, "cot"))
 			require.NoError(t, grant.Begin())
@@ -130,6 +156,18 @@
 	})
 }
 
+// The first in rank may have got the claim, and the second cannot be reached.
+func TestRouterKeepsDoubtOfUnanswered(t *testing.T) {
+	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+		f.nodes["b"].frozen.Store(true)
+		f.nodes["a"].members("b", "gone")
+		for i := range 8 {
+			_, err := f.nodes["a"].router.Claim(t.Context(), keyed(fmt.Sprint(i)))
+			require.True(t, clementineturn.IsKind(err, clementineturn.KindUnknown), "%v", err)
+		}
+	})
+}
+
 // A lost member moves its own buckets only.
 func TestRankMovesFewBuckets(t *testing.T) {
 	var hosts []*clemwire.Host
--- a/clemclaim/runs_test.go
+++ b/clemclaim/runs_test.go
@@ -7,15 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// size returns the number of entries, with those that no longer count.
-func (s *runs) size() int {
-	n := 0
-	for _, r := range s.list {
-		n += len(r.digests)
-	}
-	return n
-}
-
 func TestRuns(t *testing.T) {
 	var s runs
 	const segments, keys = 500, 60
@@ -30,6 +21,8 @@
 			s.first = segments / 4
 		}
 	}
+	require.Less(t, s.size(), segments*keys)
+	s.first = segments - 5
 	require.LessOrEqual(t, len(s.list), 16)
 	for segment := range segments {
 		for i := range keys {
@@ -41,7 +34,6 @@
 		}
 	}
 	require.Empty(t, s.candidates(newID("no", "key")))
-	require.Less(t, s.size(), segments*keys)
 }
 
 // Two keys whose digests share eight bytes are told apart by their segments.
