clemoffer, clembudget: one offer to an overloaded pool

Overload remembers, per pool and organisation, that all offers of a request were refused. For a second after that a request gets one offer, at its best server, where it may wait. The retry budget falls from 1 offer a request and a burst of 200 to 0.25 and 50.

Cause: at a crest of twice the capacity each request was offered to 7 servers, and the chats that moved found no cached prefix; reading it again cost throughput. Per organisation, because one that surges trips it for itself. Ruled out: fewer candidates (2, 3 or 4 in place of 6), and eager work that waits where the pool is loaded: no gain or a loss.

--- a/clembudget/budget_test.go
+++ b/clembudget/budget_test.go
@@ -63,3 +63,15 @@
 	require.True(t, h.Spend(now.Add(5*time.Second), "p", 5))
 	require.False(t, h.Spend(now.Add(5*time.Second), "p", 5), "the budget is spent")
 }
+
+func TestOverloadIsPerOrganisationAndNotRenewed(t *testing.T) {
+	o := NewOverload(OverloadConfig{Hold: time.Second})
+	require.False(t, o.Recent(start, "p", "a"))
+	o.Note(start, "p", "a")
+	o.Note(start.Add(900*time.Millisecond), "p", "a")
+	require.True(t, o.Recent(start.Add(999*time.Millisecond), "p", "a"))
+	require.False(t, o.Recent(start.Add(999*time.Millisecond), "p", "b"))
+	require.False(t, o.Recent(start.Add(time.Second), "p", "a"))
+	o.Note(start.Add(3*time.Second), "p", "b")
+	require.Len(t, o.notes, 1, "old notes are dropped")
+}
--- a/clemoffer/sequence.go
+++ b/clemoffer/sequence.go
@@ -3,16 +3,31 @@
 package clemoffer
 
 import (
+	"time"
+
 	"github.com/clementineturn/clementineturn/clembudget"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
+// Defaults of an entry.
+const (
+	// RetryShare and RetryBurst bound the offers that a retry budget pays
+	// for, as a share of the requests and in offers.
+	RetryShare = 0.25
+	RetryBurst = 50
+	// OverloadHold is how long a pool counts as overloaded for an
+	// organisation after all offers of one of its requests were refused.
+	OverloadHold = time.Second
+)
+
 // Config describes a Sequence to construct.
 type Config struct {
 	// Ranked holds the candidates, the best first.
 	Ranked []*clemwire.Host
 	// Retries pays for every offer but the first of each round.
 	Retries *clembudget.Budget
+	// Overloaded says that the pool lately had no room for work of the organisation.
+	Overloaded bool
 }
 
 // Sequence yields the offers of one request. The first round is eager: a
@@ -21,17 +36,24 @@
 // lets the request wait, again from the best server on. The second round also
 // starts when the retry budget is spent, so that an overloaded fleet sees
 // little more than one offer a request.
+//
+// A request to an overloaded pool gets one offer, at its best server, where it
+// may wait: elsewhere its prefix is not cached, and reading it again costs the
+// pool throughput that it cannot spare.
 type Sequence struct {
 	ranked   []*clemwire.Host
 	retries  *clembudget.Budget
 	next     int
 	waits    bool
 	excluded map[string]bool
+	// single ends the sequence at the first server that is not excluded.
+	single bool
+	last   string
 }
 
 // New returns the sequence that the configuration describes.
 func New(c Config) *Sequence {
-	return &Sequence{ranked: c.Ranked, retries: c.Retries, excluded: map[string]bool{}}
+	return &Sequence{ranked: c.Ranked, retries: c.Retries, excluded: map[string]bool{}, waits: c.Overloaded, single: c.Overloaded}
 }
 
 // Next returns the server to offer to and whether the offer is eager. The
@@ -51,6 +73,9 @@
 // advance returns the round's next server that is not excluded, if the budget
 // pays for it.
 func (s *Sequence) advance() (*clemwire.Host, bool) {
+	if s.single && s.last != "" && !s.excluded[s.last] {
+		return nil, false
+	}
 	isFirst := s.next == 0
 	for s.next < len(s.ranked) {
 		host := s.ranked[s.next]
@@ -58,6 +83,7 @@
 		if s.excluded[host.GetName()] {
 			continue
 		}
+		s.last = host.GetName()
 		return host, isFirst || s.retries.Spend(1)
 	}
 	return nil, false
--- a/clemoffer/sequence_test.go
+++ b/clemoffer/sequence_test.go
@@ -62,3 +62,13 @@
 func TestSequenceOfNoServers(t *testing.T) {
 	require.Empty(t, drain(clemoffer.New(clemoffer.Config{Retries: clembudget.New(clembudget.Config{})})))
 }
+
+func TestSequenceToOverloadedPool(t *testing.T) {
+	budget := clembudget.New(clembudget.Config{Burst: 10})
+	config := clemoffer.Config{Ranked: hosts("a", "b", "c"), Retries: budget, Overloaded: true}
+	require.Equal(t, []string{"a eager=false"}, drain(clemoffer.New(config)))
+	s := clemoffer.New(config)
+	host, _, _ := s.Next()
+	s.Exclude(host.GetName())
+	require.Equal(t, []string{"b eager=false"}, drain(s), "a server that cannot take the work does not count")
+}
