clemgate: short queues, and surges that leave room for others

- Short work is refused once its organisation's estimated wait passes 1 s: longer queues made callers late after a crest and added no throughput.
- An organisation that runs more than twice its fair share leaves a quarter of the slots free.
Shares count the organisations that had work in the last 10 s: counted over those with work at the moment, a surge that filled a server was alone there and had no limit.
- Its queue no longer holds up others, neither at the head of the heap nor by making an eager item count as one that has to wait.
- Short work of an organisation above its share has a lower engine priority.
- Only answers in one piece count as speed when they end; replays and abandoned work made a server look fast.

--- a/clemgate/check.go
+++ b/clemgate/check.go
@@ -6,6 +6,10 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 )
 
+// maxShortWait is the estimated wait from which short items are refused. A
+// longer queue adds no throughput, and makes every caller late after a crest.
+const maxShortWait = time.Second
+
 // check refuses what needs no look at the queue.
 func (g *Gate) check(now time.Time, item Item) error {
 	if g.draining {
@@ -31,7 +35,12 @@
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s holds %d waiting items of the organisation", g.server, t.flow.waiting)
 	case t.item.eager:
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s has no room at once", g.server)
-	case !t.latest.IsZero() && now.Add(g.wait(now, t.flow)).After(t.latest):
+	}
+	wait := g.wait(now, t)
+	if t.class == classShort && wait > maxShortWait {
+		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s has a queue of %v", g.server, wait.Round(time.Millisecond))
+	}
+	if !t.latest.IsZero() && now.Add(wait).After(t.latest) {
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s cannot meet the deadline", g.server)
 	}
 	return nil
@@ -51,12 +60,17 @@
 	return time.Duration(tokens) * g.meter.speed()
 }
 
-// wait returns how long a new item of the flow would wait: the flow's
-// waiting output at its share of the server's speed.
-func (g *Gate) wait(now time.Time, f *flow) time.Duration {
-	share := f.weight / max(f.weight, g.backlog.weight)
-	rate := share * float64(max(1, g.slots(now)))
-	return time.Duration(float64(g.span(f.tokens)) / rate)
+// wait returns how long the item would wait: its organisation's waiting
+// output of the class, at the organisation's share of the class's slots.
+func (g *Gate) wait(now time.Time, t *Ticket) time.Duration {
+	slots := g.slots(now)
+	if t.class == classLong {
+		slots = scale(slots, g.limits.longShare)
+	} else {
+		slots -= g.long
+	}
+	share := t.flow.weight / max(t.flow.weight, g.backlog.weight)
+	return time.Duration(float64(g.span(t.flow.tokens[t.class])) / (share * float64(max(1, slots))))
 }
 
 // tick reacts to the time and to changed limits.
@@ -67,11 +81,12 @@
 		g.factor = g.meter.factor(g.limits.load.Median())
 	}
 	g.expire(now)
+	g.backlog.sweep(now)
 	switch {
 	case g.draining:
-		g.refuseAll(clementineturn.Refuse(clementineturn.KindDraining, "%s takes no new work", g.server))
+		g.refuseAll(now, clementineturn.Refuse(clementineturn.KindDraining, "%s takes no new work", g.server))
 	case g.factor < 1:
-		g.refuseAll(clementineturn.Refuse(clementineturn.KindSlow, "%s is slower than its pool", g.server))
+		g.refuseAll(now, clementineturn.Refuse(clementineturn.KindSlow, "%s is slower than its pool", g.server))
 	}
 	g.dispatch(now)
 }
@@ -83,15 +98,15 @@
 		if !now.After(t.latest) {
 			return
 		}
-		g.refuse(t, clementineturn.Refuse(clementineturn.KindExpired, "%s cannot meet the deadline any more", g.server))
+		g.refuse(now, t, clementineturn.Refuse(clementineturn.KindExpired, "%s cannot meet the deadline any more", g.server))
 	}
 }
 
 // refuseAll refuses every waiting item.
-func (g *Gate) refuseAll(err error) {
+func (g *Gate) refuseAll(now time.Time, err error) {
 	for c := range g.backlog.active {
 		for g.backlog.active[c].Len() > 0 {
-			g.refuse(g.backlog.active[c].first().head(class(c)), err)
+			g.refuse(now, g.backlog.active[c].first().head(class(c)), err)
 		}
 	}
 }
--- /dev/null
+++ b/clemgate/fair_test.go
@@ -0,0 +1,50 @@
+package clemgate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
+
+// surged returns a gate of 8 slots on which a surging organisation runs 6
+// items and waits with more, for others that had work lately.
+func surged(t *testing.T) *Gate {
+	t.Helper()
+	g := open(limits(8))
+	for _, other := range []string{"b", "c", "d", "e"} {
+		g.Leave(start, enter(t, g, start, item(other, 10)))
+	}
+	for range 8 {
+		enter(t, g, start, item("a", 10))
+	}
+	require.Equal(t, 2, g.Report().Waiting())
+	return g
+}
+
+// What waits for an organisation that surges holds up nobody else.
+func TestSurgeHoldsUpNobody(t *testing.T) {
+	g := surged(t)
+	eager := NewItem(ItemConfig{Organisation: "b", Output: 10, Eager: true})
+	require.True(t, isDecided(enter(t, g, start, eager)))
+	last := enter(t, g, start, item("c", 10))
+	require.True(t, isDecided(last))
+	waiting := enter(t, g, start, item("d", 10))
+	require.False(t, isDecided(waiting), "all slots are taken")
+	g.Leave(start, last)
+	require.True(t, isDecided(waiting), "it passes over the surging organisation's queue")
+	require.Equal(t, 2, g.Report().Waiting())
+}
+
+// Short work is refused once its organisation's queue is longer than a caller should wait.
+func TestQueueIsShort(t *testing.T) {
+	g := open(limits(1))
+	g.meter.add(start, time.Second, 100)
+	enter(t, g, start, item("a", 10))
+	enter(t, g, start, item("a", 101))
+	_, err := g.Enter(start, item("a", 10))
+	requireKind(t, err, clementineturn.KindOverloaded)
+	enter(t, g, start, item("b", 10))
+}
--- a/clemgate/gate.go
+++ b/clemgate/gate.go
@@ -76,10 +76,12 @@
 	if err := g.check(now, item); err != nil {
 		return nil, err
 	}
-	t := &Ticket{item: item, index: absent, entered: now, latest: g.latest(item), cost: item.cost(), mark: now, decided: make(chan struct{})}
+	t := &Ticket{item: item, index: absent, entered: now, latest: g.latest(item), cost: item.cost(), decided: make(chan struct{})}
 	t.setClass(g.classOf(t.cost))
 	t.flow = g.backlog.flow(item)
-	if g.backlog.active[t.class].Len() == 0 && g.hasSlot(now, t) && g.fits(now, t.cost) {
+	// What waits is held back by limits of its own, so the item passes nobody.
+	g.dispatch(now)
+	if g.hasSlot(now, t) && g.fits(now, t.cost) {
 		g.backlog.enter(t.flow)
 		g.grant(now, t)
 		return t, nil
@@ -101,7 +103,7 @@
 	if t.state != stateWaiting {
 		return t.state == stateRefused
 	}
-	g.refuse(t, clementineturn.Refuse(clementineturn.KindCancelled, "withdrawn"))
+	g.refuse(now, t, clementineturn.Refuse(clementineturn.KindCancelled, "withdrawn"))
 	g.dispatch(now)
 	return true
 }
@@ -117,18 +119,20 @@
 		g.meter.add(now, now.Sub(t.mark), tokens-t.produced)
 	}
 	t.produced, t.mark = tokens, now
+	t.reports++
 	g.outrun(now, t)
 }
 
-// Leave ends a granted item.
+// Leave ends a granted item. The whole time of an answer that came in one
+// piece counts as its speed; work that ends without an answer tells nothing.
 func (g *Gate) Leave(now time.Time, t *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if t.state != stateGranted {
 		return
 	}
-	if t.produced == 0 {
-		g.meter.add(now, now.Sub(t.mark), t.cost)
+	if t.reports == 1 {
+		g.meter.add(now, now.Sub(t.granted), t.cost)
 	}
 	t.state = stateLeft
 	g.setLoad(now, g.load-t.cost)
@@ -137,7 +141,7 @@
 		g.long--
 	}
 	t.flow.running--
-	g.backlog.leave(t.flow)
+	g.backlog.leave(now, t.flow)
 	g.dispatch(now)
 }
 
@@ -204,7 +208,7 @@
 }
 
 // hasSlot reports whether a slot is free for the ticket. Long items hold a
-// limited share, and an organisation above its fair share leaves some free.
+// limited share, and an organisation that surges leaves some free.
 func (g *Gate) hasSlot(now time.Time, t *Ticket) bool {
 	slots := g.slots(now)
 	if t.class == classLong && g.long >= scale(slots, g.limits.longShare) {
@@ -213,19 +217,18 @@
 	if t.item.hedge {
 		slots = scale(slots, hedgeShare)
 	}
-	if g.isAboveShare(t.flow, slots) {
+	if g.isAbove(t.flow, surgeRatio) {
 		slots -= reserve(slots)
 	}
 	return g.running < slots
 }
 
-// isAboveShare reports whether the flow holds its fair share of the slots or
-// more. Shares are by weight over the organisations with work.
-func (g *Gate) isAboveShare(f *flow, slots int) bool {
-	if g.backlog.weight <= f.weight {
-		return false
-	}
-	return float64(f.running)*g.backlog.weight >= float64(slots)*f.weight
+// isAbove reports whether the flow runs more than the multiple of its fair
+// share of the slots, by weight over the organisations that had work lately.
+// One item more is allowed, since shares are fractions of a slot.
+func (g *Gate) isAbove(f *flow, multiple float64) bool {
+	fair := float64(g.limits.slots) * f.weight / max(f.weight, g.backlog.recent)
+	return float64(f.running) >= multiple*fair+1
 }
 
 func (g *Gate) classOf(tokens uint64) class {
@@ -255,7 +258,7 @@
 			return true
 		}
 		if now.Sub(t.entered) >= boundPatience {
-			g.refuse(t, clementineturn.Refuse(clementineturn.KindOverloaded, "%s is at its load bound", g.server))
+			g.refuse(now, t, clementineturn.Refuse(clementineturn.KindOverloaded, "%s is at its load bound", g.server))
 			return true
 		}
 	}
@@ -274,16 +277,29 @@
 	return [classCount]class{classShort, classLong}
 }
 
-// next returns the class's item that is to be served next, or nil if no slot is free for it.
+// next returns the class's item that is to be served next, or nil if no slot
+// is free for any. It passes over organisations that have to leave the free
+// slots to others; those run work, so there are at most as many as slots.
 func (g *Gate) next(now time.Time, c class) *Ticket {
-	if g.backlog.active[c].Len() == 0 {
-		return nil
+	active := &g.backlog.active[c]
+	var passed []*flow
+	var found *Ticket
+	for active.Len() > 0 && found == nil {
+		f := active.first()
+		if t := f.head(c); g.hasSlot(now, t) {
+			found = t
+			break
+		}
+		if !g.isAbove(f, surgeRatio) {
+			break
+		}
+		active.remove(0)
+		passed = append(passed, f)
 	}
-	t := g.backlog.active[c].first().head(c)
-	if !g.hasSlot(now, t) {
-		return nil
+	for _, f := range passed {
+		active.add(f)
 	}
-	return t
+	return found
 }
 
 // grant lets the item run.
@@ -295,14 +311,17 @@
 		g.long++
 	}
 	g.setLoad(now, g.load+t.cost)
-	t.mark = now
+	t.granted, t.mark = now, now
+	if t.class == classShort && g.isAbove(t.flow, 1) {
+		t.priority.Store(PriorityAbove)
+	}
 	t.decide(stateGranted, nil)
 }
 
 // refuse ends a waiting item.
-func (g *Gate) refuse(t *Ticket, err error) {
+func (g *Gate) refuse(now time.Time, t *Ticket, err error) {
 	g.backlog.pull(t)
-	g.backlog.leave(t.flow)
+	g.backlog.leave(now, t.flow)
 	t.decide(stateRefused, err)
 }
 
--- a/clemgate/limits.go
+++ b/clemgate/limits.go
@@ -14,8 +14,10 @@
 	safeShare = 0.5
 	// promptPerOutput is the number of prompt tokens that count as one of output.
 	promptPerOutput = 16
-	// reserveShare is the share of the slots kept for organisations below their fair share.
-	reserveShare = 0.0625
+	// reserveShare is the share of the slots that surging organisations leave free.
+	reserveShare = 0.25
+	// surgeRatio is the multiple of its fair share from which an organisation surges.
+	surgeRatio = 2
 	// minReserveSlots is the number of slots from which any are kept.
 	minReserveSlots = 8
 )
@@ -66,7 +68,7 @@
 	return max(1, int(math.Round(float64(slots)*share)))
 }
 
-// reserve returns the number of slots kept for organisations below their fair share.
+// reserve returns the number of slots that surging organisations leave free.
 func reserve(slots int) int {
 	if slots < minReserveSlots {
 		return 0
--- a/clemgate/model_test.go
+++ b/clemgate/model_test.go
@@ -176,10 +176,11 @@
 }
 
 func (m *machine) checkBacklog(t *rapid.T) {
-	weight := 0.0
+	weight, recent := 0.0, 0.0
 	for name, f := range m.gate.backlog.flows {
 		require.Equal(t, name, f.name)
-		require.Equal(t, f.isActive(), f.idle == absent)
+		require.Equal(t, f.isActive(), f.idle == nil)
+		recent += f.weight
 		if f.isActive() {
 			weight += f.weight
 		}
@@ -188,6 +189,7 @@
 		}
 	}
 	require.Equal(t, weight, m.gate.backlog.weight)
+	require.Equal(t, recent, m.gate.backlog.recent)
 }
 
 func TestGateModel(t *testing.T) {
@@ -200,6 +202,7 @@
 			m.gate.Leave(m.now, ticket)
 		}
 		require.Equal(t, m.gate.busy, m.gate.Report().Load())
+		m.gate.Expire(m.now.Add(flowMemory))
 		require.Empty(t, m.gate.backlog.flows)
 	})
 }
--- a/clemgate/policy_test.go
+++ b/clemgate/policy_test.go
@@ -181,15 +181,36 @@
 	require.True(t, isDecided(enter(t, g, start, item("a", 10))))
 }
 
-// A surging organisation leaves slots for one that is below its fair share.
+// An organisation far above its fair share leaves slots free for those that
+// had work lately, and its work has a lower priority.
 func TestReserveForOthers(t *testing.T) {
 	g := open(limits(8))
+	for _, other := range []string{"b", "c", "d", "e"} {
+		g.Leave(start, enter(t, g, start, item(other, 10)))
+	}
+	var last *Ticket
+	for range 8 {
+		last = enter(t, g, start, item("a", 10))
+	}
+	require.Equal(t, 6, g.Report().Running())
+	other := enter(t, g, start, item("b", 10))
+	require.True(t, isDecided(other))
+	require.Equal(t, PriorityShort, other.Priority())
+	g.Leave(start, other)
+	require.False(t, isDecided(last))
+	g.SetLimits(start.Add(flowMemory), known(limits(8), 1, 0, start.Add(flowMemory)))
+	require.True(t, isDecided(last), "the others had no work lately")
+}
+
+func TestAboveShareHasLowerPriority(t *testing.T) {
+	g := open(limits(16))
 	enter(t, g, start, item("b", 10))
+	enter(t, g, start, item("c", 10))
+	var last *Ticket
 	for range 8 {
-		enter(t, g, start, item("a", 10))
+		last = enter(t, g, start, item("a", 10))
 	}
-	require.Equal(t, 7, g.Report().Running())
-	require.True(t, isDecided(enter(t, g, start, item("b", 10))))
+	require.Equal(t, PriorityAbove, last.Priority())
 }
 
 // slowed returns a gate whose item produced tokens at 40 ms while the pool's
@@ -228,6 +249,18 @@
 	requireKind(t, err, clementineturn.KindSlow)
 }
 
+// An answer in one piece counts with its whole time, an abandoned item not at all.
+func TestSpeedOfAnswersInOnePiece(t *testing.T) {
+	g := open(limits(4))
+	abandoned, answered := enter(t, g, start, item("a", 100)), enter(t, g, start, item("a", 100))
+	g.Leave(start, abandoned)
+	require.Zero(t, g.Report().Speed())
+	now := start.Add(time.Second)
+	g.Progress(now, answered, 90)
+	g.Leave(now, answered)
+	require.Equal(t, 10*time.Millisecond, g.Report().Speed())
+}
+
 func TestSlownessHysteresis(t *testing.T) {
 	m := meter{}
 	median := 10 * time.Millisecond
--- a/clemgate/queue.go
+++ b/clemgate/queue.go
@@ -3,8 +3,12 @@
 import (
 	"container/heap"
 	"container/list"
+	"time"
 )
 
+// flowMemory is how long an organisation without work counts for fair shares.
+const flowMemory = 10 * time.Second
+
 // class is the size class of an item.
 type class int
 
@@ -17,16 +21,18 @@
 // flow is the queue of one organisation. Its start tag is the virtual time
 // from which its next item is served.
 type flow struct {
-	name    string
-	weight  float64
-	start   float64
-	queues  [classCount]list.List
-	index   [classCount]int
-	idle    int
+	name   string
+	weight float64
+	start  float64
+	queues [classCount]list.List
+	index  [classCount]int
+	// idle is the flow's place among those without work, since when it has none.
+	idle    *list.Element
+	since   time.Time
 	waiting int
 	running int
-	// tokens is the estimated output of the items that wait.
-	tokens uint64
+	// tokens is the estimated output of the items that wait, by class.
+	tokens [classCount]uint64
 }
 
 // head returns the class's next item, or nil.
@@ -96,14 +102,14 @@
 type backlog struct {
 	flows  map[string]*flow
 	active [classCount]ranked[*flow]
-	// idle holds flows with nothing waiting or running until the virtual
-	// time has passed their start tag.
-	idle   ranked[*flow]
+	// idle holds the flows without work, the longest idle first.
+	idle   list.List
 	expiry ranked[*Ticket]
 	// virtual is the start tag of the item that was served last.
 	virtual float64
-	// weight is the sum over the flows with work.
+	// weight is the sum over the flows with work, recent that over all flows.
 	weight  float64
+	recent  float64
 	waiting int
 }
 
@@ -118,7 +124,6 @@
 	for c := range b.active {
 		b.active[c] = ranked[*flow]{less: less, place: func(f *flow, i int) { f.index[c] = i }}
 	}
-	b.idle = ranked[*flow]{less: less, place: func(f *flow, i int) { f.idle = i }}
 	b.expiry = ranked[*Ticket]{
 		less:  func(x, y *Ticket) bool { return x.latest.Before(y.latest) },
 		place: func(t *Ticket, i int) { t.index = i },
@@ -130,7 +135,7 @@
 func (b *backlog) flow(item Item) *flow {
 	f := b.flows[item.organisation]
 	if f == nil {
-		f = &flow{name: item.organisation, weight: float64(item.weight), idle: absent}
+		f = &flow{name: item.organisation, weight: float64(item.weight)}
 		f.index = [classCount]int{absent, absent}
 		b.flows[item.organisation] = f
 		return f
@@ -139,6 +144,7 @@
 		if f.isActive() {
 			b.weight += weight - f.weight
 		}
+		b.recent += weight - f.weight
 		f.weight = weight
 	}
 	return f
@@ -151,50 +157,53 @@
 	if f.isActive() {
 		return
 	}
-	if f.idle != absent {
-		b.idle.remove(f.idle)
+	if f.idle != nil {
+		b.idle.Remove(f.idle)
+		f.idle = nil
+	} else {
+		b.recent += f.weight
 	}
 	b.weight += f.weight
 	f.start = max(f.start, b.virtual)
 }
 
-// leave lets go of a flow that has no work left.
-func (b *backlog) leave(f *flow) {
+// leave notes that a flow may have no work left.
+func (b *backlog) leave(now time.Time, f *flow) {
 	if f.isActive() {
 		return
 	}
 	b.weight -= f.weight
-	b.idle.add(f)
-	for b.idle.Len() > 0 && b.idle.first().start <= b.virtual {
-		gone := b.idle.first()
-		b.idle.remove(gone.idle)
-		delete(b.flows, gone.name)
-	}
-	if b.idle.Len() == len(b.flows) {
-		b.reset()
+	f.since = now
+	f.idle = b.idle.PushBack(f)
+	b.sweep(now)
+}
+
+// sweep drops the flows that have had no work for a while.
+func (b *backlog) sweep(now time.Time) {
+	for front := b.idle.Front(); front != nil; front = b.idle.Front() {
+		f := front.Value.(*flow)
+		if now.Sub(f.since) < flowMemory {
+			return
+		}
+		b.idle.Remove(front)
+		b.recent -= f.weight
+		delete(b.flows, f.name)
 	}
 }
 
 // forget drops a flow that was looked up for an item that was then refused.
 func (b *backlog) forget(f *flow) {
-	if !f.isActive() && f.idle == absent {
+	if !f.isActive() && f.idle == nil {
 		delete(b.flows, f.name)
 	}
 }
 
-// reset ends a busy period: no organisation has work, so none has a claim on later service.
-func (b *backlog) reset() {
-	b.flows = map[string]*flow{}
-	b.idle.items = nil
-	b.virtual, b.weight = 0, 0
-}
-
 // push appends a ticket to its flow.
 func (b *backlog) push(t *Ticket) {
 	f := t.flow
 	b.enter(f)
 	f.waiting++
-	f.tokens += t.item.output
+	f.tokens[t.class] += t.item.output
 	b.waiting++
 	t.element = f.queues[t.class].PushBack(t)
 	if f.index[t.class] == absent {
@@ -210,7 +219,7 @@
 	f := t.flow
 	f.queues[t.class].Remove(t.element)
 	f.waiting--
-	f.tokens -= t.item.output
+	f.tokens[t.class] -= t.item.output
 	b.waiting--
 	if f.queues[t.class].Len() == 0 {
 		b.active[t.class].remove(f.index[t.class])
--- a/clemgate/ticket.go
+++ b/clemgate/ticket.go
@@ -6,10 +6,12 @@
 	"time"
 )
 
-// Priorities for engines that honour them; the higher goes first.
+// Priorities for engines that honour them; the higher goes first. Short work
+// of an organisation above its fair share has PriorityAbove.
 const (
 	PriorityLong  = 0
-	PriorityShort = 1
+	PriorityAbove = 1
+	PriorityShort = 2
 )
 
 type state int
@@ -33,6 +35,8 @@
 	latest   time.Time
 	cost     uint64
 	produced uint64
+	granted  time.Time
+	reports  int
 	mark     time.Time
 	priority atomic.Int32
 	err      error
