clemlab: histories hold answered turns only; waits, objective after a crest

Cause: the recorded load put refused turns into the next prompt, so that any policy that refuses paid for prefill of text that no engine ever wrote. Now a chat's history grows in the run, when a turn is answered.

--- a/clemlab/engine.go
+++ b/clemlab/engine.go
@@ -57,8 +57,8 @@
 
 // start adds a sequence to the batch.
 func (e *engine) start(s *sequence) {
-	s.hit = e.cache.lookup(s.request.spec)
-	s.prefill = max(1, s.request.spec.prompt-s.hit)
+	s.hit = e.cache.lookup(s.request)
+	s.prefill = max(1, s.request.prompt()-s.hit)
 	e.running = append(e.running, s)
 	e.step()
 }
@@ -110,7 +110,7 @@
 		ended := s.produced >= s.request.spec.output
 		if ended {
 			e.stop(s)
-			e.cache.store(s.request.spec)
+			e.cache.store(s.request)
 		}
 		s.onToken(s.produced)
 		if ended {
@@ -147,8 +147,9 @@
 }
 
 // lookup returns the prompt tokens that need no prefill.
-func (c *prefixCache) lookup(spec *Spec) int {
-	hit := min(spec.prompt, max(c.held(spec.chat), c.held(spec.organisation)))
+func (c *prefixCache) lookup(r *request) int {
+	spec := r.spec
+	hit := min(r.prompt()-spec.user, max(c.held(spec.chat), c.held(spec.organisation)))
 	for _, key := range []string{spec.chat, spec.organisation} {
 		if element := c.items[key]; element != nil {
 			c.order.MoveToFront(element)
@@ -158,9 +159,9 @@
 }
 
 // store keeps the chat's prefix and its organisation's system prompt.
-func (c *prefixCache) store(spec *Spec) {
-	c.put(spec.organisation, spec.system)
-	c.put(spec.chat, spec.prompt+spec.output)
+func (c *prefixCache) store(r *request) {
+	c.put(r.spec.organisation, r.spec.system)
+	c.put(r.spec.chat, r.prompt()+r.spec.output)
 }
 
 func (c *prefixCache) put(key string, tokens int) {
--- a/clemlab/measure.go
+++ b/clemlab/measure.go
@@ -66,9 +66,18 @@
 
 // first returns a quantile of the time to first token over all runs, in milliseconds.
 func (rs runs) first(m match, share float64) float64 {
+	return rs.pooled(share, func(r *run) []time.Duration { return r.firsts(m) })
+}
+
+// wait returns a quantile of the wait for a slot over all runs, in milliseconds.
+func (rs runs) wait(m match, share float64) float64 {
+	return rs.pooled(share, func(r *run) []time.Duration { return r.waits(m) })
+}
+
+func (rs runs) pooled(share float64, times func(*run) []time.Duration) float64 {
 	var all []time.Duration
 	for _, r := range rs {
-		all = append(all, r.firsts(m)...)
+		all = append(all, times(r)...)
 	}
 	slices.Sort(all)
 	return float64(quantile(all, share)) / float64(time.Millisecond)
@@ -83,4 +92,8 @@
 	return sum / float64(len(rs))
 }
 
-const tail = 0.99
+// tail is the quantile of the tail, most that of the objective for normal service.
+const (
+	tail = 0.99
+	most = 0.95
+)
--- a/clemlab/run.go
+++ b/clemlab/run.go
@@ -95,11 +95,13 @@
 	members  []*clemwire.Host
 	reported map[string]uint64
 	requests []*request
+	// histories holds the answered turns of each chat, in tokens.
+	histories map[string]int
 }
 
 // execute runs the scenario to its end.
 func execute(s scenario, p policy) *run {
-	r := &run{scenario: s, policy: p, sim: newSimulator(), byName: map[string]*server{}, reported: map[string]uint64{}}
+	r := &run{scenario: s, policy: p, sim: newSimulator(), byName: map[string]*server{}, reported: map[string]uint64{}, histories: map[string]int{}}
 	for i := range s.servers {
 		r.addServer(i)
 	}
