--- a/clementry/router.go
+++ b/clementry/router.go
@@ -16,10 +16,6 @@
 const (
 	// maxLessons bounds how often one offer is repeated to a sidecar of another generation.
 	maxLessons = 3
-	// offerShare and offerBurst bound the offers beyond a request's first ones.
-	// A refused offer costs a sidecar little, so each request may make one more.
-	offerShare = 1
-	offerBurst = 200
 	// repeatShare and repeatBurst bound the repeats of dispatched work, in requests.
 	repeatShare = 0.1
 	repeatBurst = 10
@@ -39,16 +35,18 @@
 // router places requests on backend servers.
 type router struct {
 	Config
-	offers  *clembudget.Budget
-	repeats *clembudget.Budget
-	hedges  *clembudget.Hedge
+	offers   *clembudget.Budget
+	repeats  *clembudget.Budget
+	hedges   *clembudget.Hedge
+	overload *clembudget.Overload
 }
 
 func newRouter(c Config) *router {
 	return &router{
-		Config:  c,
-		offers:  clembudget.New(clembudget.Config{Share: offerShare, Burst: offerBurst}),
-		repeats: clembudget.New(clembudget.Config{Share: repeatShare, Burst: repeatBurst}),
+		Config:   c,
+		offers:   clembudget.New(clembudget.Config{Share: clemoffer.RetryShare, Burst: clemoffer.RetryBurst}),
+		repeats:  clembudget.New(clembudget.Config{Share: repeatShare, Burst: repeatBurst}),
+		overload: clembudget.NewOverload(clembudget.OverloadConfig{Hold: clemoffer.OverloadHold}),
 		hedges: clembudget.NewHedge(clembudget.HedgeConfig{
 			Quantile: hedgeQuantile, Burst: hedgeBurst, Quiet: hedgeQuiet, Least: hedgeLeast,
 		}),
@@ -72,10 +70,14 @@
 		return nil, err
 	}
 	var last error = clementineturn.Refuse(clementineturn.KindUnavailable, "no backend server is left for the request")
-	sequence := clemoffer.New(clemoffer.Config{Ranked: t.fresh(r.ranked(p)), Retries: r.offers})
+	sequence := clemoffer.New(clemoffer.Config{
+		Ranked: t.fresh(r.ranked(p)), Retries: r.offers,
+		Overloaded: !hedge && r.overload.Recent(time.Now(), p.offer.GetPool(), t.organisation),
+	})
 	for {
 		host, eager, ok := sequence.Next()
 		if !ok || (hedge && !eager) {
+			r.noteOverload(p, hedge, last)
 			return nil, last
 		}
 		p, err := t.plan(ctx, r.Board.Config().Get())
@@ -97,6 +99,13 @@
 	}
 }
 
+// noteOverload remembers that no server had room for a request.
+func (r *router) noteOverload(p *plan, hedge bool, err error) {
+	if !hedge && clementineturn.IsKind(err, clementineturn.KindOverloaded) {
+		r.overload.Note(time.Now(), p.offer.GetPool(), p.offer.GetOrganisation())
+	}
+}
+
 // isBusy reports whether the refusing server may still take the work if it waits.
 func isBusy(err error) bool {
 	return clementineturn.IsKind(err, clementineturn.KindOverloaded) || clementineturn.IsKind(err, clementineturn.KindSlow)
