--- a/clemlab/crest.go
+++ b/clemlab/crest.go
@@ -43,6 +43,10 @@
 		l.table.judge(crestExperiment, p.name, "p95 to first token from 5 s after", tried.first(after, most), unitTime, atMost(objective))
 		l.table.judge(crestExperiment, p.name, "extra work", tried.mean((*run).extra), unitShare, atMost(0.03))
 		l.table.add(crestExperiment, p.name, "offers a request at the crest", tried.mean(func(r *run) float64 { return r.offers(during) }), unitRatio)
+		if p.gated {
+			l.table.add(crestExperiment, p.name, "load over the mean, p99 of starts", tried.multiple(tail), unitRatio)
+			l.table.add(crestExperiment, p.name, "load over the mean, highest", tried.multiple(1), unitRatio)
+		}
 		plot.goodput(p.name, tried, crestDuration)
 	}
 }
--- a/clemlab/measure.go
+++ b/clemlab/measure.go
@@ -83,6 +83,19 @@
 	return float64(quantile(all, share)) / float64(time.Millisecond)
 }
 
+// multiple returns a quantile of the servers' loads over the pool's mean.
+func (rs runs) multiple(share float64) float64 {
+	var all []float64
+	for _, r := range rs {
+		all = append(all, r.multiples...)
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, int(share*float64(len(all))))]
+}
+
 // mean returns the mean of a value over the runs.
 func (rs runs) mean(value func(*run) float64) float64 {
 	sum := 0.0
--- a/clemlab/run.go
+++ b/clemlab/run.go
@@ -95,6 +95,9 @@
 	members  []*clemwire.Host
 	reported map[string]uint64
 	requests []*request
+	// multiples are the servers' loads over the pool's mean of the same
+	// moment, for each start on a server with other work.
+	multiples []float64
 	// histories holds the answered turns of each chat, in tokens.
 	histories map[string]int
 }
@@ -136,6 +139,7 @@
 		return r.slowdown(i, now.Sub(epoch))
 	}
 	s := &server{sim: r.sim, host: host, engine: newEngine(r.sim, r.engine, slowdown)}
+	s.onStart = func() { r.noteLoad(s) }
 	s.admission = &fifo{slots: r.engine.slots}
 	if r.policy.gated {
 		s.admission = newGated(r.sim, host.GetName(), r.limits)
@@ -145,6 +149,20 @@
 	r.members = append(r.members, host)
 }
 
+// noteLoad compares a server's load with the pool's mean as it is now, which
+// no server knows. The first seconds, without any mean, do not count.
+func (r *run) noteLoad(s *server) {
+	own := s.admission.report()
+	if own.Running() < 2 || r.sim.now.Sub(epoch) < warmUp {
+		return
+	}
+	total := 0.0
+	for _, other := range r.servers {
+		total += float64(other.admission.report().Load())
+	}
+	r.multiples = append(r.multiples, float64(own.Load())*float64(len(r.members))/total)
+}
+
 func serverName(i int) string { return fmt.Sprintf("server-%02d", i) }
 
 // removeServer takes the last server out of the list; its work runs to its end.
--- a/clemlab/server.go
+++ b/clemlab/server.go
@@ -45,8 +45,7 @@
 	host      *clemwire.Host
 	engine    *engine
 	admission admission
-	// away is set while the server has left the pool.
-	away bool
+	onStart   func()
 }
 
 // offer takes an attempt that arrives at the server.
@@ -71,6 +70,7 @@
 		onEnd:   func() { s.ended(a) },
 	}
 	s.engine.start(a.sequence)
+	s.onStart()
 }
 
 func (a *attempt) priority() int {
--- a/clemlab/slow.go
+++ b/clemlab/slow.go
@@ -77,6 +77,10 @@
 		l.table.add(slowExperiment, p.name, "p99 to first token, two slowed", after, unitTime)
 		l.table.judge(slowExperiment, p.name, "ratio of the two", after/before, unitRatio, atMost(1.3))
 		l.table.judge(slowExperiment, p.name, "extra work", tried.mean((*run).extra), unitShare, atMost(0.03))
+		if p.gated {
+			l.table.add(slowExperiment, p.name, "load over the mean, p99 of starts", tried.multiple(tail), unitRatio)
+			l.table.add(slowExperiment, p.name, "load over the mean, highest", tried.multiple(1), unitRatio)
+		}
 		plot.cumulative(p.name, tried, m)
 	}
 }
