clemgate: lower priorities go first, as sidecars pass them on

The sidecar hands Ticket.Priority to engines that run lower numbers first; the gate gave short work the higher one, so that engines would have preferred long work. The emulated engine now has the same order.

--- a/clemgate/ticket.go
+++ b/clemgate/ticket.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// Priorities for engines that honour them; the higher goes first. Short work
+// Priorities for engines that honour them; the lower goes first. Short work
 // of an organisation above its fair share has PriorityAbove.
 const (
-	PriorityLong  = 0
+	PriorityShort = 0
 	PriorityAbove = 1
-	PriorityShort = 2
+	PriorityLong  = 2
 )
 
 type state int
@@ -57,8 +57,8 @@
 	}
 }
 
-// Priority returns the item's priority for engines that honour it. It falls
-// when the item outruns its estimate.
+// Priority returns the item's priority for engines that honour it. It
+// becomes PriorityLong when the item outruns its estimate.
 func (t *Ticket) Priority() int { return int(t.priority.Load()) }
 
 func (t *Ticket) setClass(c class) {
--- a/clemlab/engine.go
+++ b/clemlab/engine.go
@@ -41,7 +41,7 @@
 
 // engine batches sequences continuously. Each step decodes one token of
 // every sequence whose prompt is done, and fills the rest of the chunk with
-// prompt tokens, higher priorities first.
+// prompt tokens, lower priorities first.
 type engine struct {
 	engineConfig
 	sim      *simulator
@@ -77,7 +77,7 @@
 	}
 	e.stepping = true
 	batch := slices.Clone(e.running)
-	slices.SortStableFunc(batch, func(a, b *sequence) int { return b.priority() - a.priority() })
+	slices.SortStableFunc(batch, func(a, b *sequence) int { return a.priority() - b.priority() })
 	left, decoding := e.chunk, 0
 	var ready []*sequence
 	for _, s := range batch {
