clemgate: a server that stops in the middle of answers takes no new work

Cause: a server that stands still makes no measurements, so its speed looked as good as before and work went on to it. Change: when no answer in progress has gone on for 500 ms, or for 4 usual gaps, the gate hands waiting work back, and takes none until one goes on.

--- a/clemgate/check.go
+++ b/clemgate/check.go
@@ -29,7 +29,7 @@
 	switch {
 	case t.item.hedge:
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s has no room for hedges", g.server)
-	case g.factor < 1:
+	case g.factor < 1 || g.pulse.isStalled(now):
 		return clementineturn.Refuse(clementineturn.KindSlow, "%s is slower than its pool", g.server)
 	case t.flow.waiting >= int(t.item.queue):
 		return clementineturn.Refuse(clementineturn.KindOverloaded, "%s holds %d waiting items of the organisation", g.server, t.flow.waiting)
@@ -85,7 +85,7 @@
 	switch {
 	case g.draining:
 		g.refuseAll(now, clementineturn.Refuse(clementineturn.KindDraining, "%s takes no new work", g.server))
-	case g.factor < 1:
+	case g.factor < 1 || g.pulse.isStalled(now):
 		g.refuseAll(now, clementineturn.Refuse(clementineturn.KindSlow, "%s is slower than its pool", g.server))
 	}
 	g.dispatch(now)
--- a/clemgate/fair_test.go
+++ b/clemgate/fair_test.go
@@ -48,3 +48,38 @@
 	requireKind(t, err, clementineturn.KindOverloaded)
 	enter(t, g, start, item("b", 10))
 }
+
+// A server that stops in the middle of answers hands waiting work back and
+// takes none until an answer goes on.
+func TestStalledServer(t *testing.T) {
+	g := open(limits(1))
+	running := enter(t, g, start, item("a", 100))
+	waiting := enter(t, g, start, item("a", 10))
+	g.Expire(start.Add(stalledAfter))
+	require.False(t, isDecided(waiting), "an answer that has not begun does not stand still")
+	begun := start.Add(stalledAfter)
+	g.Progress(begun, running, 1)
+	g.Expire(begun.Add(stalledAfter - 1))
+	require.False(t, isDecided(waiting))
+	g.Expire(begun.Add(stalledAfter))
+	requireKind(t, waiting.Err(), clementineturn.KindSlow)
+	_, err := g.Enter(begun.Add(stalledAfter), item("a", 10))
+	requireKind(t, err, clementineturn.KindSlow)
+	g.Progress(begun.Add(stalledAfter), running, 2)
+	waiting = enter(t, g, begun.Add(stalledAfter), item("a", 10))
+	g.Leave(begun.Add(stalledAfter), running)
+	require.True(t, isDecided(waiting))
+}
+
+func TestPulseOfAnswersInLargePieces(t *testing.T) {
+	var p pulse
+	now := start
+	for i := range 100 {
+		now = now.Add(time.Second)
+		p.beat(now, i == 0)
+	}
+	require.False(t, p.isStalled(now.Add(3*time.Second)))
+	require.True(t, p.isStalled(now.Add(4*time.Second)))
+	p.end()
+	require.False(t, p.isStalled(now.Add(time.Hour)))
+}
--- a/clemgate/gate.go
+++ b/clemgate/gate.go
@@ -41,6 +41,7 @@
 	busy     uint64
 	running  int
 	long     int
+	pulse    pulse
 	factor   float64
 	draining bool
 }
@@ -120,6 +121,7 @@
 	}
 	t.produced, t.mark = tokens, now
 	t.reports++
+	g.pulse.beat(now, t.reports == 1)
 	g.outrun(now, t)
 }
 
@@ -140,6 +142,9 @@
 	if t.class == classLong {
 		g.long--
 	}
+	if t.reports > 0 {
+		g.pulse.end()
+	}
 	t.flow.running--
 	g.backlog.leave(now, t.flow)
 	g.dispatch(now)
@@ -210,6 +215,9 @@
 // hasSlot reports whether a slot is free for the ticket. Long items hold a
 // limited share, and an organisation that surges leaves some free.
 func (g *Gate) hasSlot(now time.Time, t *Ticket) bool {
+	if g.pulse.isStalled(now) {
+		return false
+	}
 	slots := g.slots(now)
 	if t.class == classLong && g.long >= scale(slots, g.limits.longShare) {
 		return false
