--- a/clemlab/contain.go
+++ b/clemlab/contain.go
@@ -30,6 +30,7 @@
 		return s.with(duration, s.specs, more)
 	}
 	others := and(arrivedIn(warmUp, duration), func(r *request) bool { return r.spec.organisation != surging })
+	reused := func(r *run) float64 { return r.reuse(others) }
 	plot := l.figure("contain", "Time to first token of the others during a surge", "time to first token (ms)", "share of requests")
 	for _, p := range append(baselines(), firstCome(), allSeeing(), ours()) {
 		plain, tried := l.execute(p, load), l.execute(p, surge)
@@ -38,6 +39,8 @@
 		l.table.add(containExperiment, p.name, "others' p99 wait, surge", tried.wait(others, tail), unitTime)
 		l.table.add(containExperiment, p.name, "others' p99 to first token, no surge", before, unitTime)
 		l.table.add(containExperiment, p.name, "others' p99 to first token, surge", after, unitTime)
+		l.table.add(containExperiment, p.name, "others' reuse, no surge", plain.mean(reused), unitShare)
+		l.table.add(containExperiment, p.name, "others' reuse, surge", tried.mean(reused), unitShare)
 		l.table.judge(containExperiment, p.name, "ratio of the two", after/before, unitRatio, atMost(1.1))
 		plot.cumulative(p.name, tried, others)
 	}
--- a/clemlab/measure.go
+++ b/clemlab/measure.go
@@ -35,6 +35,7 @@
 	}{
 		{longExperiment, l.measureLong},
 		{slowExperiment, l.measureSlow},
+		{stallExperiment, l.measureStall},
 		{crestExperiment, l.measureCrest},
 		{containExperiment, l.measureContain},
 		{reuseExperiment, l.measureReuse},
@@ -107,6 +108,7 @@
 
 // tail is the quantile of the tail, most that of the objective for normal service.
 const (
-	tail = 0.99
-	most = 0.95
+	tail    = 0.99
+	extreme = 0.999
+	most    = 0.95
 )
