--- /dev/null
+++ b/clemgate/example_test.go
@@ -0,0 +1,33 @@
+package clemgate_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemgate"
+)
+
+// A sidecar enters work, waits for the decision, runs the work if it was
+// granted, and leaves.
+func Example() {
+	now := time.Now()
+	gate := clemgate.New(clemgate.Config{Server: "engine-1"})
+	gate.SetLimits(now, clemgate.NewLimits(clemgate.LimitsConfig{
+		Slots: 1, Bound: 2, LongCost: 700, LongShare: 0.375, Known: true,
+		Load: clemboard.NewLoad(clemboard.LoadConfig{Servers: 1, Time: now}),
+	}))
+	item := clemgate.NewItem(clemgate.ItemConfig{Organisation: "howrah", Weight: 10, Queue: 1, Prompt: 160, Output: 40})
+	first, _ := gate.Enter(now, item)
+	second, _ := gate.Enter(now, item)
+	_, err := gate.Enter(now, item)
+	fmt.Println(gate.Report().Load(), gate.Report().Running(), gate.Report().Waiting())
+	fmt.Println(err)
+	gate.Leave(now.Add(time.Second), first)
+	<-second.Decided()
+	fmt.Println(second.Err())
+	// Output:
+	// 50 1 1
+	// overloaded: engine-1 holds 1 waiting items of the organisation
+	// <nil>
+}
--- /dev/null
+++ b/clemrank/example_test.go
@@ -0,0 +1,23 @@
+package clemrank_test
+
+import (
+	"fmt"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemrank"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// The turns of one chat rank the servers the same way at every entry, and
+// when the first choice leaves the chat goes to the second.
+func ExampleNew() {
+	hosts := []*clemwire.Host{{Name: "engine-1"}, {Name: "engine-2"}, {Name: "engine-3"}}
+	work := clementineturn.NewWork("chat", "howrah", 42)
+	ranked := clemrank.New(clemrank.Config{Most: 2}).Rank(work, hosts)
+	fmt.Println(ranked[0].GetName(), ranked[1].GetName())
+	without := clemrank.New(clemrank.Config{Most: 1}).Rank(work, ranked[1:])
+	fmt.Println(without[0].GetName() == ranked[1].GetName())
+	// Output:
+	// engine-1 engine-2
+	// true
+}
