--- a/clemlab/measure.go
+++ b/clemlab/measure.go
@@ -35,6 +35,7 @@
 	}{
 		{longExperiment, l.measureLong},
 		{slowExperiment, l.measureSlow},
+		{stallExperiment, l.measureStall},
 		{crestExperiment, l.measureCrest},
 		{containExperiment, l.measureContain},
 		{reuseExperiment, l.measureReuse},
@@ -66,14 +67,36 @@
 
 // first returns a quantile of the time to first token over all runs, in milliseconds.
 func (rs runs) first(m match, share float64) float64 {
+	return rs.pooled(share, func(r *run) []time.Duration { return r.firsts(m) })
+}
+
+// wait returns a quantile of the wait for a slot over all runs, in milliseconds.
+func (rs runs) wait(m match, share float64) float64 {
+	return rs.pooled(share, func(r *run) []time.Duration { return r.waits(m) })
+}
+
+func (rs runs) pooled(share float64, times func(*run) []time.Duration) float64 {
 	var all []time.Duration
 	for _, r := range rs {
-		all = append(all, r.firsts(m)...)
+		all = append(all, times(r)...)
 	}
 	slices.Sort(all)
 	return float64(quantile(all, share)) / float64(time.Millisecond)
 }
 
+// multiple returns a quantile of the servers' loads over the pool's mean.
+func (rs runs) multiple(share float64) float64 {
+	var all []float64
+	for _, r := range rs {
+		all = append(all, r.multiples...)
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, int(share*float64(len(all))))]
+}
+
 // mean returns the mean of a value over the runs.
 func (rs runs) mean(value func(*run) float64) float64 {
 	sum := 0.0
@@ -83,4 +106,9 @@
 	return sum / float64(len(rs))
 }
 
-const tail = 0.99
+// tail is the quantile of the tail, most that of the objective for normal service.
+const (
+	tail    = 0.99
+	extreme = 0.999
+	most    = 0.95
+)
