A relay that is cut off sends its children elsewhere

Change: the reply says that the node is cut off if it also misses the table or hears only a small part of the fleet for 2 beats; children prefer others then.

--- a/clemrelay/beat.go
+++ b/clemrelay/beat.go
@@ -28,6 +28,9 @@
 	callShare = 1.7
 	// probeShare is how long the other parents have to show that they answer.
 	probeShare = 0.5
+	// orphanShare is the time after which a node that no parent answers sends
+	// its children elsewhere.
+	orphanShare = 2
 	// dropShare is the time after which a silent child no longer counts.
 	dropShare = 1.2
 )
@@ -67,6 +70,8 @@
 	arrived  chan struct{}
 	done     chan struct{}
 	totals   sums
+	// lone is since when no parent answers and only a small part is heard, or zero.
+	lone time.Time
 }
 
 func newBeats(beat time.Duration) *beats {
@@ -169,6 +174,24 @@
 	b.done = make(chan struct{})
 }
 
+func (b *beats) setOrphan(on bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !on {
+		b.lone = time.Time{}
+	} else if b.lone.IsZero() {
+		b.lone = now
+	}
+}
+
+// orphan reports whether the process has been cut off from its parents, with
+// a small part of the fleet, for longer than a new root takes to be found.
+func (b *beats) orphan(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.lone.IsZero() && now.Sub(b.lone) > share(b.beat, orphanShare)
+}
+
 func (b *beats) latest() sums {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -198,7 +221,7 @@
 	generation, _ := r.store.generation()
 	return &clemwire.BeatReply{
 		Generation: generation, Pools: r.beats.latest().down(now), Held: durationpb.New(roundAge(now.Sub(start))),
-		Changes: r.few(beat.GetGeneration()),
+		Changes: r.few(beat.GetGeneration()), Orphan: r.beats.orphan(now) || r.cut(),
 	}, nil
 }
 
@@ -244,10 +267,13 @@
 	for range beatTries {
 		hosts := r.parents()
 		if len(hosts) == 0 {
-			return r.rootTotals()
+			totals, most := r.rootTotals()
+			r.beats.setOrphan(!most && len(r.tree.Load().parents) > 0, time.Now())
+			return totals
 		}
 		totals, err := r.reportTo(ctx, hosts[0])
 		if err == nil {
+			r.beats.setOrphan(false, time.Now())
 			return totals
 		}
 		if ctx.Err() != nil {
@@ -279,14 +305,15 @@
 
 // rootTotals returns the sums of a node that no parent answers. For a pool of
 // which it hears less than half the members the old sum stays and ages: a
-// small part of the fleet would take its own load for the pool's mean.
-func (r *Relay) rootTotals() sums {
+// small part of the fleet would take its own load for the pool's mean. Most
+// tells whether there is a pool of which it hears that much.
+func (r *Relay) rootTotals() (totals sums, most bool) {
 	heard := r.beats.sum(r.config.Loads(), time.Now())
 	members := r.config.Board.Members().Get()
 	if members == nil {
-		return r.beats.latest()
+		return r.beats.latest(), false
 	}
-	totals := sums{}
+	totals = sums{}
 	for pool, p := range r.beats.latest() {
 		if len(members.Pool(pool)) > 0 {
 			totals[pool] = p
@@ -295,9 +322,10 @@
 	for pool, p := range heard {
 		if 2*int(p.servers) >= len(members.Pool(pool)) {
 			totals[pool] = p
+			most = true
 		}
 	}
-	return totals
+	return totals, most
 }
 
 func (r *Relay) reportTo(ctx context.Context, host *clemwire.Host) (sums, error) {
@@ -313,6 +341,7 @@
 	}
 	now := time.Now()
 	r.transit = max(now.Sub(start)-reply.GetHeld().AsDuration()+ageStep, 0)
+	r.health.noteOrphan(host, reply.GetOrphan(), now)
 	r.contact.heard()
 	if r.Ready() {
 		_ = r.applyAll(reply.GetChanges())
--- a/clemrelay/fleet_test.go
+++ b/clemrelay/fleet_test.go
@@ -49,6 +49,8 @@
 	cancel context.CancelFunc
 	ended  <-chan error
 	frozen bool
+	// barred keeps the node from the table.
+	barred bool
 }
 
 func newFleet(t *testing.T, hosts []*clemwire.Host) *fleet {
@@ -148,6 +150,20 @@
 	}
 }
 
+// orphan cuts a node off from the table and from every host of smaller rank,
+// while those below still reach it.
+func (f *fleet) orphan(n *testNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.barred = true
+	for _, host := range f.hosts {
+		if rankOf(host).compare(rankOf(n.host)) < 0 {
+			f.cut[[2]string{n.host.GetName(), host.GetName()}] = true
+			f.cut[[2]string{host.GetName(), n.host.GetName()}] = true
+		}
+	}
+}
+
 func (f *fleet) heal() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -234,7 +250,7 @@
 
 func (t nodeTable) reach(ctx context.Context) error {
 	t.fleet.mu.Lock()
-	frozen := t.node.frozen
+	frozen := t.node.frozen || t.node.barred
 	t.fleet.mu.Unlock()
 	if !frozen {
 		return nil
--- a/clemrelay/health.go
+++ b/clemrelay/health.go
@@ -10,6 +10,8 @@
 const (
 	firstPenalty = time.Second
 	maxPenalty   = 30 * time.Second
+	// orphanTime is how long a peer that no parent answered comes last.
+	orphanTime = 5 * time.Second
 )
 
 // penalty tells when a peer that did not answer is probed again.
@@ -25,6 +27,12 @@
 type health struct {
 	mu    sync.Mutex
 	peers map[string]penalty
+	// orphans holds until when a peer comes last, because no parent answers it.
+	orphans map[string]time.Time
+}
+
+func newHealth() *health {
+	return &health{peers: map[string]penalty{}, orphans: map[string]time.Time{}}
 }
 
 // failed notes a failure and reports whether it is the first one.
@@ -52,17 +60,33 @@
 	delete(h.peers, host.GetAddress())
 }
 
-// usable returns the hosts that answered last time, in order.
-func (h *health) usable(hosts []*clemwire.Host) []*clemwire.Host {
+// noteOrphan records whether a peer said that no parent answers it.
+func (h *health) noteOrphan(host *clemwire.Host, orphan bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.orphans, host.GetAddress())
+	if orphan {
+		h.orphans[host.GetAddress()] = now.Add(orphanTime)
+	}
+}
+
+// usable returns the hosts that answered last time, in order but for those
+// that no parent answers, which come last.
+func (h *health) usable(hosts []*clemwire.Host, now time.Time) []*clemwire.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	usable := make([]*clemwire.Host, 0, len(hosts))
+	var last []*clemwire.Host
 	for _, host := range hosts {
-		if _, failed := h.peers[host.GetAddress()]; !failed {
+		switch _, failed := h.peers[host.GetAddress()]; {
+		case failed:
+		case now.Before(h.orphans[host.GetAddress()]):
+			last = append(last, host)
+		default:
 			usable = append(usable, host)
 		}
 	}
-	return usable
+	return append(usable, last...)
 }
 
 // due returns the peers to probe now and forgets those of an old tree.
@@ -77,6 +101,7 @@
 	for address, p := range h.peers {
 		if !wanted[address] {
 			delete(h.peers, address)
+			delete(h.orphans, address)
 			continue
 		}
 		if !now.Before(p.next) {
--- a/clemrelay/pull.go
+++ b/clemrelay/pull.go
@@ -23,7 +23,7 @@
 	// maxSnapshots is the most snapshots that one process sends at once.
 	maxSnapshots = 2
 	// cutAfter is the time without contact after which a process sends its children elsewhere.
-	cutAfter = 3 * time.Second
+	cutAfter = 2500 * time.Millisecond
 )
 
 // Pull answers a child with the changes after its generation, and waits for
--- a/clemrelay/relay.go
+++ b/clemrelay/relay.go
@@ -87,7 +87,7 @@
 	}
 	r := &Relay{
 		config: c, store: newStore(c.Board, c.Log), beats: newBeats(c.Beat),
-		health: &health{peers: map[string]penalty{}}, heard: make(chan string, 1),
+		health: newHealth(), heard: make(chan string, 1),
 		waiters: make(chan struct{}, maxWaiters), snapshots: make(chan struct{}, maxSnapshots),
 	}
 	r.tree.Store(newTree(c.Self, nil))
@@ -167,7 +167,7 @@
 
 // parents returns the hosts to ask, the preferred one first.
 func (r *Relay) parents() []*clemwire.Host {
-	return r.health.usable(r.tree.Load().parents)
+	return r.health.usable(r.tree.Load().parents, time.Now())
 }
 
 // failed notes that a peer did not answer.
--- a/clemrelay/spread_test.go
+++ b/clemrelay/spread_test.go
@@ -149,6 +149,32 @@
 	})
 }
 
+// A relay that reaches no parent and no table, and that its children still
+// reach, must not keep them behind.
+func TestSpreadOrphan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, region("r", 1, 40))
+		f.startAll()
+		defer f.stopAll()
+		for phase, index := range []int{1, 2, 5, 8} {
+			time.Sleep(warmup + time.Duration(phase)*270*time.Millisecond)
+			n := f.nodes[f.ordered("r-0")[index].GetName()]
+			f.orphan(n)
+			for _, when := range []string{"at-once", "later"} {
+				generation := f.commit(fmt.Sprintf("%s-%d", when, index))
+				t.Logf("node %d, %s: in force after %v", index, when, f.waitOthers(generation, n.host.GetName(), promised))
+				require.Subset(t, []string{n.host.GetName()}, f.behind(generation))
+				time.Sleep(time.Minute)
+			}
+			age, old := f.agesBeside(func(h *clemwire.Host) bool { return h == n.host })
+			require.Zero(t, old, "sums are %v old", age)
+			f.heal()
+			n.barred = false
+			f.inForce(f.commit(fmt.Sprintf("healed-%d", index)), time.Minute)
+		}
+	})
+}
+
 // The state of no process ever goes back, through restarts of the store,
 // lost answers, cuts and freezes.
 func TestSpreadNeverReverts(t *testing.T) {
