Long host lists: the root reads, differences go down the relay tree

Cause: the list gives its whole content on every change. Ruled out: rarer reads (joins would show after tens of minutes), a few readers per data centre (each of them alone is beyond the budget). Change: from 1,000 hosts on, a node that its parent confirms does not read. A report names the digest of the node's list, the reply carries what leads from it to the parent's, and the age of the platform's confirmation. A node without a parent reads each second, one without a confirmation after 10 to 30 s. Shorter lists are read by each node as before. Timers of length 0 are not used: with the race detector the runtime crashed in synctest on a select on one (seen once, SIGSEGV in timer.maybeRunChan).

--- a/clemboard/board.go
+++ b/clemboard/board.go
@@ -117,6 +117,8 @@
 	config  Slot[clemconfig.State]
 	members Slot[Members]
 	loads   Slot[Loads]
+	list    Slot[List]
+	heard   Slot[Heard]
 	drain   Slot[Drain]
 }
 
@@ -130,6 +132,14 @@
 // controller is clemmember.
 func (b *Board) Members() *Slot[Members] { return &b.members }
 
+// List holds the platform's list of hosts as it was last read. Its writers are
+// clemmember, which reads the platform, and clemrelay, which takes the
+// parent's differences.
+func (b *Board) List() *Slot[List] { return &b.list }
+
+// Heard holds when the list was last confirmed. Its writers are those of List.
+func (b *Board) Heard() *Slot[Heard] { return &b.heard }
+
 // Loads holds the sums per pool. Its controller is the beat loop of clemrelay.
 func (b *Board) Loads() *Slot[Loads] { return &b.loads }
 
--- a/clemmember/member.go
+++ b/clemmember/member.go
@@ -21,8 +21,6 @@
 
 const (
 	defaultInterval = time.Second
-	// listTimeout bounds one read of the list.
-	listTimeout = 3 * time.Second
 	// settle is the shortest time between two sets of members, so that a
 	// burst of failures costs few of them.
 	settle = 100 * time.Millisecond
@@ -40,7 +38,11 @@
 	Board *clemboard.Board
 	// Interval is the time between reads of the list; 0 takes 1 s.
 	Interval time.Duration
-	Events   *clemevent.Logger
+	// Relayed is the number of hosts from which the list is taken from the
+	// parent in the relay tree, because a full answer for each change would
+	// cost too much; 0 takes 1000.
+	Relayed int
+	Events  *clemevent.Logger
 	// Self is the name of the process's own host.
 	Self string
 }
@@ -64,6 +66,9 @@
 	if c.Interval == 0 {
 		c.Interval = defaultInterval
 	}
+	if c.Relayed == 0 {
+		c.Relayed = defaultRelayed
+	}
 	return &Controller{config: c, kick: make(chan struct{}, 1), drained: map[string]bool{}, list: newList(), records: map[string]*record{}}
 }
 
@@ -148,54 +153,11 @@
 	}
 }
 
-// readLoop reads the list once per interval. While the list does not answer,
-// the last one stays in use.
-func (c *Controller) readLoop(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	var version clementineturn.Version
-	failed := false
-	for {
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return
-		}
-		timer.Reset(c.config.Interval)
-		next, err := c.read(ctx, version)
-		if ctx.Err() != nil {
-			return
-		}
-		if down := err != nil; down != failed {
-			failed = down
-			c.logList(err)
-		}
-		version = next
-	}
-}
-
-func (c *Controller) logList(err error) {
-	if err != nil {
-		c.config.Events.Emit(clemevent.HostsFailed, zap.Error(err))
-		return
-	}
-	c.config.Events.Emit(clemevent.HostsBack)
-}
-
-// read merges one answer of the list and returns the version to ask with next.
-func (c *Controller) read(ctx context.Context, version clementineturn.Version) (clementineturn.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	hosts, next, err := c.config.Hosts.List(ctx, version)
-	if err != nil {
-		return version, err
-	}
-	if next == version && version != "" {
-		return version, nil
-	}
+// merge takes a new list from the board.
+func (c *Controller) merge(list *clemboard.List) {
 	now := time.Now()
 	c.mu.Lock()
-	change := c.list.merge(hosts, now)
+	change := c.list.merge(list.Hosts(), now)
 	c.merged = true
 	for _, host := range change.gone {
 		c.record(host.GetName(), now).flap(now)
@@ -207,8 +169,6 @@
 	}
 	c.mu.Unlock()
 	c.logChange(change)
-	c.wake()
-	return next, nil
 }
 
 func (c *Controller) logChange(change change) {
@@ -227,8 +187,14 @@
 // operators' drains change.
 func (c *Controller) writeLoop(ctx context.Context) {
 	var written *composition
+	var merged *clemboard.List
 	for {
 		config, changed := c.config.Board.Config().Watch()
+		list, listed := c.config.Board.List().Watch()
+		if list != merged {
+			merged = list
+			c.merge(list)
+		}
 		if config == nil {
 			config = clemconfig.Empty()
 		}
@@ -244,6 +210,7 @@
 		timer := time.NewTimer(expiry)
 		select {
 		case <-changed:
+		case <-listed:
 		case <-c.kick:
 		case <-timer.C:
 		case <-ctx.Done():
--- a/clemmember/member_test.go
+++ b/clemmember/member_test.go
@@ -203,6 +203,41 @@
 	})
 }
 
+// A long list that another process confirms is not read. Without a
+// confirmation each process reads it after a while, and ever more rarely while it fails.
+func TestLongListRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts, board := clemstandin.NewHosts(servers(20)...), clemboard.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := New(Config{Hosts: hosts, Board: board, Self: "s0", Relayed: 20}).Start(ctx)
+		reads := func(d time.Duration) uint64 {
+			before, _ := hosts.Counts()
+			time.Sleep(d)
+			after, _ := hosts.Counts()
+			return after - before
+		}
+		// Half a second keeps what follows apart from the reads.
+		require.GreaterOrEqual(t, reads(10*time.Second+500*time.Millisecond), uint64(10))
+		board.Heard().Set(clemboard.NewHeard(time.Now(), true))
+		require.LessOrEqual(t, reads(relayedFor-2*time.Second), uint64(1))
+		next := board.List().Get().With(nil, []string{"s7"})
+		board.List().Set(next)
+		time.Sleep(2 * settle)
+		require.Nil(t, board.Members().Get().Host("s7"))
+		time.Sleep(relayedSpread + 3*time.Second)
+		require.NotNil(t, board.Members().Get().Host("s7"), "the platform's own list counts again")
+		hosts.Inject(clemstandin.TableFaults{Down: true})
+		time.Sleep(time.Minute)
+		before := board.Heard().Get().Time()
+		time.Sleep(time.Minute)
+		require.Equal(t, before, board.Heard().Get().Time())
+		hosts.Inject(clemstandin.TableFaults{})
+		require.LessOrEqual(t, reads(maxRetry), uint64(maxRetry/time.Second))
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
+
 // A list that lacks everything or most of a pool is not believed alone.
 func TestListShrinks(t *testing.T) {
 	for _, left := range []int{0, 1, 4} {
--- a/clemrelay/beat.go
+++ b/clemrelay/beat.go
@@ -222,6 +222,7 @@
 	return &clemwire.BeatReply{
 		Generation: generation, Pools: r.beats.latest().down(now), Held: durationpb.New(roundAge(now.Sub(start))),
 		Changes: r.few(beat.GetGeneration()), Orphan: r.beats.orphan(now) || r.cut(),
+		Hosts: r.hostChanges(beat.GetHosts(), now),
 	}, nil
 }
 
@@ -267,6 +268,7 @@
 	for range beatTries {
 		hosts := r.parents()
 		if len(hosts) == 0 {
+			r.readHosts()
 			totals, most := r.rootTotals()
 			r.beats.setOrphan(!most && len(r.tree.Load().parents) > 0, time.Now())
 			return totals
@@ -333,7 +335,7 @@
 	defer cancel()
 	start := time.Now()
 	generation, _ := r.store.generation()
-	beat := &clemwire.Beat{Node: r.config.Self.GetName(), Incarnation: r.config.Incarnation, Generation: generation}
+	beat := &clemwire.Beat{Node: r.config.Self.GetName(), Incarnation: r.config.Incarnation, Generation: generation, Hosts: r.config.Board.List().Get().Digest()}
 	beat.Pools = r.beats.sum(r.config.Loads(), start).up(start.Add(r.transit))
 	reply, err := r.config.Peers.Peer(host.GetAddress()).Beat(ctx, beat)
 	if err != nil {
@@ -341,6 +343,7 @@
 	}
 	now := time.Now()
 	r.transit = max(now.Sub(start)-reply.GetHeld().AsDuration()+ageStep, 0)
+	r.takeHosts(reply.GetHosts(), now)
 	r.health.noteOrphan(host, reply.GetOrphan(), now)
 	r.contact.heard()
 	if r.Ready() {
--- a/clemrelay/control_test.go
+++ b/clemrelay/control_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -23,6 +24,8 @@
 	byteBudget = 4096
 	// maxPools is the number of pools that the budget is held for.
 	maxPools = 8
+	// maxListed is the size of the largest fleet in which the list changes.
+	maxListed = 1000
 	// packetHead is the size of the IP and TCP heads of a message of one packet, in bytes.
 	packetHead = 52
 	// measured is the virtual time over which traffic is counted.
@@ -118,6 +121,8 @@
 		f.report = busyReport(pools)
 		c := &traffic{bytes: map[string]int{}, messages: map[string]int{}}
 		f.counter = c.count
+		f.shared = clemboard.NewList(hosts)
+		root := sortedCopy(hosts)[0]
 		f.startAll()
 		defer f.stopAll()
 		// Rounds begin about once a second; half a second keeps their edges out.
@@ -127,6 +132,7 @@
 		before := processorTime()
 		end := time.Now().Add(measured)
 		for i := 0; time.Now().Before(end); i++ {
+			f.confirmList(root, i)
 			f.commit(fmt.Sprintf("organisation-%d", i))
 			time.Sleep(changesEach)
 		}
@@ -146,6 +152,19 @@
 	return most
 }
 
+// confirmList gives the root a confirmation of the list, and in every eighth
+// call a change of one host: one in 13 s, as at the size to design for. Each
+// node copies the list then, so fleets that are too large for one machine go without.
+func (f *fleet) confirmList(root *clemwire.Host, call int) {
+	board := f.nodes[root.GetName()].board
+	if call%8 == 4 && len(f.hosts) <= maxListed {
+		host := proto.CloneOf(f.hosts[len(f.hosts)/2])
+		host.Leaving = call%16 == 4
+		board.List().Set(board.List().Get().With([]*clemwire.Host{host}, nil))
+	}
+	board.Heard().Set(clemboard.NewHeard(time.Now(), false))
+}
+
 // fleetOf returns a fleet of 10 regions and 39 data centres with so many hosts each, an eighth of them entries.
 func fleetOf(hosts int) []*clemwire.Host {
 	all := regions(10, 4, hosts)[:39*hosts]
--- a/clemrelay/fleet_test.go
+++ b/clemrelay/fleet_test.go
@@ -29,7 +29,11 @@
 	state   *clemconfig.State
 	hosts   []*clemwire.Host
 	members *clemboard.Members
-	nodes   map[string]*testNode
+	// list is the platform's list that the nodes read; nil fixes the members.
+	list *clemstandin.Hosts
+	// shared is the list on the board of nodes with fixed members, if set.
+	shared *clemboard.List
+	nodes  map[string]*testNode
 	// delay is the time one way between two hosts.
 	delay func(a, b *clemwire.Host) time.Duration
 
@@ -48,7 +52,9 @@
 	table  *clemstandin.Table
 	cancel context.CancelFunc
 	ended  <-chan error
-	frozen bool
+	// memberEnded is nil if the node has no controller of membership.
+	memberEnded <-chan error
+	frozen      bool
 	// barred keeps the node from the table.
 	barred bool
 }
@@ -98,7 +104,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := &testNode{host: host, board: clemboard.New(), table: f.table, cancel: cancel}
-	n.board.Members().Set(f.members)
+	n.memberEnded = f.startMember(ctx, n)
 	load := f.report(host)
 	n.relay = New(Config{
 		Self: host, Board: n.board, Log: clemconfig.NewLog(clemconfig.LogConfig{Table: nodeTable{f, n}}),
@@ -117,6 +123,9 @@
 	f.mu.Unlock()
 	n.cancel()
 	require.NoError(f.t, <-n.ended)
+	if n.memberEnded != nil {
+		require.NoError(f.t, <-n.memberEnded)
+	}
 }
 
 func (f *fleet) stopAll() {
--- /dev/null
+++ b/clemrelay/hosts_test.go
@@ -0,0 +1,130 @@
+package clemrelay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/clementineturn/clementineturn/clemboard"
+	"github.com/clementineturn/clementineturn/clemmember"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// startMember gives the node the fleet's fixed members or a controller that follows the list.
+func (f *fleet) startMember(ctx context.Context, n *testNode) <-chan error {
+	if f.list == nil {
+		n.board.Members().Set(f.members)
+		if f.shared != nil {
+			n.board.List().Set(f.shared)
+		}
+		return nil
+	}
+	return clemmember.New(clemmember.Config{Hosts: f.list, Board: n.board, Self: n.host.GetName(), Relayed: 50}).Start(ctx)
+}
+
+// listReads passes virtual time and returns the reads of the list per second.
+func (f *fleet) listReads(d time.Duration) float64 {
+	before, _ := f.list.Counts()
+	time.Sleep(d)
+	after, _ := f.list.Counts()
+	return float64(after-before) / d.Seconds()
+}
+
+// lacking returns how many nodes still have the host as a member.
+func (f *fleet) lacking(name string) int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.board.Members().Get().Host(name) == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// A long list is read by the root, and its changes reach all through the
+// tree, also after the root hangs and while the list is down.
+func TestHostsThroughTree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, fleetOf(3))
+		f.list = clemstandin.NewHosts(f.hosts...)
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(6 * warmup)
+		reads := f.listReads(20 * time.Second)
+		t.Logf("%d nodes read the list %.1f times a second", len(f.hosts), reads)
+		require.Less(t, reads, 10.0)
+
+		order := sortedCopy(f.hosts)
+		leave := func(host *clemwire.Host) {
+			f.list.Leave(host.GetName())
+			start := time.Now()
+			for f.lacking(host.GetName()) < len(f.nodes) && time.Since(start) < promised {
+				time.Sleep(100 * time.Millisecond)
+			}
+			t.Logf("%s left after %v", host.GetName(), time.Since(start))
+			require.Equal(t, len(f.nodes), f.lacking(host.GetName()))
+		}
+		leave(order[70])
+		f.list.Remove(order[71].GetName())
+		f.list.Set(proto.CloneOf(order[70]))
+		time.Sleep(promised)
+		require.Zero(t, f.lacking(order[70].GetName()))
+		require.Equal(t, len(f.nodes), f.lacking(order[71].GetName()))
+
+		f.list.Inject(clemstandin.TableFaults{Down: true})
+		time.Sleep(time.Minute)
+		require.Zero(t, f.lacking(order[80].GetName()))
+		f.list.Inject(clemstandin.TableFaults{})
+		time.Sleep(time.Minute)
+
+		f.stop(order[0].GetName())
+		time.Sleep(warmup)
+		leave(order[90])
+		reads = f.listReads(20 * time.Second)
+		t.Logf("after the root's end they read it %.1f times a second", reads)
+		require.Less(t, reads, 10.0)
+	})
+}
+
+// A difference leads from any list to any other.
+func TestListDifference(t *testing.T) {
+	draw := func(t *rapid.T, label string) *clemboard.List {
+		var hosts []*clemwire.Host
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			if kind := rapid.IntRange(0, 2).Draw(t, label+name); kind > 0 {
+				hosts = append(hosts, &clemwire.Host{Name: name, Leaving: kind == 2})
+			}
+		}
+		return clemboard.NewList(hosts)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := draw(t, "from"), draw(t, "to")
+		changed, removed := to.Since(from)
+		require.Equal(t, to.Digest(), from.With(changed, removed).Digest())
+		require.Equal(t, to.Digest() == from.Digest(), len(changed)+len(removed) == 0)
+	})
+}
+
+// An answer that does not lead to the list it names is not taken.
+func TestTakeHostsChecks(t *testing.T) {
+	r, _ := alone(t, 0)
+	own := clemboard.NewList([]*clemwire.Host{{Name: "a"}})
+	r.config.Board.List().Set(own)
+	now := time.Now()
+	for _, changes := range []*clemwire.HostChanges{
+		nil, {}, {To: 5, From: own.Digest(), Removed: []string{"a"}}, {To: 5, From: 6}, {To: clemboard.NewList(nil).Digest(), From: 6, Removed: []string{"a"}},
+	} {
+		r.takeHosts(changes, now)
+		require.Same(t, own, r.config.Board.List().Get())
+		require.Nil(t, r.config.Board.Heard().Get())
+	}
+	r.takeHosts(&clemwire.HostChanges{To: clemboard.NewList(nil).Digest(), From: own.Digest(), Removed: []string{"a"}}, now)
+	require.Zero(t, r.config.Board.List().Get().Len())
+	require.True(t, r.config.Board.Heard().Get().Relayed())
+}
--- a/clemrelay/relay.go
+++ b/clemrelay/relay.go
@@ -62,6 +62,7 @@
 	waiters   chan struct{}
 	snapshots chan struct{}
 	contact   contact
+	lists     lists
 	// transit bounds the time that a report takes to the parent, as last
 	// measured. It belongs to the report loop.
 	transit time.Duration
