--- a/clemrelay/fleet_test.go
+++ b/clemrelay/fleet_test.go
@@ -24,9 +24,16 @@
 	t       *testing.T
 	table   *clemstandin.Table
 	objects *objects
+	// log and state serve commit.
+	log     *clemconfig.Log
+	state   *clemconfig.State
 	hosts   []*clemwire.Host
 	members *clemboard.Members
-	nodes   map[string]*testNode
+	// list is the platform's list that the nodes read; nil fixes the members.
+	list *clemstandin.Hosts
+	// shared is the list on the board of nodes with fixed members, if set.
+	shared *clemboard.List
+	nodes  map[string]*testNode
 	// delay is the time one way between two hosts.
 	delay func(a, b *clemwire.Host) time.Duration
 
@@ -45,12 +52,17 @@
 	table  *clemstandin.Table
 	cancel context.CancelFunc
 	ended  <-chan error
-	frozen bool
+	// memberEnded is nil if the node has no controller of membership.
+	memberEnded <-chan error
+	frozen      bool
+	// barred keeps the node from the table.
+	barred bool
 }
 
 func newFleet(t *testing.T, hosts []*clemwire.Host) *fleet {
+	table := clemstandin.NewTable()
 	return &fleet{
-		t: t, table: clemstandin.NewTable(), objects: &objects{values: map[string][]byte{}}, hosts: hosts, members: clemboard.NewMembers(hosts),
+		t: t, table: table, log: clemconfig.NewLog(clemconfig.LogConfig{Table: table}), state: clemconfig.Empty(), objects: &objects{values: map[string][]byte{}}, hosts: hosts, members: clemboard.NewMembers(hosts),
 		nodes: map[string]*testNode{}, cut: map[[2]string]bool{},
 		delay: func(_, _ *clemwire.Host) time.Duration { return time.Millisecond },
 		report: func(host *clemwire.Host) []*clemwire.PoolLoad {
@@ -92,7 +104,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := &testNode{host: host, board: clemboard.New(), table: f.table, cancel: cancel}
-	n.board.Members().Set(f.members)
+	n.memberEnded = f.startMember(ctx, n)
 	load := f.report(host)
 	n.relay = New(Config{
 		Self: host, Board: n.board, Log: clemconfig.NewLog(clemconfig.LogConfig{Table: nodeTable{f, n}}),
@@ -111,6 +123,9 @@
 	f.mu.Unlock()
 	n.cancel()
 	require.NoError(f.t, <-n.ended)
+	if n.memberEnded != nil {
+		require.NoError(f.t, <-n.memberEnded)
+	}
 }
 
 func (f *fleet) stopAll() {
@@ -144,6 +159,20 @@
 	}
 }
 
+// orphan cuts a node off from the table and from every host of smaller rank,
+// while those below still reach it.
+func (f *fleet) orphan(n *testNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.barred = true
+	for _, host := range f.hosts {
+		if rankOf(host).compare(rankOf(n.host)) < 0 {
+			f.cut[[2]string{n.host.GetName(), host.GetName()}] = true
+			f.cut[[2]string{host.GetName(), n.host.GetName()}] = true
+		}
+	}
+}
+
 func (f *fleet) heal() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -152,9 +181,9 @@
 
 // commit accepts a change that creates an organisation and returns its generation.
 func (f *fleet) commit(name string) uint64 {
-	log := clemconfig.NewLog(clemconfig.LogConfig{Table: f.table})
-	_, generation, err := log.Commit(f.t.Context(), clemconfig.Empty(), organisation(name))
+	state, generation, err := f.log.Commit(f.t.Context(), f.state, organisation(name))
 	require.NoError(f.t, err)
+	f.state = state
 	return generation
 }
 
@@ -230,7 +259,7 @@
 
 func (t nodeTable) reach(ctx context.Context) error {
 	t.fleet.mu.Lock()
-	frozen := t.node.frozen
+	frozen := t.node.frozen || t.node.barred
 	t.fleet.mu.Unlock()
 	if !frozen {
 		return nil
