--- a/clemanswer/answer.go
+++ b/clemanswer/answer.go
@@ -34,6 +34,8 @@
 	request      string
 	attempt      string
 	organisation string
+	// limit is the size in bytes that the answer's data may have.
+	limit int
 
 	mu      sync.Mutex
 	frames  []*clemwire.Frame
@@ -50,9 +52,9 @@
 	done chan struct{}
 }
 
-func newAnswer(offer *clemwire.Offer, now time.Time) *Answer {
+func newAnswer(offer *clemwire.Offer, limit int, now time.Time) *Answer {
 	return &Answer{
-		request: offer.GetRequest(), attempt: offer.GetAttempt(), organisation: offer.GetOrganisation(),
+		request: offer.GetRequest(), attempt: offer.GetAttempt(), organisation: offer.GetOrganisation(), limit: limit,
 		digest: xxhash.New(), last: now, next: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -71,13 +73,17 @@
 }
 
 // Data implements clementineturn.Sink. The frames of an event stream hold
-// whole events, so that each frame is a point to resume from.
+// whole events, so that each frame is a point to resume from. Errors:
+// KindTooLarge for data beyond the limit, KindCancelled after the end.
 func (a *Answer) Data(data []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
 		return clementineturn.Errorf(clementineturn.KindCancelled, "answer %s has ended", a.attempt)
 	}
+	if int(a.length)+len(a.partial)+len(data) > a.limit {
+		return clementineturn.Errorf(clementineturn.KindTooLarge, "the answer is larger than the buffer of %d bytes", a.limit)
+	}
 	if !a.events {
 		a.pushData(bytes.Clone(data))
 		return nil
--- a/clemanswer/store.go
+++ b/clemanswer/store.go
@@ -13,7 +13,8 @@
 
 // Config describes a Store to construct.
 type Config struct {
-	// Bytes bounds the data of ended answers that are kept for a resume.
+	// Bytes bounds the data of ended answers that are kept for a resume, and
+	// that of each single answer.
 	Bytes int
 	// Linger is how long an ended answer is kept, and how long a running one
 	// may go without a reader before Orphans returns it.
@@ -44,7 +45,7 @@
 	if _, ok := s.answers[offer.GetAttempt()]; ok {
 		return nil, clementineturn.Errorf(clementineturn.KindConflict, "attempt %s has an answer", offer.GetAttempt())
 	}
-	a := newAnswer(offer, now)
+	a := newAnswer(offer, s.bytes, now)
 	s.answers[offer.GetAttempt()] = a
 	return a, nil
 }
@@ -62,6 +63,16 @@
 	s.trim(now)
 }
 
+// Drop forgets the answer of work that was not dispatched.
+func (s *Store) Drop(a *Answer) {
+	a.end(clementineturn.Errorf(clementineturn.KindEvicted, "the work was not dispatched"), time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answers[a.attempt] == a {
+		delete(s.answers, a.attempt)
+	}
+}
+
 // Sweep drops the ended answers whose time is over.
 func (s *Store) Sweep(now time.Time) {
 	s.mu.Lock()
--- a/clemsetting/table.go
+++ b/clemsetting/table.go
@@ -98,7 +98,7 @@
 	{path: "deadline", kind: KindDuration, role: RoleEntry, initial: 2 * time.Minute, low: int64(time.Second), top: int64(time.Hour), doc: "Deadline of a request whose caller names none."},
 	{path: "pool", kind: KindName, role: RoleSidecar, required: true, doc: "Pool of the backend server."},
 	{path: "backend", kind: KindURL, role: RoleSidecar, required: true, doc: "Base URL of the backend server."},
-	{path: "buffer", kind: KindInteger, role: RoleSidecar, initial: int64(16 * mib), low: 64 * kib, top: 16 * gib, doc: "Bytes of answers kept for callers that resume."},
+	{path: "buffer", kind: KindInteger, role: RoleSidecar, initial: int64(16 * mib), low: 64 * kib, top: 16 * gib, doc: "Bytes of ended answers kept for callers that resume, and the most that one answer may have."},
 	{path: "linger", kind: KindDuration, role: RoleSidecar, initial: 30 * time.Second, low: int64(time.Second), top: int64(time.Hour), doc: "How long an answer that ended or that nobody reads is kept."},
 	{path: "claims", kind: KindGroup, doc: "Ledger of at-most-once calls."},
 	{path: "claims.buckets", kind: KindInteger, initial: int64(32), low: 1, top: 65536, doc: "Number of logs that claims are spread over. Equal on all processes; it cannot change while claims are kept."},
--- a/clemsidecar/run.go
+++ b/clemsidecar/run.go
@@ -112,7 +112,7 @@
 }
 
 // replay answers with the stored outcome of an earlier attempt.
-func (s *Sidecar) replay(a *attempt, answer *clemanswer.Answer, outcome *clemwire.Outcome) error {
+func (s *Sidecar) replay(a *attempt, answer *clemanswer.Answer, outcome *clemwire.Outcome) {
 	err := answer.Start(&clemwire.Start{Status: outcome.GetStatus(), Media: outcome.GetMedia(), Replayed: true})
 	if err == nil {
 		err = answer.Data(outcome.GetBody())
@@ -120,7 +120,6 @@
 	s.answers.Close(answer, err, time.Now())
 	a.cancel()
 	s.end(a)
-	return nil
 }
 
 // meter counts an answer's output on its way into the buffer.
