Calls between processes: one caller's end, a frozen peer, a panic, shutdown

Tests and reading found, by the code before (trials): - A caller that hung up while it dialled failed the connection for all others, and callers waited for the dial on a mutex, past their own deadlines. - A call that waits behind a write to a peer that takes no bytes did not end with its own context (up to the write timeout of 2 s). - A panic in a served call ended the process. - An end frame with neither attempt nor refusal became a nil error value that panicked at its first use. - The server's handler of an answer waited without limit on a reader that had stopped, which kept the answer from being dropped. - Connections for calls outlived the server's shutdown. An answer's connection is read to its end, so that it is reused; the test of that passed before as well over the in-memory network.

--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -68,7 +68,8 @@
 	observeEntry(parts.Metrics, parts.Entry)
 	router := chi.NewRouter()
 	parts.Entry.Mount(router)
-	clemrpc.NewServer(clemrpc.ServerConfig{Context: parts.Context, Key: parts.Settings.Fleet(), Peer: parts.Entry}).Mount(router)
+	calls := clemrpc.NewServer(clemrpc.ServerConfig{Context: parts.Context, Key: parts.Settings.Fleet(), Peer: parts.Entry})
+	calls.Mount(router)
 	callers, err := listen(parts.Context, parts.Settings, parts.Settings.Listen(), router)
 	if err != nil {
 		return nil, err
@@ -89,6 +90,9 @@
 		controllers: []controller{parts.Member, parts.Relay, parts.Ledger}, servers: servers,
 		settle: parts.Settings.Settle(),
 		idle:   func() bool { return parts.Entry.Active() == 0 },
-		close:  parts.Peers.Close,
+		close: func() {
+			calls.Close()
+			parts.Peers.Close()
+		},
 	}, nil
 }
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -78,6 +78,8 @@
 	observeBoard(parts.Metrics, parts.Board)
 	observeGate(parts.Metrics, parts.Gate)
 	router := chi.NewRouter()
+	calls := clemrpc.NewServer(clemrpc.ServerConfig{Context: parts.Context, Key: parts.Settings.Fleet(), Peer: parts.Sidecar})
+	calls.Mount(router)
 	parts.mount(router)
 	s, err := listen(parts.Context, parts.Settings, parts.Settings.Listen(), router)
 	if err != nil {
@@ -88,6 +90,7 @@
 		controllers: []controller{parts.Member, parts.Relay, parts.Ledger, parts.Sidecar, &incarnator{sidecarParts: parts}},
 		servers:     []*server{s}, idle: parts.Sidecar.Idle,
 		close: func() {
+			calls.Close()
 			parts.Peers.Close()
 			parts.Backend.Close()
 		},
@@ -95,7 +98,6 @@
 }
 
 func (p sidecarParts) mount(router chi.Router) {
-	clemrpc.NewServer(clemrpc.ServerConfig{Context: p.Context, Key: p.Settings.Fleet(), Peer: p.Sidecar}).Mount(router)
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if p.Board.Config().Get() == nil || p.Board.Drain().Get().Active() {
--- a/clemrpc/client.go
+++ b/clemrpc/client.go
@@ -83,46 +83,85 @@
 	p.http.CloseIdleConnections()
 }
 
-// peer implements clementineturn.Peer for one address. mu guards client and is
-// held while dialling, so that callers share one connection.
+// peer implements clementineturn.Peer for one address. Its callers share one
+// connection for calls.
 type peer struct {
 	peers   *Peers
 	address string
 
+	// mu guards what follows. It is not held while dialling.
 	mu     sync.Mutex
+	latest *dial
+	closed bool
+}
+
+// dial is one attempt to connect. Its result is valid once done is closed.
+type dial struct {
+	done   chan struct{}
 	client *rpc.Client
+	err    error
 	failed time.Time
-	cause  error
 }
 
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.client != nil {
-		_ = p.client.Close()
-		p.client = nil
+	p.closed = true
+	if d := p.latest; d != nil && d.isDone() && d.client != nil {
+		_ = d.client.Close()
+	}
+}
+
+func (d *dial) isDone() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
 	}
 }
 
-// connect returns the open connection or dials one. Its errors say not run.
+// connect returns the open connection or waits for one. Its errors say not run.
 func (p *peer) connect(ctx context.Context) (*rpc.Client, error) {
+	d := p.join(ctx)
+	select {
+	case <-d.done:
+		return d.client, d.err
+	case <-ctx.Done():
+		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "peer %s: connecting: %w", p.address, ctx.Err())
+	}
+}
+
+// join returns the latest dial, or starts one if there is none or the latest
+// failed a while ago. Callers share the result of a failed dial: each would
+// otherwise wait for a dial of its own to a frozen peer.
+func (p *peer) join(ctx context.Context) *dial {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.client != nil {
-		return p.client, nil
-	}
-	// Callers that queued behind a failed dial share its result: each would
-	// otherwise wait for a dial of its own to a frozen peer.
-	if time.Since(p.failed) < redialDelay {
-		return nil, p.cause
+	if d := p.latest; d != nil && (!d.isDone() || d.err == nil || time.Since(d.failed) < redialDelay) {
+		return d
 	}
+	d := &dial{done: make(chan struct{})}
+	p.latest = d
+	// The dial serves every caller, so that the end of one must not fail it.
+	go p.run(context.WithoutCancel(ctx), d)
+	return d
+}
+
+func (p *peer) run(ctx context.Context, d *dial) {
 	client, err := p.dial(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && p.closed {
+		_ = client.Close()
+		err = net.ErrClosed
+	}
 	if err != nil {
-		p.failed, p.cause = time.Now(), clementineturn.Refuse(clementineturn.KindUnavailable, "peer %s: %w", p.address, err)
-		return nil, p.cause
+		d.failed, d.err = time.Now(), clementineturn.Refuse(clementineturn.KindUnavailable, "peer %s: %w", p.address, err)
+	} else {
+		d.client = client
 	}
-	p.client = client
-	return client, nil
+	close(d.done)
 }
 
 func (p *peer) dial(ctx context.Context) (*rpc.Client, error) {
@@ -190,11 +229,15 @@
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 	}
-	pending := client.Go(serviceName+"."+method, args, result, make(chan *rpc.Call, 1))
+	// Go waits behind a write to a peer that no longer reads, for up to
+	// writeTimeout; the caller's context may end before.
+	done := make(chan *rpc.Call, 1)
+	go client.Go(serviceName+"."+method, args, result, done)
+	var pending *rpc.Call
 	select {
 	case <-ctx.Done():
 		return clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, ctx.Err())
-	case <-pending.Done:
+	case pending = <-done:
 	}
 	if pending.Error == nil {
 		return nil
@@ -210,9 +253,9 @@
 func (p *peer) drop(client *rpc.Client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.client == client {
+	if d := p.latest; d != nil && d.isDone() && d.client == client {
 		_ = client.Close()
-		p.client = nil
+		p.latest = nil
 	}
 }
 
@@ -276,6 +319,16 @@
 		return clementineturn.Errorf(clementineturn.KindCut, "peer %s: %s", p.address, response.Status)
 	}
 	reader := bufio.NewReader(response.Body)
+	err = p.readFrames(ctx, reader, handler)
+	if err == nil {
+		// The transport reuses the connection only once the body is read.
+		_, _ = reader.ReadByte()
+	}
+	return err
+}
+
+// readFrames passes frames to the handler up to the end frame.
+func (p *peer) readFrames(ctx context.Context, reader *bufio.Reader, handler func(*clemwire.Frame) error) error {
 	frame := &clemwire.Frame{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
 	for {
@@ -287,7 +340,7 @@
 			return clementineturn.Errorf(clementineturn.KindCut, "peer %s: answer without an end: %w", p.address, err)
 		}
 		if frame.GetAttempt() == "" && frame.GetEnd() != nil {
-			return clementineturn.FromRefusal(frame.GetEnd().GetRefusal())
+			return refused(frame.GetEnd())
 		}
 		if err := handler(frame); err != nil || frame.GetEnd() != nil {
 			return err
@@ -295,6 +348,14 @@
 	}
 }
 
+// refused returns the error of a fetch that the peer refused.
+func refused(end *clemwire.End) error {
+	if end.GetRefusal() == nil {
+		return clementineturn.Errorf(clementineturn.KindMismatch, "an end came without an attempt")
+	}
+	return clementineturn.FromRefusal(end.GetRefusal())
+}
+
 func (p *peer) get(ctx context.Context, fetch *clemwire.Fetch) (*http.Response, error) {
 	scheme := "http"
 	if p.peers.tls != nil {
