--- a/clemnode/fleet_test.go
+++ b/clemnode/fleet_test.go
@@ -48,6 +48,9 @@
 	entries []string
 	admin   string
 	keys    map[string]string
+	// hosts holds addresses by name, generation the newest generation.
+	hosts      map[string]string
+	generation uint64
 }
 
 // tap counts and keeps what reaches a backend server.
@@ -82,10 +85,22 @@
 	return c.running, slices.Clone(c.bodies)
 }
 
-func newFleet(t testing.TB, engine clemstandin.EngineConfig) *fleet {
+// newFleet runs two engines.
+func newFleet(t testing.TB, config clemstandin.EngineConfig) *fleet {
+	t.Helper()
+	var engines []http.Handler
+	for i := range 2 {
+		config.Name, config.Model = fmt.Sprintf("engine-%d", i+1), model
+		engines = append(engines, clemstandin.NewEngine(config))
+	}
+	return newFleetOf(t, engines...)
+}
+
+// newFleetOf runs the given engines.
+func newFleetOf(t testing.TB, engines ...http.Handler) *fleet {
 	t.Helper()
 	transport := &http.Transport{}
-	f := &fleet{t: t, client: &http.Client{Transport: transport}, keys: map[string]string{}}
+	f := &fleet{t: t, client: &http.Client{Transport: transport}, keys: map[string]string{}, hosts: map[string]string{}}
 	t.Cleanup(transport.CloseIdleConnections)
 	var err error
 	f.platform, err = clemstandin.NewPlatform(clemstandin.PlatformConfig{})
@@ -98,10 +113,9 @@
 		f.entries = append(f.entries, "http://"+p.servers[0].listener.Addr().String())
 		f.admin = "http://" + p.servers[1].listener.Addr().String()
 	}
-	for i := range 2 {
-		engine.Name, engine.Model, engine.Client = fmt.Sprintf("engine-%d", i+1), model, f.client
-		f.engines = append(f.engines, &tap{Handler: clemstandin.NewEngine(engine)})
-		f.sidecar(engine.Name, "chats", f.serve(f.engines[i]))
+	for i, engine := range engines {
+		f.engines = append(f.engines, &tap{Handler: engine})
+		f.sidecar(fmt.Sprintf("engine-%d", i+1), "chats", f.serve(f.engines[i]))
 	}
 	f.service = clemstandin.NewService(clemstandin.ServiceConfig{Name: "orders-1"})
 	f.sidecar("orders-1", "orders", f.serve(f.service))
@@ -150,6 +164,7 @@
 	})
 	host := newSelf(settings)
 	host.Address = p.servers[0].listener.Addr().String()
+	f.hosts[host.GetName()] = host.GetAddress()
 	f.platform.Hosts().Set(host)
 	return p
 }
@@ -164,10 +179,10 @@
 	f.t.Helper()
 	operators := f.operators()
 	for i, entity := range []*clemwire.Entity{
-		{Kind: &clemwire.Entity_Pool{Pool: &clemwire.Pool{Name: "chats", Kind: clemwire.PoolKind_POOL_KIND_MODEL, Model: model, Bound: 2, Slots: 8, LongCost: 8000, LongShare: 0.5}}},
+		{Kind: &clemwire.Entity_Pool{Pool: &clemwire.Pool{Name: "chats", Kind: clemwire.PoolKind_POOL_KIND_MODEL, Model: model, Bound: 2, Slots: 64, LongCost: 8000, LongShare: 0.5}}},
 		{Kind: &clemwire.Entity_Pool{Pool: &clemwire.Pool{Name: "orders", Kind: clemwire.PoolKind_POOL_KIND_PLAIN, Bound: 2, Slots: 8, LongCost: 8000, LongShare: 0.5}}},
 		{Kind: &clemwire.Entity_Service{Service: &clemwire.Service{Name: "orders", Pool: "orders"}}},
-		{Kind: &clemwire.Entity_Organisation{Organisation: &clemwire.Organisation{Name: "cribs", Weight: 1, Queue: 100}}},
+		{Kind: &clemwire.Entity_Organisation{Organisation: &clemwire.Organisation{Name: "cribs", Weight: 1, Queue: 500}}},
 		{Kind: &clemwire.Entity_Organisation{Organisation: &clemwire.Organisation{Name: "cradles", Weight: 1, Queue: 100}}},
 	} {
 		request := connect.NewRequest(&clemwire.CreateRequest{Id: fmt.Sprintf("create-%d", i), Entity: entity})
@@ -180,7 +195,7 @@
 		request.Header().Set("Authorization", "Bearer "+operatorToken)
 		response, err := operators.AddKey(context.Background(), request)
 		require.NoError(f.t, err)
-		f.keys[organisation] = response.Msg.GetSecret()
+		f.keys[organisation], f.generation = response.Msg.GetSecret(), response.Msg.GetGeneration()
 	}
 	for _, entry := range f.entries {
 		require.Eventually(f.t, func() bool { return f.isServing(entry) }, patience, pollTime)
