Fault matrix: faults strike the serving sidecar, and the writer besides

Since claims go to the owner of their bucket, the steps claim, claimed, write and written struck the owner in place of the sidecar that serves the call, so no cell met a holder that is frozen before dispatch, and removing the void protocol went unnoticed (0 cells). The steps strike the serving sidecar again, two new faults strike the writer, and calls have the limit that clemrpc gives them.

--- a/clemfault/matrix_test.go
+++ b/clemfault/matrix_test.go
@@ -38,8 +38,9 @@
 	return fmt.Sprintf("%s/%s/%s", c.step.Scenario(), c.step.Name(), c.fault)
 }
 
-// inject applies a fault. entry and server are the processes that serve the request.
-func (w *world) inject(fault, entry, server string) {
+// inject applies a fault. entry and server are the processes that serve the
+// request, writer the one that reached the step.
+func (w *world) inject(fault, entry, server, writer string) {
 	e, s := w.node(entry), w.node(server)
 	cut := time.Now().Add(5 * time.Second)
 	switch fault {
@@ -56,6 +57,10 @@
 		e.freeze(freezeTime)
 	case FaultFreeze:
 		s.freeze(freezeTime)
+	case FaultKillWriter:
+		w.restart(w.node(writer))
+	case FaultFreezeWriter:
+		w.node(writer).freeze(freezeTime)
 	case FaultCutThere:
 		w.setNetwork(network{target: server, there: cut})
 	case FaultCutBack:
@@ -144,17 +149,21 @@
 func (w *world) arm(cells ...cell) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.strike = func(step, server string) {
+	w.strike = func(step, node string) {
 		w.mu.Lock()
-		if len(cells) == 0 || !cells[0].step.is(step) || !strings.HasPrefix(server, prefixOf(cells[0].step.Scenario())) {
+		if len(cells) == 0 || !cells[0].step.is(step) || !cells[0].step.reachedAt(node) {
 			w.mu.Unlock()
 			return
 		}
 		c := cells[0]
 		cells = cells[1:]
 		w.struck++
+		server := node
+		if c.step.scenario == Reserve {
+			server = w.serving
+		}
 		w.mu.Unlock()
-		w.inject(c.fault, "entry-1", server)
+		w.inject(c.fault, "entry-1", server, node)
 	}
 }
 
@@ -177,9 +186,15 @@
 	return s.name == name || (s.name == StepPull && s.scenario == Join && name == StepRead)
 }
 
-// prefixOf returns which processes reach the steps of a scenario.
-func prefixOf(s Scenario) string {
-	return map[Scenario]string{Chat: "engine", Reserve: "order", Join: "engine-4", Leave: "engine"}[s]
+// reachedAt reports whether the step is the scenario's if the node reaches
+// it. The ledger's writes are made by the sidecar that owns the claim's bucket.
+func (s Step) reachedAt(node string) bool {
+	prefix := map[Scenario]string{Chat: "engine", Reserve: "order", Join: "engine-4", Leave: "engine"}[s.scenario]
+	switch s.name {
+	case StepClaim, StepClaimed, StepWrite, StepWritten:
+		prefix = ""
+	}
+	return strings.HasPrefix(node, prefix)
 }
 
 // runCell runs one scenario under its faults and checks every promise.
--- a/clemfault/network_test.go
+++ b/clemfault/network_test.go
@@ -11,6 +11,9 @@
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
+// callTimeout bounds a call, as clemrpc does.
+const callTimeout = 10 * time.Second
+
 // network holds the faults on the way to and from one node.
 type network struct {
 	target    string
@@ -99,6 +102,11 @@
 // send carries a message to the other process and its result back.
 func send[T any](ctx context.Context, l *link, message bool, call func(ctx context.Context, peer clementineturn.Peer) (T, error)) (T, error) {
 	var none T
+	if message {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
 	if !l.from.breathe() {
 		return none, errReset(false)
 	}
@@ -220,6 +228,7 @@
 
 // Offer implements clementineturn.Peer.
 func (l *link) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	l.from.serve(l.to)
 	l.from.at(StepOffer, l.to)
 	if *removed == removeGeneration {
 		offer = proto.CloneOf(offer)
@@ -242,6 +251,9 @@
 
 // Void implements clementineturn.Peer.
 func (l *link) Void(ctx context.Context, void *clemwire.Void) (*clemwire.Voided, error) {
+	if answer, ok := voided(); ok {
+		return answer, nil
+	}
 	return send(ctx, l, true, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Voided, error) {
 		return peer.Void(ctx, void)
 	})
--- a/clemfault/table.go
+++ b/clemfault/table.go
@@ -110,6 +110,8 @@
 	FaultKillHost     = "kill sidecar and backend"
 	FaultFreezeEntry  = "freeze entry"
 	FaultFreeze       = "freeze sidecar"
+	FaultKillWriter   = "kill writer"
+	FaultFreezeWriter = "freeze writer"
 	FaultCutThere     = "cut one way, to the sidecar"
 	FaultCutBack      = "cut one way, from the sidecar"
 	FaultCut          = "cut both ways"
@@ -138,8 +140,10 @@
 		{FaultKillSidecar, "the sidecar dies and a new incarnation starts after 5 s", nil},
 		{FaultKillBackend, "the backend server drops its work and is back after 5 s", map[Scenario]string{Change: backend}},
 		{FaultKillHost, "both die and are back after 5 s", map[Scenario]string{Change: backend}},
-		{FaultFreezeEntry, "the entry stops for 10 s and goes on", nil},
-		{FaultFreeze, "the sidecar stops for 10 s and goes on", nil},
+		{FaultFreezeEntry, "the entry stops for 15 s and goes on", nil},
+		{FaultFreeze, "the sidecar stops for 15 s and goes on", nil},
+		{FaultKillWriter, "the process that reached the step, such as the owner of the claim's bucket, dies and is back after 5 s", nil},
+		{FaultFreezeWriter, "the process that reached the step stops for 15 s and goes on", nil},
 		{FaultCutThere, "messages to the sidecar are lost for 5 s", nil},
 		{FaultCutBack, "answers of the sidecar are lost for 5 s", nil},
 		{FaultCut, "messages and answers of the sidecar are lost for 5 s", nil},
--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -36,7 +36,7 @@
 	model        = "llama"
 	linger       = 30 * time.Second
 	restartDelay = 5 * time.Second
-	freezeTime   = 10 * time.Second
+	freezeTime   = 15 * time.Second
 	outage       = 30 * time.Second
 	// settleTime is how long a stopping process waits for the balancer.
 	settleTime = 2 * time.Second
@@ -58,6 +58,8 @@
 	net      network
 	// isolated names a process that gets no news of the configuration.
 	isolated string
+	// serving is the backend server that got the last offer.
+	serving string
 	// strike is called at each step; struck counts the faults it injected.
 	strike func(step, node string)
 	struck int
@@ -163,6 +165,12 @@
 	}
 }
 
+func (w *world) serve(server string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serving = server
+}
+
 // List implements clementineturn.Hosts.
 func (w *world) List(context.Context, clementineturn.Version) ([]*clemwire.Host, clementineturn.Version, error) {
 	w.mu.Lock()
