--- a/clemclaim/acquire.go
+++ b/clemclaim/acquire.go
@@ -78,7 +78,7 @@
 
 func replay(record *clemwire.Record) (*clemwire.Outcome, error) {
 	if record.GetOutcome() == nil {
-		return nil, clementineturn.Errorf(clementineturn.KindEvicted, "the call of key %q ran; its answer was too large to be kept", record.GetClaim().GetKey())
+		return nil, clementineturn.Errorf(clementineturn.KindEvicted, "the call of key %q ran; its answer is not kept", record.GetClaim().GetKey())
 	}
 	return record.GetOutcome(), nil
 }
--- a/clemclaim/log.go
+++ b/clemclaim/log.go
@@ -35,8 +35,8 @@
 	span span
 	// summaries wait to be written.
 	summaries []*clemwire.Summary
-	// checked is when retention was last applied.
-	checked time.Time
+	// check is when retention is applied next.
+	check time.Time
 	// failed is when a failure was last reported.
 	failed time.Time
 }
--- a/clemclaim/retain.go
+++ b/clemclaim/retain.go
@@ -12,29 +12,32 @@
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
-// retentionChecks is the number of times retention is applied in one retention time.
-const retentionChecks = 24
+const (
+	// retentionChecks is the number of times in one retention time at which a
+	// log without anything to drop is looked at.
+	retentionChecks = 24
+	// dropPause is the least time between two drops. Each takes the bucket
+	// several calls of the table, for which its claims wait.
+	dropPause = time.Second
+)
 
-// maintain writes summaries, and applies retention if it is due. A failure is
+// maintain writes summaries, and drops a segment if that is due. A failure is
 // left to the next time.
 func (g *log) maintain(ctx context.Context, now time.Time) {
-	if g.summarise(ctx) != nil || !g.loaded || now.Sub(g.checked) < g.config.Retention/retentionChecks {
+	if g.summarise(ctx) != nil || !g.loaded || now.Before(g.check) {
+		return
+	}
+	g.check = now.Add(g.config.Retention / retentionChecks)
+	if g.first+1 >= g.head.number {
 		return
 	}
-	g.checked = now
-	if err := g.retain(ctx, now); err != nil {
+	dropped, err := g.drop(ctx, now)
+	if err != nil {
 		g.config.Events.Emit(clemevent.ClaimRetentionFailed, bucketField(g.bucket), zap.Error(err))
 	}
-}
-
-func (g *log) retain(ctx context.Context, now time.Time) error {
-	for g.loaded && g.first+1 < g.head.number {
-		dropped, err := g.drop(ctx, now)
-		if err != nil || !dropped {
-			return err
-		}
+	if dropped {
+		g.check = now.Add(dropPause)
 	}
-	return nil
 }
 
 // drop removes the oldest segment if all its claims are older than the
--- a/clemclaim/retain_test.go
+++ b/clemclaim/retain_test.go
@@ -99,6 +99,24 @@
 	})
 }
 
+// Claims do not wait for the drop of everything that became old meanwhile.
+func TestRetentionKeepsClaimsFlowing(t *testing.T) {
+	inLedgers(t, 1, func(t *testing.T, table *clemstandin.Table, ledgers []*Ledger) {
+		for i := range 300 {
+			record(t, ledgers[0], fmt.Sprint("x", i), stateDone)
+		}
+		time.Sleep(25 * time.Hour)
+		table.Inject(clemstandin.TableFaults{Delay: 5 * time.Millisecond})
+		for i := range 4000 {
+			start := time.Now()
+			record(t, ledgers[0], fmt.Sprint("z", i), stateHeld)
+			require.Less(t, time.Since(start), 2*DefaultInterval)
+			time.Sleep(time.Second)
+		}
+		require.Greater(t, ledgers[0].buckets[0].log.first, uint64(100))
+	})
+}
+
 // A host whose clock is days ahead drops nothing that is young.
 func TestRetentionWithWrongClock(t *testing.T) {
 	inLedgers(t, 1, func(t *testing.T, _ *clemstandin.Table, ledgers []*Ledger) {
