--- a/clemclaim/measure_test.go
+++ b/clemclaim/measure_test.go
@@ -198,3 +198,26 @@
 func sizeOf(record *clemwire.Record) int {
 	return proto.Size(&clemwire.Segment{Records: []*clemwire.Record{record}})
 }
+
+// BenchmarkTakeover applies the summaries of a bucket that holds a day's claims
+// at the letter's size.
+func BenchmarkTakeover(b *testing.B) {
+	const spans, keys = 760, 3936
+	summaries := make([]*clemwire.Summary, spans)
+	for n := range summaries {
+		s := newSpan(uint64(n) * spanSegments)
+		for i := range keys {
+			s.last[newID(strconv.Itoa(n), strconv.Itoa(i))] = spanRecord{segment: s.number + uint64(i*spanSegments/keys)}
+		}
+		summaries[n] = s.summary()
+	}
+	var size int
+	for b.Loop() {
+		x := newIndex()
+		for _, s := range summaries {
+			x.apply(s)
+		}
+		size = x.size()
+	}
+	b.ReportMetric(float64(size), "claims")
+}
