--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -58,11 +58,11 @@
 
 // seal moves the finished claims of the head to the runs.
 func (x *index) seal(segment uint64) {
-	keys := make([]id, 0, len(x.done))
+	entries := make([]runEntry, 0, len(x.done))
 	for key := range x.done {
-		keys = append(keys, key)
+		entries = append(entries, runEntry{key: key, segment: segment})
 	}
-	x.runs.add(keys, segment)
+	x.runs.add(entries)
 	clear(x.done)
 }
 
