--- a/clemclaim/index.go
+++ b/clemclaim/index.go
@@ -58,11 +58,11 @@
 
 // seal moves the finished claims of the head to the runs.
 func (x *index) seal(segment uint64) {
-	entries := make([]runEntry, 0, len(x.done))
+	keys := make([]id, 0, len(x.done))
 	for key := range x.done {
-		entries = append(entries, runEntry{key: key, segment: segment})
+		keys = append(keys, key)
 	}
-	x.runs.add(entries)
+	x.runs.add(keys, segment)
 	clear(x.done)
 }
 
--- a/clemclaim/runs.go
+++ b/clemclaim/runs.go
@@ -38,21 +38,15 @@
 
 func shortDigest(key id) uint64 { return binary.BigEndian.Uint64(key[:8]) }
 
-// runEntry is one key and the segment that holds it.
-type runEntry struct {
-	key     id
-	segment uint64
-}
-
-// add enters keys, which it sorts.
-func (s *runs) add(entries []runEntry) {
-	if len(entries) == 0 {
+// add enters the keys of a segment.
+func (s *runs) add(keys []id, segment uint64) {
+	if len(keys) == 0 {
 		return
 	}
-	slices.SortFunc(entries, func(a, b runEntry) int { return cmp.Compare(shortDigest(a.key), shortDigest(b.key)) })
-	r := run{digests: make([]uint64, 0, len(entries)), segments: make([]uint32, 0, len(entries))}
-	for _, e := range entries {
-		r.add(shortDigest(e.key), uint32(e.segment))
+	slices.SortFunc(keys, func(a, b id) int { return cmp.Compare(shortDigest(a), shortDigest(b)) })
+	var r run
+	for _, key := range keys {
+		r.add(shortDigest(key), uint32(segment))
 	}
 	s.list = append(s.list, r)
 	for n := len(s.list); n > 1 && len(s.list[n-2].digests) < 2*len(s.list[n-1].digests); n-- {
--- a/clemclaim/runs_test.go
+++ b/clemclaim/runs_test.go
@@ -12,11 +12,11 @@
 	const segments, keys = 500, 60
 	key := func(segment, i int) id { return newID(fmt.Sprint(segment), fmt.Sprint(i)) }
 	for segment := range segments {
-		var batch []runEntry
+		var batch []id
 		for i := range keys {
-			batch = append(batch, runEntry{key(segment, i), uint64(segment)})
+			batch = append(batch, key(segment, i))
 		}
-		s.add(batch)
+		s.add(batch, uint64(segment))
 		if segment == segments/2 {
 			s.first = segments / 4
 		}
@@ -41,8 +41,8 @@
 	var s runs
 	a, b := newID("shishu", "a"), newID("shishu", "b")
 	copy(b[:8], a[:8])
-	s.add([]runEntry{{a, 1}})
-	s.add([]runEntry{{b, 2}})
+	s.add([]id{a}, 1)
+	s.add([]id{b}, 2)
 	require.Equal(t, []uint64{2, 1}, s.candidates(a))
 	require.Equal(t, []uint64{2, 1}, s.candidates(b))
 }
--- a/clemclaim/summary.go
+++ b/clemclaim/summary.go
@@ -83,15 +83,15 @@
 
 // apply takes in a span by its summary.
 func (x *index) apply(s *clemwire.Summary) {
-	var entries []runEntry
 	for i, digests := range s.GetDigests() {
+		keys := make([]id, 0, len(digests)/len(id{}))
 		for ; len(digests) > 0; digests = digests[len(id{}):] {
 			key := id(digests[:len(id{})])
 			delete(x.open, key)
-			entries = append(entries, runEntry{key: key, segment: s.GetNumber() + uint64(i)})
+			keys = append(keys, key)
 		}
+		x.runs.add(keys, s.GetNumber()+uint64(i))
 	}
-	x.runs.add(entries)
 	for i, record := range s.GetRecords() {
 		x.open[recordID(record)] = openRecord{Record: record, segment: s.GetSegments()[i]}
 	}
