--- /dev/null
+++ b/clemclaim/example_test.go
@@ -0,0 +1,51 @@
+package clemclaim_test
+
+import (
+	"context"
+	"fmt"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemclaim"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// A payment runs once, and its repeat gets the first outcome.
+func ExampleKeeper() {
+	ctx, stop := context.WithCancel(context.Background())
+	ledger := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: clemstandin.NewTable()})
+	keeper := clemclaim.NewKeeper(clemclaim.KeeperConfig{
+		Ledger: ledger, Server: "order-1", Incarnation: 1,
+		Locate: func(string) clementineturn.Peer { return nil },
+	})
+	ledgerEnd, keeperEnd := ledger.Start(ctx), keeper.Start(ctx)
+
+	for _, attempt := range []string{"first", "second"} {
+		grant, err := keeper.Acquire(ctx, &clemwire.Offer{
+			Organisation: "shishu", Key: "payment-7", Attempt: attempt, Service: "orders", Call: "pay", Body: []byte("40"),
+		})
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		if outcome := grant.Replay(); outcome != nil {
+			fmt.Println("replayed:", string(outcome.GetBody()))
+			continue
+		}
+		if err := grant.Begin(); err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println("paid")
+		err = grant.Finish(ctx, &clemwire.Outcome{Status: 200, Body: []byte("receipt 1")})
+		if err != nil {
+			fmt.Println("pending:", err)
+		}
+	}
+	stop()
+	fmt.Println(<-keeperEnd, <-ledgerEnd)
+	// Output:
+	// paid
+	// replayed: receipt 1
+	// <nil> <nil>
+}
--- /dev/null
+++ b/clemfence/example_test.go
@@ -0,0 +1,20 @@
+package clemfence_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/clementineturn/clementineturn/clemfence"
+	"github.com/clementineturn/clementineturn/clemstandin"
+)
+
+// Each start of a sidecar takes a number of its own.
+func ExampleNext() {
+	table := clemstandin.NewTable()
+	for range 2 {
+		fmt.Println(clemfence.Next(context.Background(), table, "engine-1"))
+	}
+	// Output:
+	// 1 <nil>
+	// 2 <nil>
+}
