--- a/clemclaim/example_test.go
+++ b/clemclaim/example_test.go
@@ -13,6 +13,7 @@
 // A payment runs once, and its repeat gets the first outcome.
 func ExampleKeeper() {
 	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
 	ledger := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: clemstandin.NewTable()})
 	keeper := clemclaim.NewKeeper(clemclaim.KeeperConfig{
 		Ledger: ledger, Server: "order-1", Incarnation: 1,
