--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -301,7 +301,11 @@
 }
 
 func (n *node) locate(server string) clementineturn.Peer {
-	if host := n.board.Members().Get().Host(server); host != nil {
+	members := n.board.Members().Get()
+	if members == nil {
+		return nil
+	}
+	if host := members.Known(server); host != nil {
 		return (&nodePeers{n}).Peer(host.GetAddress())
 	}
 	return nil
