--- a/clemgate/fair_test.go
+++ b/clemgate/fair_test.go
@@ -49,6 +49,17 @@
 	enter(t, g, start, item("b", 10))
 }
 
+// Work that would wait past its deadline is refused when it comes.
+func TestQueueWithinDeadline(t *testing.T) {
+	g := open(limits(1))
+	g.meter.add(start, time.Second, 100)
+	enter(t, g, start, item("a", 10))
+	enter(t, g, start, item("a", 50))
+	_, err := g.Enter(start, NewItem(ItemConfig{Organisation: "a", Queue: 10, Output: 10, Deadline: start.Add(550 * time.Millisecond)}))
+	requireKind(t, err, clementineturn.KindOverloaded)
+	enter(t, g, start, NewItem(ItemConfig{Organisation: "a", Queue: 10, Output: 10, Deadline: start.Add(650 * time.Millisecond)}))
+}
+
 // A server that stops in the middle of answers hands waiting work back and
 // takes none until an answer goes on.
 func TestStalledServer(t *testing.T) {
@@ -71,6 +82,14 @@
 	require.True(t, isDecided(waiting))
 }
 
+func TestStalledServerWithFreeSlots(t *testing.T) {
+	g := open(limits(4))
+	running := enter(t, g, start, item("a", 100))
+	g.Progress(start, running, 1)
+	_, err := g.Enter(start.Add(stalledAfter), item("a", 10))
+	requireKind(t, err, clementineturn.KindSlow)
+}
+
 func TestPulseOfAnswersInLargePieces(t *testing.T) {
 	var p pulse
 	now := start
@@ -83,3 +102,60 @@
 	p.end()
 	require.False(t, p.isStalled(now.Add(time.Hour)))
 }
+
+// A queue that is next in order and has to leave the free slots to others is
+// passed over.
+func TestSurgeIsPassedOver(t *testing.T) {
+	g := open(limits(8))
+	for _, other := range []string{"b", "d", "e"} {
+		g.Leave(start, enter(t, g, start, item(other, 10)))
+	}
+	first := enter(t, g, start, item("c", 500))
+	enter(t, g, start, item("c", 500))
+	for range 7 {
+		enter(t, g, start, item("a", 1))
+	}
+	require.Equal(t, 2, g.Report().Waiting(), "the last slot is not for one that surges")
+	enter(t, g, start, item("c", 500))
+	last := enter(t, g, start, item("c", 500))
+	require.False(t, isDecided(last))
+	g.Leave(start, first)
+	require.True(t, isDecided(last))
+}
+
+// An organisation that had no work for a while has no claim on the service of that time.
+func TestIdleTimeEarnsNothing(t *testing.T) {
+	g := open(limits(1))
+	for range 50 {
+		g.Leave(start, enter(t, g, start, item("a", 100)))
+	}
+	running := enter(t, g, start, item("a", 100))
+	var tickets []*Ticket
+	for range 10 {
+		tickets = append(tickets, enter(t, g, start, item("a", 100)), enter(t, g, start, item("b", 100)))
+	}
+	g.Leave(start, running)
+	served := map[string]int{}
+	for range 10 {
+		for _, ticket := range tickets {
+			if ticket.state == stateGranted {
+				served[ticket.item.organisation]++
+				g.Leave(start, ticket)
+				break
+			}
+		}
+	}
+	require.InDelta(t, 5, served["a"], 1)
+}
+
+// What the time alone has made admissible goes before a new item.
+func TestWaitingGoesBeforeNew(t *testing.T) {
+	g := open(limits(8))
+	g.SetLimits(start, known(limits(8), 4, 0, start))
+	enter(t, g, start, item("a", 100))
+	enter(t, g, start, item("a", 100))
+	waiting := enter(t, g, start, item("a", 100))
+	require.False(t, isDecided(waiting))
+	enter(t, g, start.Add(maxMeanAge+1), item("b", 100))
+	require.True(t, isDecided(waiting))
+}
--- a/clemgate/policy_test.go
+++ b/clemgate/policy_test.go
@@ -87,6 +87,15 @@
 	require.True(t, isDecided(waiting))
 }
 
+func TestBusyEngineHasSafeSlots(t *testing.T) {
+	g := open(limits(8))
+	g.SetBusy(start, 10)
+	for range 5 {
+		enter(t, g, start, item("a", 10))
+	}
+	require.Equal(t, 4, g.Report().Running())
+}
+
 // An item that waits for the bound while a slot is free is handed back, so
 // that the entry offers it to a server below the mean.
 func TestBoundHandsBack(t *testing.T) {
@@ -244,6 +253,7 @@
 	setMedian(g, now, 10*time.Millisecond)
 	requireKind(t, waiting.Err(), clementineturn.KindSlow)
 	require.InDelta(t, 0.25, g.factor, 0.001)
+	require.Equal(t, 1, g.slots(now))
 	require.NoError(t, running.Err())
 	_, err := g.Enter(now, item("a", 10))
 	requireKind(t, err, clementineturn.KindSlow)
@@ -261,6 +271,15 @@
 	require.Equal(t, 10*time.Millisecond, g.Report().Speed())
 }
 
+func TestSlownessShrinksTheBound(t *testing.T) {
+	g := open(limits(16))
+	enter(t, g, start, item("a", 100))
+	g.SetLimits(start, known(limits(16), 4, 600, start))
+	require.True(t, g.fits(start, 100))
+	g.factor = 0.25
+	require.False(t, g.fits(start, 100))
+}
+
 func TestSlownessHysteresis(t *testing.T) {
 	m := meter{}
 	median := 10 * time.Millisecond
