--- a/clemlab/contain.go
+++ b/clemlab/contain.go
@@ -41,6 +41,7 @@
 		l.table.add(containExperiment, p.name, "others' p99 to first token, surge", after, unitTime)
 		l.table.add(containExperiment, p.name, "others' reuse, no surge", plain.mean(reused), unitShare)
 		l.table.add(containExperiment, p.name, "others' reuse, surge", tried.mean(reused), unitShare)
+		l.table.add(containExperiment, p.name, "goodput of all, surge", tried.mean(func(r *run) float64 { return r.goodput(isAny, warmUp, duration) }), unitTokens)
 		l.table.judge(containExperiment, p.name, "ratio of the two", after/before, unitRatio, atMost(1.1))
 		plot.cumulative(p.name, tried, others)
 	}
--- a/clemlab/entry.go
+++ b/clemlab/entry.go
@@ -58,8 +58,8 @@
 	// hedgeQuiet is the time without hedges after an overload.
 	hedgeQuiet    = 5 * time.Second
 	hedgeQuantile = 0.95
-	leastHedge    = 50 * time.Millisecond
-	hedgeBurst    = 20_000
+	leastHedge    = 10 * time.Millisecond
+	hedgeBurst    = 10_000
 )
 
 // entry offers requests to servers in the ranker's order.
--- a/clemlab/server.go
+++ b/clemlab/server.go
@@ -254,4 +254,5 @@
 
 func (f *fifo) requests() int { return f.running + len(f.waiting) }
 
-const tickInterval = 50 * time.Millisecond
+// tickInterval is that of the sidecar.
+const tickInterval = 100 * time.Millisecond
