--- a/clemmember/cost_test.go
+++ b/clemmember/cost_test.go
@@ -26,7 +26,8 @@
 }
 
 // BenchmarkHostList gives what one full answer of the list costs its reader:
-// bytes, decoding, merging, and the members made from it.
+// bytes, decoding, merging, and the members made from it, and what a relayed
+// change of one host costs beside the merging.
 func BenchmarkHostList(b *testing.B) {
 	for _, count := range []int{858, 3432, 13_728} {
 		hosts := manyServers(count)
@@ -40,6 +41,13 @@
 			}
 			b.ReportMetric(float64(len(data)), "wire-B")
 		})
+		b.Run(fmt.Sprintf("change/%d", count), func(b *testing.B) {
+			list := clemboard.NewList(hosts)
+			gone := []string{hosts[count/2].GetName()}
+			for b.Loop() {
+				list.With(nil, gone).Since(list)
+			}
+		})
 		b.Run(fmt.Sprintf("merge/%d", count), func(b *testing.B) {
 			c := New(Config{})
 			c.merged = true
