--- a/clemrelay/follow.go
+++ b/clemrelay/follow.go
@@ -46,31 +46,42 @@
 // boot takes the highest configuration that peers hold and brings it up to
 // date from the table. If the table is down, the peers' word suffices; a
 // process that restarts while the table is up never holds less than before.
+// What it read is kept for the next attempt, since a log that is read from
+// its beginning takes longer than one attempt.
 func (r *Relay) boot(ctx context.Context) {
 	peers := r.askPeers(ctx)
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	base := peers
+	base := newest(peers, r.partial)
+	if peers == nil {
+		base = newest(base, r.readSnapshot(ctx, base))
+	}
 	if base == nil {
-		var err error
-		if base, err = r.readSnapshot(ctx); err != nil {
-			return
-		}
+		base = clemconfig.Empty()
 	}
 	state, err := r.config.Log.Advance(ctx, base)
 	r.tableAnswered(err)
-	if err != nil && peers == nil {
-		return
-	}
 	source := "table"
 	if err != nil {
-		source = "peers"
+		r.partial = state
+		if peers == nil {
+			return
+		}
+		state, source = newest(peers, state), "peers"
 	}
 	if r.store.adopt(state) {
 		r.config.Events.Emit(clemevent.ConfigHeld, zap.Uint64("generation", state.Generation()), zap.String("source", source))
 	}
 }
 
+// newest returns the state of the higher generation; either may be nil.
+func newest(a, b *clemconfig.State) *clemconfig.State {
+	if a == nil || b != nil && b.Generation() > a.Generation() {
+		return b
+	}
+	return a
+}
+
 // askPeers returns the configuration of the peer with the highest generation, or nil.
 func (r *Relay) askPeers(ctx context.Context) *clemconfig.State {
 	hosts := r.bootHosts()
--- a/clemrelay/relay.go
+++ b/clemrelay/relay.go
@@ -63,6 +63,9 @@
 	snapshots chan struct{}
 	contact   contact
 	lists     lists
+	// partial is what the follower read of the log before it held a
+	// configuration.
+	partial *clemconfig.State
 	// transit bounds the time that a report takes to the parent, as last
 	// measured. It belongs to the report loop.
 	transit time.Duration
@@ -135,22 +138,6 @@
 	return changes
 }
 
-// Reach returns once the process holds the generation or a newer one. It asks
-// the peer at the address, which told of the generation. Errors:
-// KindUnavailable, or the peer's.
-func (r *Relay) Reach(ctx context.Context, generation uint64, address string) error {
-	if held, ok := r.store.generation(); ok && held >= generation {
-		return nil
-	}
-	if err := r.pullFrom(ctx, address, 0); err != nil {
-		return err
-	}
-	if held, _ := r.store.generation(); held < generation {
-		return clementineturn.Refuse(clementineturn.KindUnavailable, "generation %d is not at hand, %d is", generation, held)
-	}
-	return nil
-}
-
 // place derives the process's place in the tree from each new host list.
 func (r *Relay) place(ctx context.Context) error {
 	for {
--- a/clemrelay/relay_test.go
+++ b/clemrelay/relay_test.go
@@ -130,21 +130,19 @@
 	})
 }
 
-func TestReach(t *testing.T) {
+// A process without peers gets through a log that takes longer to read than
+// one attempt lasts, also while the object store is down.
+func TestBootLongLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 1, 4))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
-		order := f.ordered("r-0")
-		ahead, behind := f.nodes[order[3].GetName()], f.nodes[order[2].GetName()]
-		f.commit("a")
-		state, err := ahead.relay.config.Log.Advance(t.Context(), clemconfig.Empty())
-		require.NoError(t, err)
-		ahead.relay.Adopt(state)
-		require.NoError(t, behind.relay.Reach(t.Context(), 1, ahead.host.GetAddress()))
-		require.EqualValues(t, 1, behind.board.Config().Get().Generation())
-		require.Error(t, behind.relay.Reach(t.Context(), 2, ahead.host.GetAddress()))
+		r, table := alone(t, 900)
+		require.NoError(t, r.config.Log.SetSnapshot(t.Context(), 500))
+		r.config.Objects = &objects{}
+		table.Inject(clemstandin.TableFaults{Delay: 10 * time.Millisecond})
+		for range 5 {
+			r.boot(t.Context())
+		}
+		require.True(t, r.Ready())
+		require.EqualValues(t, 900, r.config.Board.Config().Get().Generation())
 	})
 }
 
--- a/clemrelay/snapshot.go
+++ b/clemrelay/snapshot.go
@@ -65,25 +65,26 @@
 	return clemconfig.FromSnapshot(snapshot), nil
 }
 
-// readSnapshot returns the newest state in the object store, or the empty one
-// if there is none. Errors: KindUnavailable if the table does not answer.
-func (r *Relay) readSnapshot(ctx context.Context) (*clemconfig.State, error) {
+// readSnapshot returns the newest state in the object store, or nil if there
+// is none beyond the given state or it cannot be read; the log is complete without it.
+func (r *Relay) readSnapshot(ctx context.Context, base *clemconfig.State) *clemconfig.State {
 	if r.config.Objects == nil {
-		return clemconfig.Empty(), nil
+		return nil
 	}
 	generation, err := r.config.Log.Snapshot(ctx)
-	if err != nil {
-		r.tableAnswered(err)
-		return nil, err
-	}
-	if generation == 0 {
-		return clemconfig.Empty(), nil
+	if err != nil || generation == 0 || base != nil && generation <= base.Generation() {
+		return nil
 	}
 	value, err := r.config.Objects.Get(ctx, snapshotName(generation))
 	if err != nil {
-		return nil, err
+		return nil
+	}
+	state, err := unpackSnapshot(value)
+	if err != nil {
+		r.config.Events.Emit(clemevent.ConfigRejected, zap.Error(err))
+		return nil
 	}
-	return unpackSnapshot(value)
+	return state
 }
 
 // snapshotWriter writes snapshots to the object store as generations pass.
