A starting process takes no configuration from a peer past its start

Cause: a reply to a report that told of a generation made a process without a configuration pull it from the peer and become ready, while its start was still asking the table; with a slow table it then held less than before its restart (TestSpreadRestartKeepsNewest with a table of 1.4 s, failing before: generation 0 instead of 1). Change: hear does nothing until the process holds a configuration.

--- a/clemrelay/beat.go
+++ b/clemrelay/beat.go
@@ -160,7 +160,8 @@
 }
 
 // finish ends a round. A report that came while the round ran is answered by
-// it, so the child will report again before the next one. Without new totals the old ones stay and age.
+// it, so the child will report again before the next one. Without new totals
+// the old ones stay and age.
 func (b *beats) finish(totals sums) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -330,6 +331,7 @@
 	return totals, most
 }
 
+// reportTo sends the report to one parent and takes what the reply holds.
 func (r *Relay) reportTo(ctx context.Context, host *clemwire.Host) (sums, error) {
 	ctx, cancel := context.WithTimeout(ctx, share(r.config.Beat, callShare))
 	defer cancel()
--- a/clemrelay/follow.go
+++ b/clemrelay/follow.go
@@ -86,7 +86,7 @@
 func (r *Relay) askPeers(ctx context.Context) *clemconfig.State {
 	hosts := r.bootHosts()
 	probed := make([]*clemwire.Probed, len(hosts))
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout+pullSlack)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout+pullTimeout)
 	defer cancel()
 	var group errgroup.Group
 	for i, host := range hosts {
@@ -218,7 +218,7 @@
 }
 
 func (r *Relay) pullParent(ctx context.Context, host *clemwire.Host) {
-	err := r.pullFrom(ctx, host.GetAddress(), 0)
+	err := r.pullFrom(ctx, host.GetAddress())
 	if ctx.Err() != nil {
 		return
 	}
@@ -229,9 +229,10 @@
 	r.contact.heard()
 }
 
-// hear asks for a pull from a peer that told of a newer generation.
+// hear asks for a pull from a peer that told of a newer generation. A process
+// without a configuration waits for boot, which asks the table as well.
 func (r *Relay) hear(generation uint64, address string) {
-	if held, ok := r.store.generation(); address == "" || ok && held >= generation {
+	if held, ok := r.store.generation(); address == "" || !ok || held >= generation {
 		return
 	}
 	select {
@@ -245,7 +246,7 @@
 	for {
 		select {
 		case address := <-r.heard:
-			_ = r.pullFrom(ctx, address, 0)
+			_ = r.pullFrom(ctx, address)
 		case <-ctx.Done():
 			return nil
 		}
--- a/clemrelay/pull.go
+++ b/clemrelay/pull.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemconfig"
@@ -14,8 +13,8 @@
 )
 
 const (
-	// pullSlack is the time a pull may take beyond its wait.
-	pullSlack = time.Second
+	// pullTimeout bounds a pull, whose answer may be a snapshot.
+	pullTimeout = 3 * time.Second
 	// maxWait bounds the wait that a child may ask for.
 	maxWait = 10 * time.Second
 	// maxWaiters is the most pulls that wait at one process.
@@ -90,12 +89,11 @@
 }
 
 // pullFrom asks the peer once and takes what it answers.
-func (r *Relay) pullFrom(ctx context.Context, address string, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
+func (r *Relay) pullFrom(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	generation, _ := r.store.generation()
-	pull := &clemwire.Pull{Generation: generation, Wait: durationpb.New(wait)}
-	pulled, err := r.config.Peers.Peer(address).Pull(ctx, pull)
+	pulled, err := r.config.Peers.Peer(address).Pull(ctx, &clemwire.Pull{Generation: generation})
 	if err != nil {
 		return err
 	}
@@ -138,15 +136,15 @@
 	return state, nil
 }
 
+// applyAll applies changes and logs the generation that they led to.
 func (r *Relay) applyAll(changes []*clemwire.Change) error {
-	if len(changes) == 0 {
-		return nil
-	}
+	before, _ := r.store.generation()
 	err := r.store.apply(changes)
 	if err != nil {
 		r.config.Events.Emit(clemevent.ConfigRejected, zap.Error(err))
-		return err
 	}
-	r.config.Events.Emit(clemevent.ConfigApplied, zap.Uint64("generation", changes[len(changes)-1].GetGeneration()))
-	return nil
+	if after, _ := r.store.generation(); after > before {
+		r.config.Events.Emit(clemevent.ConfigApplied, zap.Uint64("generation", after))
+	}
+	return err
 }
--- a/clemrelay/spread_test.go
+++ b/clemrelay/spread_test.go
@@ -119,9 +119,10 @@
 		f.startAll()
 		defer f.stopAll()
 		time.Sleep(warmup)
-		generation := f.commit("a")
 		leaf := f.ordered("r-0")[29]
 		f.stop(leaf.GetName())
+		generation := f.commit("a")
+		f.table.Inject(clemstandin.TableFaults{Delay: 1400 * time.Millisecond})
 		n := f.start(leaf)
 		for !n.relay.Ready() {
 			time.Sleep(time.Millisecond)
