--- a/clemnode/path_test.go
+++ b/clemnode/path_test.go
@@ -31,6 +31,8 @@
 	// pathAnswers is the number of answers that each caller reads in turn.
 	pathAnswers = 4
 	timeField   = `"time":`
+	// pathRequests is the number of short answers that one run reads.
+	pathRequests = 2000
 )
 
 // pacedEngine streams tokens at a steady pace. Each event tells when it was sent.
@@ -81,46 +83,80 @@
 // load is what one caller does: it reads one answer and passes each piece on.
 type load func(answer int, event func([]byte)) error
 
-// measure runs all callers and reports time and allocations of the process.
-func measure(b *testing.B, read load) {
-	histogram := hdrhistogram.New(1, int64(time.Minute), 3)
-	var mu sync.Mutex
-	var before, after syscall.Rusage
-	var allocs, allocsAfter runtime.MemStats
+// meter is the use of the process's resources over a run.
+type meter struct {
+	usage  syscall.Rusage
+	allocs runtime.MemStats
+	mu     sync.Mutex
+	delays *hdrhistogram.Histogram
+}
+
+func newMeter(b *testing.B) *meter {
+	m := &meter{delays: hdrhistogram.New(1, int64(time.Minute), 3)}
 	runtime.GC()
+	runtime.ReadMemStats(&m.allocs)
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &m.usage))
+	return m
+}
+
+func (m *meter) record(delays []time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, delay := range delays {
+		_ = m.delays.RecordValue(max(1, int64(delay)))
+	}
+}
+
+// report divides what was used since the start by the recorded delays, one for each unit.
+func (m *meter) report(b *testing.B, unit string, want int) {
+	var usage syscall.Rusage
+	var allocs runtime.MemStats
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	runtime.ReadMemStats(&allocs)
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &before))
+	require.EqualValues(b, want, m.delays.TotalCount())
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64((used(&usage)-used(&m.usage)).Microseconds())/float64(want), "cpu-µs/"+unit)
+	b.ReportMetric(float64(allocs.Mallocs-m.allocs.Mallocs)/float64(want), "allocs/"+unit)
+	b.ReportMetric(float64(m.delays.ValueAtQuantile(50))/1e3, "p50-µs")
+	b.ReportMetric(float64(m.delays.ValueAtQuantile(99))/1e3, "p99-µs")
+}
+
+// measureTokens lets all callers read streams; a delay is that of one token.
+func measureTokens(b *testing.B, read load) {
+	m := newMeter(b)
 	var callers sync.WaitGroup
 	for caller := range pathCallers {
 		callers.Go(func() {
-			delays := make([]int64, 0, pathTokens*pathAnswers)
+			delays := make([]time.Duration, 0, pathTokens*pathAnswers)
 			for i := range pathAnswers {
 				err := read(caller*pathAnswers+i, func(data []byte) {
 					if at := bytes.Index(data, []byte(timeField)); at >= 0 {
-						delays = append(delays, time.Now().UnixNano()-number(data[at+len(timeField):]))
+						delays = append(delays, time.Duration(time.Now().UnixNano()-number(data[at+len(timeField):])))
 					}
 				})
 				if err != nil {
 					b.Error(err)
 				}
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			for _, delay := range delays {
-				_ = histogram.RecordValue(max(1, delay))
-			}
+			m.record(delays)
 		})
 	}
 	callers.Wait()
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &after))
-	runtime.ReadMemStats(&allocsAfter)
-	require.EqualValues(b, pathCallers*pathAnswers*pathTokens, histogram.TotalCount())
-	tokens := float64(histogram.TotalCount())
-	b.ReportMetric(0, "ns/op")
-	b.ReportMetric(float64(used(&after)-used(&before))/1e3/tokens, "cpu-µs/token")
-	b.ReportMetric(float64(allocsAfter.Mallocs-allocs.Mallocs)/tokens, "allocs/token")
-	b.ReportMetric(float64(histogram.ValueAtQuantile(50))/1e3, "p50-µs")
-	b.ReportMetric(float64(histogram.ValueAtQuantile(99))/1e3, "p99-µs")
+	m.report(b, "token", pathCallers*pathAnswers*pathTokens)
+}
+
+// measureRequests lets one caller read short answers one after another; a
+// delay is that of one request.
+func measureRequests(b *testing.B, read load) {
+	m := newMeter(b)
+	delays := make([]time.Duration, 0, pathRequests)
+	for i := range pathRequests {
+		begun := time.Now()
+		require.NoError(b, read(i, func([]byte) {}))
+		delays = append(delays, time.Since(begun))
+	}
+	m.record(delays)
+	m.report(b, "request", pathRequests)
 }
 
 // number returns the decimal number that the text starts with.
@@ -138,8 +174,8 @@
 }
 
 // overHTTP reads answers as a caller does, line by line.
-func overHTTP(client *http.Client, url, secret string) load {
-	body := []byte(chatBody(16000, true))
+func overHTTP(client *http.Client, url, secret string, stream bool) load {
+	body := []byte(chatBody(16000, stream))
 	return func(_ int, event func([]byte)) error {
 		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+chatPath, bytes.NewReader(body))
 		if err != nil {
@@ -166,14 +202,14 @@
 }
 
 // overSidecar offers work and reads answers as an entry does.
-func overSidecar(f *fleet, peers *clemrpc.Peers) load {
+func overSidecar(f *fleet, peers *clemrpc.Peers, stream bool) load {
 	peer := peers.Peer(f.hosts["engine-1"])
-	body := []byte(chatBody(16000, true))
+	body := []byte(chatBody(16000, stream))
 	return func(answer int, event func([]byte)) error {
 		request := fmt.Sprintf("r%d-%d", answer, time.Now().UnixNano())
 		verdict, err := peer.Offer(context.Background(), &clemwire.Offer{
 			Request: request, Attempt: request + ".1", Organisation: "cribs", Pool: "chats", Mode: clemwire.Mode_MODE_IDEMPOTENT,
-			Body: body, Stream: true, Prompt: 20, Output: 254, Generation: f.generation,
+			Body: body, Stream: stream, Prompt: 20, Output: pathTokens, Generation: f.generation,
 		})
 		if err != nil || verdict.GetRefusal() != nil {
 			return fmt.Errorf("%w %v", err, verdict)
@@ -199,19 +235,28 @@
 	plain := f.serve(copying(client, engine))
 	peers := clemrpc.NewPeers(clemrpc.ClientConfig{Key: fleetKey})
 	b.Cleanup(peers.Close)
-	for _, path := range []struct {
-		name string
-		read load
+	for _, kind := range []struct {
+		name    string
+		stream  bool
+		measure func(*testing.B, load)
 	}{
-		{"direct", overHTTP(client, engine, "")},
-		{"plain", overHTTP(client, plain, "")},
-		{"sidecar", overSidecar(f, peers)},
-		{"whole", overHTTP(client, f.entries[0], f.keys["cribs"])},
+		{"requests", false, measureRequests},
+		{"tokens", true, measureTokens},
 	} {
-		b.Run(path.name, func(b *testing.B) {
-			for b.Loop() {
-				measure(b, path.read)
-			}
-		})
+		for _, path := range []struct {
+			name string
+			read load
+		}{
+			{"direct", overHTTP(client, engine, "", kind.stream)},
+			{"plain", overHTTP(client, plain, "", kind.stream)},
+			{"sidecar", overSidecar(f, peers, kind.stream)},
+			{"whole", overHTTP(client, f.entries[0], f.keys["cribs"], kind.stream)},
+		} {
+			b.Run(kind.name+"/"+path.name, func(b *testing.B) {
+				for b.Loop() {
+					kind.measure(b, path.read)
+				}
+			})
+		}
 	}
 }
