Entry: bound on the memory of requests in progress, a request id from the start

An entry read the body of every authenticated request, however many were in progress: an organisation that surges with large bodies could take all memory. Each request now takes its body and 32 KiB of a ration, a quarter of which one organisation may hold; beyond it requests are refused as overloaded and not run, before the body is read. A queue at the entry was ruled out: requests wait at sidecars, which know their load.

Requests that failed before they were classified had no request id in answer and log; the id is made when the request arrives.

--- a/clementry/chat.go
+++ b/clementry/chat.go
@@ -110,7 +110,7 @@
 		return err
 	}
 	conversation := chat.conversation()
-	t := newTask(c.organisation.GetName(), func(state *clemconfig.State) (*plan, error) {
+	t := newTask(c.request, c.organisation.GetName(), func(state *clemconfig.State) (*plan, error) {
 		pool := state.Model(chat.Model)
 		if pool == nil {
 			return nil, clementineturn.NewError(clementineturn.ErrorConfig{
--- a/clementry/entry.go
+++ b/clementry/entry.go
@@ -54,12 +54,13 @@
 	clemrpc.Unsupported
 	Config
 	router *router
+	ration *ration
 	active atomic.Int64
 }
 
 // New returns the entry that the configuration describes.
 func New(c Config) *Entry {
-	return &Entry{Config: c, router: newRouter(c)}
+	return &Entry{Config: c, router: newRouter(c), ration: newRation(c.Body)}
 }
 
 // Pull implements clementineturn.Peer.
--- a/clementry/http.go
+++ b/clementry/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
@@ -67,16 +68,27 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.active.Add(1)
 		defer e.active.Add(-1)
-		c := &call{w: w, r: r, begun: time.Now(), floor: newFloor(w)}
+		c := &call{request: rand.Text(), w: w, r: r, begun: time.Now(), floor: newFloor(w)}
+		w.Header().Set(headerRequest, c.request)
 		organisation, err := e.authenticate(r)
 		if err == nil {
 			c.organisation = organisation
-			err = handle(r.Context(), c)
+			err = e.admit(c, handle)
 		}
 		e.finish(c, err)
 	}
 }
 
+// admit runs the handler if the ration has room for the request.
+func (e *Entry) admit(c *call, handle func(ctx context.Context, c *call) error) error {
+	bytes := cost(c.r, e.Body)
+	if err := e.ration.take(c.organisation.GetName(), bytes); err != nil {
+		return err
+	}
+	defer e.ration.give(c.organisation.GetName(), bytes)
+	return handle(c.r.Context(), c)
+}
+
 // authenticate returns the organisation whose key the request carries.
 func (e *Entry) authenticate(r *http.Request) (*clemwire.Organisation, error) {
 	state := e.Board.Config().Get()
@@ -140,7 +152,6 @@
 func (c *call) fail(e *clementineturn.Error) {
 	out := c.floor.owner()
 	if out == nil || !out.sent {
-		c.w.Header().Set(headerRequest, c.request)
 		writeError(c.w, e)
 		return
 	}
@@ -231,8 +242,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c.request = t.request
-	c.w.Header().Set(headerRequest, t.request)
 	c.bound(ctx)
 	return e.router.serve(ctx, t, c.floor)
 }
--- a/clementry/plan.go
+++ b/clementry/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"sync"
 	"time"
@@ -35,8 +34,8 @@
 	touched bool
 }
 
-func newTask(organisation string, build func(state *clemconfig.State) (*plan, error)) *task {
-	return &task{request: rand.Text(), organisation: organisation, build: build, tried: map[string]bool{}}
+func newTask(request, organisation string, build func(state *clemconfig.State) (*plan, error)) *task {
+	return &task{request: request, organisation: organisation, build: build, tried: map[string]bool{}}
 }
 
 // nextAttempt returns the id of the task's next attempt. It carries the
--- a/clementry/service.go
+++ b/clementry/service.go
@@ -67,7 +67,7 @@
 		}}, nil
 	}
 	rule := e.Board.Config().Get().Rule(name, method)
-	return e.run(ctx, c, newTask(c.organisation.GetName(), build), rule.GetTimeout().AsDuration())
+	return e.run(ctx, c, newTask(c.request, c.organisation.GetName(), build), rule.GetTimeout().AsDuration())
 }
 
 // affinity returns what calls are ranked by: repeats of a key go to the
