Command line and graceful shutdown: tests

The command line's exit codes and messages have a table test; it found that 'clementine entri FILE' named FILE as the fault, and names the subcommand now.

--- a/clemmain/main.go
+++ b/clemmain/main.go
@@ -7,6 +7,8 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strings"
 
 	"github.com/integrii/flaggy"
 
@@ -54,6 +56,10 @@
 	parser.AdditionalHelpAppend = exitCodes
 	path, find := attach(parser)
 	cli := clemcli.Config{Parser: parser, Args: c.Args, Out: c.Out, Err: c.Err}
+	// The parser would name the first argument after the unknown subcommand.
+	if name, ok := unknownCommand(c.Args); ok {
+		return clemcli.Usage(cli, "unknown subcommand %q", name)
+	}
 	if code, run := clemcli.Parse(cli); !run {
 		return code
 	}
@@ -64,6 +70,15 @@
 	return used.run(ctx, c, *path)
 }
 
+// unknownCommand returns the first argument if it should be a subcommand and is none.
+func unknownCommand(args []string) (string, bool) {
+	if len(args) == 0 || strings.HasPrefix(args[0], "-") {
+		return "", false
+	}
+	known := slices.ContainsFunc(commands, func(c command) bool { return c.name == args[0] })
+	return args[0], !known
+}
+
 // attach adds the subcommands to the parser. It returns where the file's path
 // is put and a function that finds the subcommand that was used.
 func attach(parser *flaggy.Parser) (*string, func() *command) {
--- a/clemnode/fleet_test.go
+++ b/clemnode/fleet_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -48,6 +49,8 @@
 	entries []string
 	admin   string
 	keys    map[string]string
+	// stops holds what signals a node to stop; the channel is closed at its end.
+	stops map[string]func() <-chan struct{}
 	// hosts holds addresses by name, generation the newest generation.
 	hosts      map[string]string
 	generation uint64
@@ -100,7 +103,7 @@
 func newFleetOf(t testing.TB, engines ...http.Handler) *fleet {
 	t.Helper()
 	transport := &http.Transport{}
-	f := &fleet{t: t, client: &http.Client{Transport: transport}, keys: map[string]string{}, hosts: map[string]string{}}
+	f := &fleet{t: t, client: &http.Client{Transport: transport}, keys: map[string]string{}, hosts: map[string]string{}, stops: map[string]func() <-chan struct{}{}}
 	t.Cleanup(transport.CloseIdleConnections)
 	var err error
 	f.platform, err = clemstandin.NewPlatform(clemstandin.PlatformConfig{})
@@ -155,11 +158,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p, err := assemble(ctx, settings)
 	require.NoError(f.t, err)
-	stop, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- p.run(ctx, stop) }()
-	f.t.Cleanup(func() {
+	stop, ended := make(chan os.Signal, 2), make(chan struct{})
+	go func() {
+		defer close(ended)
+		assert.NoError(f.t, p.run(ctx, stop))
+	}()
+	f.stops[settings.Name()] = func() <-chan struct{} {
 		stop <- os.Interrupt
-		require.NoError(f.t, <-ended)
+		return ended
+	}
+	f.t.Cleanup(func() {
+		select {
+		case stop <- os.Interrupt:
+		default: // The test stopped it.
+		}
+		<-ended
 		cancel()
 	})
 	host := newSelf(settings)
