--- a/clementry/http.go
+++ b/clementry/http.go
@@ -205,26 +205,27 @@
 
 // body reads the request's body up to the limit.
 func (e *Entry) body(c *call) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.Body))
-	if err != nil {
-		return nil, bodyError(err)
+	if c.r.ContentLength > e.Body {
+		return nil, tooLarge(e.Body)
 	}
-	return data, nil
-}
-
-// bodyError returns the error of a body that could not be read.
-func bodyError(err error) error {
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.Body))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return clementineturn.NewError(clementineturn.ErrorConfig{
-			Kind: clementineturn.KindTooLarge, Field: "body", NotRun: true,
-			Message: fmt.Sprintf("the body is larger than %d bytes", large.Limit),
-		})
+		return nil, tooLarge(large.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return clementineturn.Invalid("body", "the body did not arrive in time")
+		return nil, clementineturn.Invalid("body", "the body did not arrive in time")
+	case err != nil:
+		return nil, clementineturn.Invalid("body", "reading failed: %v", err)
 	}
-	return clementineturn.Invalid("body", "reading failed: %v", err)
+	return data, nil
+}
+
+func tooLarge(limit int64) error {
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindTooLarge, Field: "body", NotRun: true,
+		Message: fmt.Sprintf("the body is larger than %d bytes", limit),
+	})
 }
 
 // bound ends writes to a caller that no longer reads, a little after the
--- a/clementry/resume.go
+++ b/clementry/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -45,8 +44,8 @@
 		return err
 	}
 	// net/http notices a caller that hangs up only once the body is read.
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(c.w, c.r.Body, e.Body)); err != nil {
-		return bodyError(err)
+	if _, err := e.body(c); err != nil {
+		return err
 	}
 	c.request = id.request
 	c.w.Header().Set(headerRequest, id.request)
