--- a/clementry/resume.go
+++ b/clementry/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"regexp"
 	"strconv"
 
