Ranking: the entry's own region before all others

An entry that offers to all 12,012 sidecars holds 220 MB of connections, above 128 MB. With its own region first it needs those to about 1,230 sidecars: 22 MB at 18.3 kB each, worked out from the measured slope. Hosts of other regions follow only where the region has fewer than eight servers of the pool. Nothing changes for fleets in one region.

--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -35,7 +35,7 @@
 func newEntry(settings *clemsetting.Settings, board *clemboard.Board, relay *clemrelay.Relay, member *clemmember.Controller, peers clementineturn.Peers, metrics *clemmetric.Registry, events *clemevent.Logger) *clementry.Entry {
 	return clementry.New(clementry.Config{
 		Name: settings.Name(), Board: board, Relay: relay, Health: member, Peers: peers,
-		Ranker: clemrank.New(clemrank.Config{Most: rankedServers}), Burn: clemburn.New(clemburn.Config{}),
+		Ranker: clemrank.New(clemrank.Config{Most: rankedServers, Region: settings.Region()}), Burn: clemburn.New(clemburn.Config{}),
 		Metrics: metrics, Events: events, Body: settings.Body(), Deadline: settings.Deadline(),
 	})
 }
--- a/clemrank/rank_test.go
+++ b/clemrank/rank_test.go
@@ -87,3 +87,25 @@
 		ranker.Rank(chat(i), hosts)
 	}
 }
+
+// Hosts of other regions only follow when the own region has too few, and
+// their order does not depend on the ranker's region.
+func TestRendezvousOwnRegionFirst(t *testing.T) {
+	hosts := pool(18)
+	var near []*clemwire.Host
+	for i, host := range hosts {
+		host.Region = []string{"bengal", "sierra"}[i%2]
+		if host.Region == "bengal" {
+			near = append(near, host)
+		}
+	}
+	for i := range 100 {
+		work := chat(i)
+		wanted := New(Config{}).Rank(work, near)
+		ranked := New(Config{Region: "bengal"}).Rank(work, hosts)
+		require.Equal(t, wanted, ranked[:len(near)])
+		require.ElementsMatch(t, hosts, ranked)
+		require.Equal(t, wanted[:4], New(Config{Region: "bengal", Most: 4}).Rank(work, hosts))
+		require.Equal(t, ranked[:12], New(Config{Region: "bengal", Most: 12}).Rank(work, hosts))
+	}
+}
