Sidecar: work inherited from an earlier incarnation counts as load

Cause: a restarted sidecar counts from zero while its engine may still run what the old one gave it, and nothing called Gate.SetBusy, so the engine could be filled twice. The sidecar now reads the engine's own lagging report until, after the lag, it shows no more than the sidecar's own work.

--- a/clemsidecar/fake_test.go
+++ b/clemsidecar/fake_test.go
@@ -91,18 +91,24 @@
 }
 
 func newBench(slots uint32) *bench {
+	backend := &fakeBackend{answer: []byte("{}"), seen: map[string]int{}, keys: map[string]int{}}
+	b := newBenchWith(slots, backend)
+	b.backend = backend
+	return b
+}
+
+func newBenchWith(slots uint32, backend clementineturn.Backend) *bench {
 	ctx, cancel := context.WithCancel(context.Background())
 	board := clemboard.New()
 	board.Config().Set(clemconfig.FromSnapshot(&clemwire.Snapshot{Generation: 5, Entities: []*clemwire.Entity{
 		{Kind: &clemwire.Entity_Organisation{Organisation: &clemwire.Organisation{Name: "cribs", Weight: 1, Queue: 2, Generation: 1}}},
 		{Kind: &clemwire.Entity_Pool{Pool: &clemwire.Pool{Name: "chats", Kind: clemwire.PoolKind_POOL_KIND_MODEL, Model: "m", Slots: slots, Bound: 2, LongCost: 1000, LongShare: 1, Generation: 1}}},
 	}}))
-	backend := &fakeBackend{answer: []byte("{}"), seen: map[string]int{}, keys: map[string]int{}}
 	ledger := clemclaim.NewLedger(clemclaim.LedgerConfig{Table: clemstandin.NewTable(), Buckets: 1, Interval: 10 * time.Millisecond, Retention: time.Hour})
 	keeper := clemclaim.NewKeeper(clemclaim.KeeperConfig{
 		Ledger: ledger, Server: server, Incarnation: 1, Locate: func(string) clementineturn.Peer { return nil },
 	})
-	b := &bench{backend: backend, cancel: cancel, Sidecar: New(Config{
+	b := &bench{cancel: cancel, Sidecar: New(Config{
 		Server: server, Pool: "chats", Board: board, Gate: clemgate.New(clemgate.Config{Server: server}), Backend: backend,
 		Answers: clemanswer.New(clemanswer.Config{Bytes: buffer, Linger: linger}),
 	})}
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -120,9 +120,15 @@
 }
 
 // Start runs the periodic work until the context ends: limits follow the
-// board, waiting work expires, orphaned answers are stopped.
+// board, waiting work expires, orphaned answers are stopped, and work that the
+// engine runs for an earlier incarnation counts as load.
 func (s *Sidecar) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
+	inherited := make(chan struct{})
+	go func() {
+		defer close(inherited)
+		s.inherit(ctx)
+	}()
 	go func() {
 		ticker := time.NewTicker(tickInterval)
 		defer ticker.Stop()
@@ -131,6 +137,7 @@
 			case <-ticker.C:
 				s.tick(time.Now())
 			case <-ctx.Done():
+				<-inherited
 				done <- nil
 				return
 			}
--- a/platform.go
+++ b/platform.go
@@ -72,6 +72,13 @@
 	Order(ctx context.Context, pool *clemwire.Pool, fence uint64) error
 }
 
+// LoadReporter is a backend server that tells its own load. The report lags.
+type LoadReporter interface {
+	// Load returns the number of running requests and the tokens that they
+	// hold. Errors: KindUnavailable.
+	Load(ctx context.Context) (running int, tokens uint64, err error)
+}
+
 // Sink takes the pieces of an answer.
 type Sink interface {
 	// Start passes status and media type, once, before any data.
