Members that are not known yet have no hosts

Cause: a sidecar that held a configuration before its first host list panicked on a look-up (seen twice in the fault matrix, at clemfault's locate). Change: the methods of a nil Members answer as an empty one does.

--- a/clemboard/board.go
+++ b/clemboard/board.go
@@ -58,7 +58,8 @@
 	}
 }
 
-// Members is the set of hosts that take part, without the leaving ones.
+// Members is the set of hosts that take part, without the leaving ones. A nil
+// Members, as the board holds before the first list, has none.
 type Members struct {
 	hosts []*clemwire.Host
 	pools map[string][]*clemwire.Host
@@ -97,6 +98,9 @@
 // Known returns the host of the name if the list holds it, member or not, or
 // nil. Running work, answers and claims of a host that leaves are still there.
 func (m *Members) Known(name string) *clemwire.Host {
+	if m == nil {
+		return nil
+	}
 	if host := m.names[name]; host != nil {
 		return host
 	}
@@ -104,13 +108,28 @@
 }
 
 // Hosts returns every member.
-func (m *Members) Hosts() []*clemwire.Host { return m.hosts }
+func (m *Members) Hosts() []*clemwire.Host {
+	if m == nil {
+		return nil
+	}
+	return m.hosts
+}
 
 // Pool returns the backend servers of a pool.
-func (m *Members) Pool(name string) []*clemwire.Host { return m.pools[name] }
+func (m *Members) Pool(name string) []*clemwire.Host {
+	if m == nil {
+		return nil
+	}
+	return m.pools[name]
+}
 
 // Host returns the member of the name, or nil.
-func (m *Members) Host(name string) *clemwire.Host { return m.names[name] }
+func (m *Members) Host(name string) *clemwire.Host {
+	if m == nil {
+		return nil
+	}
+	return m.names[name]
+}
 
 // Board is the blackboard of one process.
 type Board struct {
