--- a/clemnode/fleet_test.go
+++ b/clemnode/fleet_test.go
@@ -40,6 +40,7 @@
 // sidecars and two entries, all on loopback.
 type fleet struct {
 	t        testing.TB
+	files    *tlsFiles
 	client   *http.Client
 	platform *clemstandin.Platform
 	url      string
@@ -102,8 +103,15 @@
 // newFleetOf runs the given engines.
 func newFleetOf(t testing.TB, engines ...http.Handler) *fleet {
 	t.Helper()
-	transport := &http.Transport{}
-	f := &fleet{t: t, client: &http.Client{Transport: transport}, keys: map[string]string{}, hosts: map[string]string{}, stops: map[string]func() <-chan struct{}{}}
+	return newFleetWith(t, nil, engines...)
+}
+
+// newFleetWith runs the given engines, with TLS between the processes and
+// towards callers and operators if there are files for it.
+func newFleetWith(t testing.TB, files *tlsFiles, engines ...http.Handler) *fleet {
+	t.Helper()
+	transport := &http.Transport{TLSClientConfig: files.client()}
+	f := &fleet{t: t, files: files, client: &http.Client{Transport: transport}, keys: map[string]string{}, hosts: map[string]string{}, stops: map[string]func() <-chan struct{}{}}
 	t.Cleanup(transport.CloseIdleConnections)
 	var err error
 	f.platform, err = clemstandin.NewPlatform(clemstandin.PlatformConfig{})
@@ -113,8 +121,8 @@
 		p := f.start(map[string]any{"role": clemsetting.RoleEntry, "name": name, "admin": "127.0.0.1:0", "operators": []any{
 			map[string]any{"name": "ana", "digest": digestOf(operatorToken)},
 		}})
-		f.entries = append(f.entries, "http://"+p.servers[0].listener.Addr().String())
-		f.admin = "http://" + p.servers[1].listener.Addr().String()
+		f.entries = append(f.entries, files.scheme()+p.servers[0].listener.Addr().String())
+		f.admin = files.scheme() + p.servers[1].listener.Addr().String()
 	}
 	for i, engine := range engines {
 		f.engines = append(f.engines, &tap{Handler: engine})
@@ -151,6 +159,9 @@
 			object[key] = value
 		}
 	}
+	if f.files != nil {
+		object["tls"] = f.files.settings()
+	}
 	data, err := json.Marshal(object)
 	require.NoError(f.t, err)
 	settings, err := clemsetting.Parse(data)
--- /dev/null
+++ b/clemnode/tls_test.go
@@ -0,0 +1,86 @@
+package clemnode
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/clementineturn/clementineturn/clemstandin"
+)
+
+// tlsFiles are a certificate for loopback, its key and its authority. A nil
+// tlsFiles stands for plain connections.
+type tlsFiles struct {
+	cert, key string
+	pool      *x509.CertPool
+}
+
+// newTLSFiles writes a certificate that signs itself.
+func newTLSFiles(t *testing.T) *tlsFiles {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "fleet"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	f := &tlsFiles{cert: filepath.Join(t.TempDir(), "cert.pem"), key: filepath.Join(t.TempDir(), "key.pem"), pool: x509.NewCertPool()}
+	certificate := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	require.True(t, f.pool.AppendCertsFromPEM(certificate))
+	require.NoError(t, os.WriteFile(f.cert, certificate, 0o600))
+	require.NoError(t, os.WriteFile(f.key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
+	return f
+}
+
+func (f *tlsFiles) client() *tls.Config {
+	if f == nil {
+		return nil
+	}
+	return &tls.Config{RootCAs: f.pool}
+}
+
+func (f *tlsFiles) scheme() string {
+	if f == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
+func (f *tlsFiles) settings() map[string]any {
+	return map[string]any{"cert": f.cert, "key": f.key, "authority": f.cert}
+}
+
+// With TLS set, callers, operators and the processes themselves use it, and a
+// plain connection gets nothing.
+func TestWholePathWithTLS(t *testing.T) {
+	f := newFleetWith(t, newTLSFiles(t), clemstandin.NewEngine(clemstandin.EngineConfig{Name: "engine-1", Model: model}))
+	answer, err := f.post(f.entries[0], "cribs", "/v1/chat/completions", chatBody(8, true), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.status, answer.body)
+	require.True(t, strings.HasSuffix(answer.body, "data: [DONE]\n\n"), answer.body)
+
+	plain := "http://" + strings.TrimPrefix(f.entries[0], "https://")
+	answer, err = f.post(plain, "cribs", "/v1/chat/completions", chatBody(8, true), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadRequest, answer.status, answer.body)
+	require.Contains(t, answer.body, "HTTP request to an HTTPS server")
+}
