clemconfig: an id that was used again is not forgotten with its old generation

A request id may be used again after its window of 1024 generations, and the memory of ids spans up to twice the window. When the older generation was pruned, the id's entry went with it although it stood for the newer one, whose row was not read again: a repeat of the newer request was then not recognised. Rows are read concurrently, so the older generation could also replace the newer one in the memory.

An id now stands for its newest generation and goes with that one only.

Shown by TestRepeatsIDUsedAgain, which failed before (found generation 0 in place of 1524).

--- a/clemconfig/repeat.go
+++ b/clemconfig/repeat.go
@@ -36,7 +36,8 @@
 func (r *repeats) add(change *clemwire.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ids[change.GetId()] = change.GetGeneration()
+	// An id may be used again after its window, and rows are read in any order.
+	r.ids[change.GetId()] = max(r.ids[change.GetId()], change.GetGeneration())
 	r.generations[change.GetGeneration()] = change.GetId()
 	if len(r.generations) > 2*Window {
 		r.prune()
@@ -52,7 +53,9 @@
 	for generation, id := range r.generations {
 		if generation+Window <= newest {
 			delete(r.generations, generation)
-			delete(r.ids, id)
+			if r.ids[id] == generation {
+				delete(r.ids, id)
+			}
 		}
 	}
 }
--- a/clemconfig/repeat_test.go
+++ b/clemconfig/repeat_test.go
@@ -116,6 +116,26 @@
 	require.EqualValues(t, newest-Window+1, r.find(fmt.Sprint(newest-Window+1)))
 }
 
+// An id that was used again after its window is forgotten with its newer
+// generation only, in whatever order the rows are read.
+func TestRepeatsIDUsedAgain(t *testing.T) {
+	const again = Window + 500
+	for name, order := range map[string][2]uint64{"older first": {1, again}, "newer first": {again, 1}} {
+		r := newRepeats()
+		for _, generation := range order {
+			r.add(&clemwire.Change{Generation: generation, Id: "x"})
+		}
+		require.EqualValues(t, again, r.find("x"), name)
+		for generation := uint64(2); generation <= 2*Window+2; generation++ {
+			if generation != again {
+				r.add(&clemwire.Change{Generation: generation, Id: fmt.Sprint(generation)})
+			}
+		}
+		require.NotContains(t, r.generations, uint64(1), name)
+		require.EqualValues(t, again, r.find("x"), name)
+	}
+}
+
 // racer commits a rival change just before the first write that it passes on.
 type racer struct {
 	clementineturn.Table
