clemclaim: only the holder's own answer voids its token

A sidecar answers "voided" for a token that it does not hold, if the request names its incarnation number. Incarnation numbers are counted for each server, so two sidecars often have the same one. If the address of the holder's host has passed to another sidecar, and the requester's list of hosts is old, that sidecar called the token voided while the holder's call ran: the claim was voided and the call ran a second time. With a higher number it had the claim recorded as unknown.

Ruled out: a field in the request for the server's name, since the answer names it already. The requester now compares it with the holder's; any other answer counts as none, and the call is in progress.

Shown by TestVoidByOtherServer.

--- a/clemclaim/acquire.go
+++ b/clemclaim/acquire.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// ask requests the holder to give up its token. Only the holder's own answer
+// counts: its address may have passed to another sidecar, which does not know
+// the token and would void it.
 func (k *Keeper) ask(ctx context.Context, holder *clemwire.Claim) (*clemwire.Voided, error) {
 	void := &clemwire.Void{Token: holder.GetToken(), Incarnation: holder.GetIncarnation()}
 	if holder.GetServer() == k.config.Server {
@@ -112,7 +115,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
 	defer cancel()
-	return peer.Void(ctx, void)
+	voided, err := peer.Void(ctx, void)
+	if err != nil {
+		return nil, err
+	}
+	if server := voided.GetStatus().GetServer(); server != holder.GetServer() {
+		return nil, clementineturn.Errorf(clementineturn.KindUnavailable, "the sidecar of %q answered for %q", server, holder.GetServer())
+	}
+	return voided, nil
 }
 
 // replace records that the holder gave up. If somebody else moved the claim
--- a/clemclaim/keeper_test.go
+++ b/clemclaim/keeper_test.go
@@ -90,6 +90,21 @@
 	})
 }
 
+// The address of the holder's host has passed to another sidecar, which does
+// not hold the token. Whatever its incarnation, it cannot speak for the holder.
+func TestVoidByOtherServer(t *testing.T) {
+	for _, incarnation := range []uint64{1, 2} {
+		inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+			require.NoError(t, f.nodes["a"].acquire(t, offer("k", "1", "cot")).Begin())
+			f.start("c", incarnation)
+			f.move("a", "c")
+			time.Sleep(supersedeAge)
+			f.nodes["b"].refused(t, offer("k", "2", "cot"), clementineturn.KindInProgress, false)
+			require.Equal(t, stateHeld, f.nodes["b"].state(t, "k"))
+		})
+	}
+}
+
 // Order server and sidecar are restarted while the call is out.
 func TestRestartedHolder(t *testing.T) {
 	inFleet(t, []string{"a", "b"}, func(t *testing.T, f *fleet) {
--- a/clemclaim/main_test.go
+++ b/clemclaim/main_test.go
@@ -37,6 +37,8 @@
 	// mu guards the map against reads by keepers.
 	mu    sync.Mutex
 	nodes map[string]*node
+	// moved holds the servers whose address belongs to another one.
+	moved map[string]string
 }
 
 // Probe implements clementineturn.Peer.
@@ -76,12 +78,22 @@
 func (f *fleet) locate(server string) clementineturn.Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if other, ok := f.moved[server]; ok {
+		server = other
+	}
 	if peer := f.nodes[server]; peer != nil {
 		return peer
 	}
 	return nil
 }
 
+// move has the server's address belong to another one from now on.
+func (f *fleet) move(server, other string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.moved[server] = other
+}
+
 // node is one sidecar: a ledger and a keeper that live as long as its context.
 type node struct {
 	clementineturn.Peer
@@ -127,7 +139,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, table: clemstandin.NewTable(), nodes: map[string]*node{}}
+	return &fleet{t: t, table: clemstandin.NewTable(), nodes: map[string]*node{}, moved: map[string]string{}}
 }
 
 func (f *fleet) start(server string, incarnation uint64) *node {
--- a/clemfault/mutation_test.go
+++ b/clemfault/mutation_test.go
@@ -49,9 +49,11 @@
 	return incarnation
 }
 
-// voided answers a request for a token without the sidecar's promise.
-func voided() (*clemwire.Voided, bool) {
-	return &clemwire.Voided{State: clemwire.TokenState_TOKEN_STATE_VOIDED}, *removed == removeVoid
+// voided answers a request for a token in the server's name, without the
+// promise of its sidecar.
+func voided(server string) (*clemwire.Voided, bool) {
+	status := &clemwire.Status{Server: server}
+	return &clemwire.Voided{State: clemwire.TokenState_TOKEN_STATE_VOIDED, Status: status}, *removed == removeVoid
 }
 
 // endOf makes an end marker that fits whatever was passed so far.
--- a/clemfault/network_test.go
+++ b/clemfault/network_test.go
@@ -251,7 +251,7 @@
 
 // Void implements clementineturn.Peer.
 func (l *link) Void(ctx context.Context, void *clemwire.Void) (*clemwire.Voided, error) {
-	if answer, ok := voided(); ok {
+	if answer, ok := voided(l.to); ok {
 		return answer, nil
 	}
 	return send(ctx, l, true, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Voided, error) {
