clemclaim: retention goes on after a lost answer of the first number's raise

When the write that raises the first number took effect and its answer was lost, the ledger kept the old number while the segment stayed in the table. Each later drop found the segment, found another first number and stopped, until the process ended: the bucket grew without bound. The same held for a second ledger whose predecessor raised the number and could not delete the segment.

A first number that was raised before is now taken over. That is safe where the index lags, since the raise follows the records that had to be kept, and answers rest on a read of the head.

--- a/clemclaim/retain.go
+++ b/clemclaim/retain.go
@@ -65,7 +65,6 @@
 	if moved, err := g.raise(ctx); err != nil || !moved {
 		return false, err
 	}
-	g.index.trim(g.first)
 	if err := g.config.Table.Delete(ctx, row.Key(), row.Version()); err != nil {
 		return false, err
 	}
@@ -78,17 +77,27 @@
 	if err != nil || first <= g.first {
 		return false, err
 	}
+	g.adopt(first)
+	return true, nil
+}
+
+func (g *log) adopt(first uint64) {
 	g.first = first
 	g.index.trim(first)
-	return true, nil
 }
 
-// raise makes the second segment the first.
+// raise makes the second segment the first and reports whether it did. A first
+// number that was raised before is taken over: by another ledger that could
+// not delete the segment, or by a write of its own whose answer was lost.
 func (g *log) raise(ctx context.Context) (bool, error) {
 	first, version, err := g.readFirst(ctx)
-	if err != nil || first != g.first {
+	if err != nil {
 		return false, err
 	}
+	if first != g.first {
+		g.adopt(first)
+		return false, nil
+	}
 	value, err := proto.Marshal(&clemwire.Segment{Number: first + 1})
 	if err != nil {
 		return false, err
@@ -96,7 +105,7 @@
 	if _, err := g.put(ctx, g.firstKey(), value, version); err != nil {
 		return false, err
 	}
-	g.first++
+	g.adopt(first + 1)
 	return true, nil
 }
 
--- a/clemclaim/retain_test.go
+++ b/clemclaim/retain_test.go
@@ -31,6 +31,22 @@
 	return h.Table.Get(ctx, key)
 }
 
+// loser loses the answer of the next write of a row.
+type loser struct {
+	clementineturn.Table
+	key  string
+	lost bool
+}
+
+func (l *loser) Put(ctx context.Context, key string, value []byte, version clementineturn.Version) (clementineturn.Row, error) {
+	row, err := l.Table.Put(ctx, key, value, version)
+	if key == l.key && !l.lost {
+		l.lost = true
+		return clementineturn.Row{}, clementineturn.Errorf(clementineturn.KindUnknown, "the connection broke")
+	}
+	return row, err
+}
+
 // inLedgers runs the test in virtual time with ledgers over one table, which
 // have one bucket and seal each segment after a few records.
 func inLedgers(t *testing.T, n int, test func(t *testing.T, table *clemstandin.Table, ledgers []*Ledger)) {
@@ -117,6 +133,29 @@
 	})
 }
 
+// The first number was raised, but its answer is lost, so that the segment
+// before it stays. Retention goes on.
+func TestRetentionAfterLostRaise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := LedgerConfig{Buckets: 1, Limit: 100}
+		table := &loser{Table: clemstandin.NewTable(), key: newLog(c, 0).firstKey()}
+		c.Table = table
+		ledgers, stop := startLedgers(c, 2)
+		defer stop()
+		_, err := ledgers[1].Lookup(t.Context(), "shishu", "x0")
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindNotFound), "%v", err)
+		held := record(t, ledgers[0], "held", stateHeld)
+		for _, ledger := range ledgers {
+			pass(t, ledger, "x"+fmt.Sprint(ledger == ledgers[0]), 60)
+			synctest.Wait()
+			require.True(t, table.lost)
+			log := ledger.buckets[0].log
+			require.Less(t, log.head.number-log.first, uint64(80))
+		}
+		require.NoError(t, ledgers[1].Advance(t.Context(), &clemwire.Record{Claim: held, State: stateDone}))
+	})
+}
+
 // A host whose clock is days ahead drops nothing that is young.
 func TestRetentionWithWrongClock(t *testing.T) {
 	inLedgers(t, 1, func(t *testing.T, _ *clemstandin.Table, ledgers []*Ledger) {
