clemclaim: a test for the start of a span

The check that a summary stands for a whole span was noticed by no test. Without it a ledger that begins to read in the middle of a span writes a row that nobody reads or deletes; TestNoSummaryOfPartOfSpan fails then.

--- a/clemclaim/summary_test.go
+++ b/clemclaim/summary_test.go
@@ -91,6 +91,23 @@
 	})
 }
 
+// A ledger that begins to read in the middle of a span, since retention
+// dropped the segments before, does not know the span and writes no summary.
+func TestNoSummaryOfPartOfSpan(t *testing.T) {
+	inLedgers(t, 1, func(t *testing.T, table *clemstandin.Table, ledgers []*Ledger) {
+		pass(t, ledgers[0], "x", 30)
+		first := ledgers[0].buckets[0].log.first
+		require.NotZero(t, first%spanSegments)
+		fresh, stop := startLedgers(ledgers[0].config, 1)
+		defer stop()
+		pass(t, fresh[0], "y", spanSegments)
+		log := fresh[0].buckets[0].log
+		require.Greater(t, log.head.number, first+spanSegments)
+		_, err := table.Get(t.Context(), log.summaryKey(first))
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindNotFound), "%v", err)
+	})
+}
+
 func FuzzDecodeSummary(f *testing.F) {
 	s := newSpan(spanSegments)
 	for i, state := range []clemwire.ClaimState{stateHeld, stateDone, stateVoid} {
