clemconfig: three tests of changes that arrive together are one table

TestCommitRace, TestCommitWithoutID and TestCommitConcurrentRepeats had the same steps. TestCommitTogether holds their cases, and each case now makes the assertions of all three: the generations answered, the newest one, and the number of entities.

--- a/clemconfig/log_test.go
+++ b/clemconfig/log_test.go
@@ -1,6 +1,8 @@
 package clemconfig
 
 import (
+	"errors"
+	"slices"
 	"sync"
 	"testing"
 
@@ -26,18 +28,42 @@
 	require.NotNil(t, state.Organisation("acme"))
 }
 
-func TestCommitRace(t *testing.T) {
-	log := NewLog(LogConfig{Table: clemstandin.NewTable()})
-	names := []string{"a", "b", "c", "d"}
-	var wg sync.WaitGroup
-	for _, n := range names {
-		wg.Go(func() {
-			_, _, err := log.Commit(t.Context(), Empty(), createOrganisation(n, n))
+// Changes that arrive together make one generation for each request, and each
+// repeat is answered with its request's. Changes without an id must not pass
+// for one another.
+func TestCommitTogether(t *testing.T) {
+	for name, test := range map[string]struct {
+		ids, names []string
+		// shared has one process take all of them.
+		shared bool
+		made   []uint64
+	}{
+		"requests at one process": {ids: []string{"a", "b", "c", "d"}, names: []string{"a", "b", "c", "d"}, shared: true, made: []uint64{1, 2, 3, 4}},
+		"requests without an id":  {ids: make([]string, 4), names: []string{"a", "b", "c", "d"}, made: []uint64{1, 2, 3, 4}},
+		"repeats of one request":  {ids: slices.Repeat([]string{"1"}, 8), names: slices.Repeat([]string{"acme"}, 8), made: []uint64{1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := clemstandin.NewTable()
+			one := NewLog(LogConfig{Table: table})
+			generations, errs := make([]uint64, len(test.ids)), make([]error, len(test.ids))
+			var wg sync.WaitGroup
+			for i, id := range test.ids {
+				log := one
+				if !test.shared {
+					log = NewLog(LogConfig{Table: table})
+				}
+				wg.Go(func() {
+					_, generations[i], errs[i] = log.Commit(t.Context(), Empty(), createOrganisation(id, test.names[i]))
+				})
+			}
+			wg.Wait()
+			require.NoError(t, errors.Join(errs...))
+			slices.Sort(generations)
+			require.Equal(t, test.made, slices.Compact(generations))
+			state, err := one.Advance(t.Context(), Empty())
 			require.NoError(t, err)
+			require.EqualValues(t, len(test.made), state.Generation())
+			require.Len(t, state.List(clemwire.EntityKind_ENTITY_KIND_ORGANISATION), len(test.made))
 		})
 	}
-	wg.Wait()
-	state, err := log.Advance(t.Context(), Empty())
-	require.NoError(t, err)
-	require.EqualValues(t, len(names), state.Generation())
 }
--- a/clemconfig/repeat_test.go
+++ b/clemconfig/repeat_test.go
@@ -60,40 +60,6 @@
 	require.True(t, clementineturn.IsNotRun(err))
 }
 
-// Repeats of one request that arrive together at several processes make one
-// generation, and all are answered with it.
-func TestCommitConcurrentRepeats(t *testing.T) {
-	table := clemstandin.NewTable()
-	var wg sync.WaitGroup
-	for range 8 {
-		wg.Go(func() {
-			_, generation, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
-			require.NoError(t, err)
-			require.EqualValues(t, 1, generation)
-		})
-	}
-	wg.Wait()
-	state, err := NewLog(LogConfig{Table: table}).Advance(t.Context(), Empty())
-	require.NoError(t, err)
-	require.EqualValues(t, 1, state.Generation())
-}
-
-// Changes without an id must not pass for one another.
-func TestCommitWithoutID(t *testing.T) {
-	table := clemstandin.NewTable()
-	var wg sync.WaitGroup
-	for i := range 4 {
-		wg.Go(func() {
-			_, _, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("", fmt.Sprintf("o%d", i)))
-			require.NoError(t, err)
-		})
-	}
-	wg.Wait()
-	state, err := NewLog(LogConfig{Table: table}).Advance(t.Context(), Empty())
-	require.NoError(t, err)
-	require.Len(t, state.List(clemwire.EntityKind_ENTITY_KIND_ORGANISATION), 4)
-}
-
 func TestCommitRepeatTableDown(t *testing.T) {
 	table := clemstandin.NewTable()
 	state, _, err := NewLog(LogConfig{Table: table}).Commit(t.Context(), Empty(), createOrganisation("1", "acme"))
