clemfence: a change after a failed order waits for its place, too

A sidecar waits for its place in the list of the pool's servers before it gives the order of a change, so that the pool keeps the weight store's limit. After a failed order the reconciler forgot that it had given one, and the next change went out at once: a pool whose store was overloaded got all orders of the corrected version in the same moment.

The wait now depends on what the last order asked for, whether or not it worked. First orders after a start, and repeats, do not wait, as before.

Shown by TestReconcilersSpreadOrders, whose new case had 0 s in place of 500 ms between two orders.

--- a/clemfence/fence_test.go
+++ b/clemfence/fence_test.go
@@ -229,36 +229,41 @@
 	}
 }
 
-// The pool's sidecars share the weight store's limit without a coordinator.
+// The pool's sidecars share the weight store's limit without a coordinator,
+// also if the order before the change failed.
 func TestReconcilersSpreadOrders(t *testing.T) {
-	inBench(t, true, func(t *testing.T, b *bench) {
-		const servers, rate = 20, 2.0
-		var hosts []*clemwire.Host
-		for i := range servers {
-			hosts = append(hosts, &clemwire.Host{Name: string(rune('a' + i)), Pool: "chat", Role: "sidecar"})
-		}
-		b.board.Members().Set(clemboard.NewMembers(hosts))
-		ctx, stop := context.WithCancel(t.Context())
-		var ends []<-chan error
-		b.ask("1")
-		for _, host := range hosts {
-			ends = append(ends, New(Config{
-				Board: b.board, Backend: b.engine, Table: b.table, Server: host.GetName(), Pool: "chat", Incarnation: 1, Rate: rate,
-			}).Start(ctx))
-		}
-		synctest.Wait()
-		b.engine.mu.Lock()
-		b.engine.loaded, b.engine.times = nil, nil
-		b.engine.mu.Unlock()
-		b.ask("2")
-		time.Sleep(servers / rate * time.Second)
-		stop()
-		for _, end := range ends {
-			require.NoError(t, <-end)
-		}
-		require.Len(t, b.engine.loaded, servers)
-		for i := range servers - 1 {
-			require.Equal(t, time.Second/rate, b.engine.times[i+1].Sub(b.engine.times[i]))
-		}
-	})
+	for _, down := range []bool{false, true} {
+		inBench(t, true, func(t *testing.T, b *bench) {
+			const servers, rate = 20, 2.0
+			var hosts []*clemwire.Host
+			for i := range servers {
+				hosts = append(hosts, &clemwire.Host{Name: string(rune('a' + i)), Pool: "chat", Role: "sidecar"})
+			}
+			b.board.Members().Set(clemboard.NewMembers(hosts))
+			ctx, stop := context.WithCancel(t.Context())
+			var ends []<-chan error
+			b.engine.set(down)
+			b.ask("1")
+			for _, host := range hosts {
+				ends = append(ends, New(Config{
+					Board: b.board, Backend: b.engine, Table: b.table, Server: host.GetName(), Pool: "chat", Incarnation: 1, Rate: rate,
+				}).Start(ctx))
+			}
+			synctest.Wait()
+			b.engine.set(false)
+			b.engine.mu.Lock()
+			b.engine.loaded, b.engine.times = nil, nil
+			b.engine.mu.Unlock()
+			b.ask("2")
+			time.Sleep(servers / rate * time.Second)
+			stop()
+			for _, end := range ends {
+				require.NoError(t, <-end)
+			}
+			require.Len(t, b.engine.loaded, servers)
+			for i := range servers - 1 {
+				require.Equal(t, time.Second/rate, b.engine.times[i+1].Sub(b.engine.times[i]))
+			}
+		})
+	}
 }
--- a/clemfence/reconciler.go
+++ b/clemfence/reconciler.go
@@ -51,7 +51,9 @@
 	config Config
 	// ordered is what the backend server was last made to load.
 	ordered *clemwire.Pool
-	orders  int
+	// tried is what the last order asked for, also if it failed.
+	tried  *clemwire.Pool
+	orders int
 }
 
 // New returns the reconciler that the configuration describes.
@@ -74,9 +76,10 @@
 			r.rest(ctx, pool)
 			continue
 		}
-		if r.ordered != nil && !r.await(ctx, pool, r.turn()) {
+		if r.tried != nil && !proto.Equal(pool, r.tried) && !r.await(ctx, pool, r.turn()) {
 			continue
 		}
+		r.tried = pool
 		err := r.order(ctx, pool)
 		switch {
 		case err == nil:
