--- a/clemconfig/shards.go
+++ b/clemconfig/shards.go
@@ -33,11 +33,13 @@
 	return value, ok
 }
 
-// with returns the map with the key set, and leaves the old one as it is.
-func (s shards[K, V]) with(key K, value V) shards[K, V] {
-	next, part := s.copyPart(key)
-	part[key] = value
-	return next
+// set sets the key, in a copy of its part if other maps may share it.
+func (s *shards[K, V]) set(key K, value V, shared bool) {
+	at := shardOf(key)
+	if shared || s.parts == nil || s.parts[at] == nil {
+		*s, _ = s.copyPart(key)
+	}
+	s.parts[at][key] = value
 }
 
 // without returns the map without the key.
@@ -65,18 +67,6 @@
 	return shards[K, V]{parts}, part
 }
 
-// fill sets the key in place. It serves maps that nobody else sees yet.
-func (s *shards[K, V]) fill(key K, value V) {
-	if s.parts == nil {
-		s.parts = new([shardCount]map[K]V)
-	}
-	at := shardOf(key)
-	if s.parts[at] == nil {
-		s.parts[at] = map[K]V{}
-	}
-	s.parts[at][key] = value
-}
-
 // all returns the entries in no order.
 func (s shards[K, V]) all() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
--- a/clemconfig/state.go
+++ b/clemconfig/state.go
@@ -36,19 +36,7 @@
 func FromSnapshot(snapshot *clemwire.Snapshot) *State {
 	s := &State{generation: snapshot.GetGeneration()}
 	for _, entity := range snapshot.GetEntities() {
-		s.entities.fill(nameOf(entity), entity)
-		switch k := entity.GetKind().(type) {
-		case *clemwire.Entity_Organisation:
-			for _, key := range k.Organisation.GetKeys() {
-				s.digests.fill(string(key.GetDigest()), k.Organisation.GetName())
-			}
-		case *clemwire.Entity_Pool:
-			if k.Pool.GetModel() != "" {
-				s.models.fill(k.Pool.GetModel(), k.Pool)
-			}
-		case *clemwire.Entity_Rule:
-			s.rules.fill(callOf(k.Rule), k.Rule)
-		}
+		s.add(entity, false)
 	}
 	return s
 }
@@ -56,20 +44,21 @@
 // callOf is what a rule is looked up by.
 func callOf(rule *clemwire.Rule) [2]string { return [2]string{rule.GetService(), rule.GetCall()} }
 
-// add stores the entity and its index entries.
-func (s *State) add(entity *clemwire.Entity) {
-	s.entities = s.entities.with(nameOf(entity), entity)
+// add stores the entity and its index entries, in copies of the parts that
+// other states may share.
+func (s *State) add(entity *clemwire.Entity, shared bool) {
+	s.entities.set(nameOf(entity), entity, shared)
 	switch k := entity.GetKind().(type) {
 	case *clemwire.Entity_Organisation:
 		for _, key := range k.Organisation.GetKeys() {
-			s.digests = s.digests.with(string(key.GetDigest()), k.Organisation.GetName())
+			s.digests.set(string(key.GetDigest()), k.Organisation.GetName(), shared)
 		}
 	case *clemwire.Entity_Pool:
 		if k.Pool.GetModel() != "" {
-			s.models = s.models.with(k.Pool.GetModel(), k.Pool)
+			s.models.set(k.Pool.GetModel(), k.Pool, shared)
 		}
 	case *clemwire.Entity_Rule:
-		s.rules = s.rules.with(callOf(k.Rule), k.Rule)
+		s.rules.set(callOf(k.Rule), k.Rule, shared)
 	}
 }
 
@@ -204,7 +193,7 @@
 	next.remove(nameOf(entity))
 	if change.GetAction() != clemwire.Action_ACTION_DELETE {
 		SetGeneration(entity, change.GetGeneration())
-		next.add(entity)
+		next.add(entity, true)
 	}
 	return &next, nil
 }
