--- a/clemops/claim.go
+++ b/clemops/claim.go
@@ -109,6 +109,10 @@
 	if err != nil {
 		return clementineturn.Refuse(clementineturn.KindUnavailable, "the holder %q does not answer and may still run the call: %w", claim.GetServer(), err)
 	}
+	// The holder's address may have passed to another process since the list was read.
+	if probed.GetNode() != claim.GetServer() {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "%q answers at the address of the holder %q, which may still run the call", probed.GetNode(), claim.GetServer())
+	}
 	if probed.GetIncarnation() <= claim.GetIncarnation() {
 		return clementineturn.Refuse(clementineturn.KindConflict, "the holder %q still holds the call", claim.GetServer())
 	}
--- a/clemops/claim_test.go
+++ b/clemops/claim_test.go
@@ -95,6 +95,9 @@
 	refused(connect.CodeAborted, clementineturn.KindConflict)
 	b.peers.probed["10.0.1.1:1"] = nil
 	refused(connect.CodeUnavailable, clementineturn.KindUnavailable)
+	// The address has passed to another server's sidecar.
+	b.peers.probed["10.0.1.1:1"] = &clemwire.Probed{Node: "srv-2", Incarnation: 9}
+	refused(connect.CodeUnavailable, clementineturn.KindUnavailable)
 
 	b.peers.probed["10.0.1.1:1"] = &clemwire.Probed{Node: "srv-1", Incarnation: 5}
 	record, err := b.resolve(t, anaToken, "k", true, nil)
