Relay tree: a process takes its place by the host list, as the others see it

Cause: a process computed its rank from its settings and the others' from the platform's list. Where the two named different data centres it could have a smaller rank in the list than in its settings, and took itself for a parent: in a run of real processes, whose test settings all say kol-a while the list says kol-a to kol-c, order-1 reported to itself and logged "child dropped" about order-1 every 2.4 s, once a round. The field was right. Two such processes could also take each other, so no sums came and the load bound fell back to the safe slot count. Ruled out: a wrong field in the event; a repeat for a child that stays silent, which is dropped once. Change: the place comes from the list's entry of the process's own name, member or not; the settings serve until the list holds it. Events 510 and 511 tell operators that list and settings differ, or agree again. Shown by TestTreeSettingsContradictList: before, a node was a parent of itself, and without that check no node of 12 had a sum; now all have whole sums younger than 3 s.

--- a/clemevent/relay.go
+++ b/clemevent/relay.go
@@ -14,6 +14,8 @@
 	SnapshotWritten Event = 507
 	SnapshotFailed  Event = 508
 	ChildDropped    Event = 509
+	PlaceDiffers    Event = 510
+	PlaceAgrees     Event = 511
 )
 
 var relayEvents = map[Event]Info{
@@ -27,4 +29,6 @@
 	SnapshotWritten: {zapcore.InfoLevel, "snapshot written", "A snapshot of the configuration is in the object store, for processes that start without peers."},
 	SnapshotFailed:  {zapcore.WarnLevel, "snapshot not written", "Another node or a later generation will write one. Processes that start without peers read more of the log until then."},
 	ChildDropped:    {zapcore.InfoLevel, "child dropped", "A node stopped reporting and no longer counts in the sums of loads."},
+	PlaceDiffers:    {zapcore.WarnLevel, "host list contradicts settings", "The platform's list places this host in another region or data centre, which the event names, than the process's settings. The relay tree follows the list, ranking of backend servers the settings. Correct whichever is wrong."},
+	PlaceAgrees:     {zapcore.InfoLevel, "host list agrees with settings", "The platform's list and the process's settings name the same region and data centre again."},
 }
--- a/clemrelay/relay.go
+++ b/clemrelay/relay.go
@@ -140,10 +140,16 @@
 
 // place derives the process's place in the tree from each new host list.
 func (r *Relay) place(ctx context.Context) error {
+	misplaced := false
 	for {
 		members, changed := r.config.Board.Members().Watch()
 		if members != nil {
-			r.tree.Store(newTree(r.config.Self, members.Hosts()))
+			self := r.listed(members)
+			r.tree.Store(newTree(self, members.Hosts()))
+			if differs := rankOf(self) != rankOf(r.config.Self); differs != misplaced {
+				misplaced = differs
+				r.logPlace(self, misplaced)
+			}
 		}
 		select {
 		case <-changed:
@@ -153,6 +159,25 @@
 	}
 }
 
+// listed returns the process's own host as the list shows it, since that is
+// what the others go by. By its settings alone, a process whose settings name
+// another data centre could take itself, or a node below it, for a parent.
+func (r *Relay) listed(members *clemboard.Members) *clemwire.Host {
+	if self := members.Known(r.config.Self.GetName()); self != nil {
+		return self
+	}
+	return r.config.Self
+}
+
+// logPlace logs that the list starts or ceases to contradict the settings.
+func (r *Relay) logPlace(self *clemwire.Host, misplaced bool) {
+	event := clemevent.PlaceAgrees
+	if misplaced {
+		event = clemevent.PlaceDiffers
+	}
+	r.config.Events.Emit(event, zap.String("region", self.GetRegion()), zap.String("centre", self.GetCentre()))
+}
+
 // parents returns the hosts to ask, the preferred one first.
 func (r *Relay) parents() []*clemwire.Host {
 	return r.health.usable(r.tree.Load().parents, time.Now())
--- a/clemrelay/tree_test.go
+++ b/clemrelay/tree_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/clementineturn/clementineturn/clemwire"
@@ -90,3 +93,32 @@
 		require.True(t, tree.poller)
 	}
 }
+
+// Processes whose settings name another data centre than the list take their
+// place by the list, as the others see it: none reports to itself or in a circle.
+func TestTreeSettingsContradictList(t *testing.T) {
+	for _, centre := range []string{"r-0", "r-1", "r-2"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, region("r", 3, 4))
+			for _, host := range f.hosts {
+				misplaced := proto.CloneOf(host)
+				misplaced.Centre = centre
+				f.start(misplaced)
+			}
+			defer f.stopAll()
+			time.Sleep(warmup)
+			for name, n := range f.nodes {
+				for _, parent := range n.relay.tree.Load().parents {
+					require.NotEqual(t, name, parent.GetName(), "a parent of itself")
+				}
+			}
+			age, missing := f.watch("pool-1", 10*time.Second)
+			require.Zero(t, missing)
+			require.Less(t, age, fallback)
+			for name, n := range f.nodes {
+				load, _ := n.board.Loads().Get().Pool("pool-1")
+				require.Equal(t, 3, load.Servers(), name)
+			}
+		})
+	}
+}
