--- a/clemrank/rank_test.go
+++ b/clemrank/rank_test.go
@@ -79,12 +79,28 @@
 	require.Equal(t, []*clemwire.Host{hosts[1], hosts[2], hosts[0]}, ranked)
 }
 
+// BenchmarkRendezvous ranks a data centre's hosts, and a pool at the size to
+// design for, 3,003 hosts in ten regions, for an entry of one region.
 func BenchmarkRendezvous(b *testing.B) {
-	hosts := pool(308)
-	ranker := New(Config{Most: 8})
-	b.ReportAllocs()
-	for i := range b.N {
-		ranker.Rank(chat(i), hosts)
+	wide := pool(3003)
+	for i, host := range wide {
+		host.Region = fmt.Sprintf("r%d", i%10)
+	}
+	for name, bench := range map[string]struct {
+		config Config
+		hosts  []*clemwire.Host
+	}{
+		"centre": {Config{Most: 8}, pool(308)},
+		"fleet":  {Config{Most: 8}, wide},
+		"region": {Config{Most: 8, Region: "r3"}, wide},
+	} {
+		b.Run(name, func(b *testing.B) {
+			ranker := New(bench.config)
+			b.ReportAllocs()
+			for i := range b.N {
+				ranker.Rank(chat(i), bench.hosts)
+			}
+		})
 	}
 }
 
