Gate: an organisation that returns when its flow is swept keeps one flow

Cause: Enter looked its flow up and then dispatched. The organisation then had two flows, so its queue limit counted each for itself, and the weight of those with recent work, which fair shares divide by, stayed too small for good. Change: the dispatch comes first.

--- a/clemgate/fair_test.go
+++ b/clemgate/fair_test.go
@@ -159,3 +159,27 @@
 	enter(t, g, start.Add(maxMeanAge+1), item("b", 100))
 	require.True(t, isDecided(waiting))
 }
+
+// An organisation returns at the moment at which its flow is due to be
+// dropped, and a refusal of another's item sweeps the flows meanwhile. The
+// flow in use stays the one that the gate counts.
+func TestReturnOfAFlowThatIsSwept(t *testing.T) {
+	g := open(limits(8))
+	g.Leave(start, enter(t, g, start, item("a", 100)))
+	now := start.Add(flowMemory - boundPatience - time.Millisecond)
+	enter(t, g, now, item("c", 100))
+	enter(t, g, now, item("c", 100))
+	g.SetLimits(now, known(limits(8), 4, 0, now))
+	waits := enter(t, g, now, item("b", 100))
+	require.False(t, isDecided(waits))
+	now = start.Add(flowMemory)
+	back, err := g.Enter(now, item("a", 100))
+	requireKind(t, waits.Err(), clementineturn.KindOverloaded)
+	require.NoError(t, err)
+	require.Same(t, g.backlog.flows["a"], back.flow)
+	sum := 0.0
+	for _, f := range g.backlog.flows {
+		sum += f.weight
+	}
+	require.InDelta(t, sum, g.backlog.recent, 1e-9)
+}
--- a/clemgate/gate.go
+++ b/clemgate/gate.go
@@ -77,11 +77,13 @@
 	if err := g.check(now, item); err != nil {
 		return nil, err
 	}
+	// What still waits then is held back by limits of its own, so the item
+	// passes nobody. The flow is looked up afterwards, since a refusal may drop
+	// idle flows.
+	g.dispatch(now)
 	t := &Ticket{item: item, index: absent, entered: now, latest: g.latest(item), cost: item.cost(), decided: make(chan struct{})}
 	t.setClass(g.classOf(t.cost))
 	t.flow = g.backlog.flow(item)
-	// What waits is held back by limits of its own, so the item passes nobody.
-	g.dispatch(now)
 	if g.hasSlot(now, t) && g.fits(now, t.cost) {
 		g.backlog.enter(t.flow)
 		g.grant(now, t)
