--- a/clemrelay/fleet_test.go
+++ b/clemrelay/fleet_test.go
@@ -239,7 +239,7 @@
 	require.Empty(f.t, f.behind(generation), "generation %d after %v", generation, took)
 }
 
-// rootOf returns the first node of a data centre.
+// ordered returns the hosts of a data centre in the order of their ranks.
 func (f *fleet) ordered(centre string) []*clemwire.Host {
 	var nodes []*clemwire.Host
 	for _, host := range f.hosts {
--- a/clemrelay/relay.go
+++ b/clemrelay/relay.go
@@ -1,9 +1,9 @@
 // Package clemrelay spreads the configuration to every process and adds up
 // loads, along one tree that each process derives from the host list. A few
-// processes per data centre read the configuration log in the table; the
-// others ask their parent for newer changes by long polling. Reports of load
-// travel up the same tree once a second, and the sums travel down with the
-// replies.
+// processes per data centre read the configuration log in the table. Reports
+// of load travel up the tree once a second; the sums, newer changes and
+// changes of the host list travel down with the replies. A process that no
+// reply reaches pulls the changes.
 package clemrelay
 
 import (
--- a/clemrelay/relay_test.go
+++ b/clemrelay/relay_test.go
@@ -84,6 +84,17 @@
 	require.EqualValues(t, 200, pulled.GetSnapshot().GetGeneration())
 }
 
+// Of two pulls that meet the same gap, the later one finds it closed.
+func TestBackfillOfNoGap(t *testing.T) {
+	r, _ := alone(t, 5)
+	r.Adopt(clemconfig.Empty())
+	r.Learn(changesOf(t, r, 0, 5))
+	for generation := range uint64(6) {
+		require.NoError(t, r.store.backfill(t.Context(), generation))
+	}
+	require.Len(t, r.Changes(0), 5)
+}
+
 func TestPullWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, _ := alone(t, 2)
--- a/clemrelay/store.go
+++ b/clemrelay/store.go
@@ -121,6 +121,10 @@
 	s.mu.Lock()
 	first := s.state.Generation() - uint64(len(s.held)) + 1
 	s.mu.Unlock()
+	if first <= generation+1 {
+		// Another child's pull closed the gap meanwhile.
+		return nil
+	}
 	if first-generation > maxBackfill {
 		return clementineturn.Errorf(clementineturn.KindNotFound, "%d changes are missing", first-generation)
 	}
