--- a/clemrelay/fleet_test.go
+++ b/clemrelay/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -71,6 +72,18 @@
 	}
 }
 
+// inFleet runs a test in virtual time on a fleet that has settled.
+func inFleet(t *testing.T, hosts []*clemwire.Host, run func(*testing.T, *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, hosts)
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(warmup)
+		run(t, f)
+	})
+}
+
 // region returns hosts of so many data centres of a region with so many hosts each.
 func region(name string, centres, hosts int) []*clemwire.Host {
 	var all []*clemwire.Host
--- a/clemrelay/spread_test.go
+++ b/clemrelay/spread_test.go
@@ -24,11 +24,7 @@
 const letterCentre = 352
 
 func TestSpreadCentre(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 1, letterCentre))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, region("r", 1, letterCentre), func(t *testing.T, f *fleet) {
 		for i := range 5 {
 			f.inForce(f.commit(fmt.Sprintf("o%d", i)), promised)
 		}
@@ -75,11 +71,7 @@
 // The store is down for longer than everything else; what was accepted before
 // spreads among peers, also to a process that starts during the outage.
 func TestSpreadOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 2, 20))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, region("r", 2, 20), func(t *testing.T, f *fleet) {
 		generation := f.commit("a")
 		f.inForce(generation, promised)
 		f.table.Inject(clemstandin.TableFaults{Down: true})
@@ -114,11 +106,7 @@
 
 // A process that restarts while the table answers never holds less than before.
 func TestSpreadRestartKeepsNewest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 1, 30))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, region("r", 1, 30), func(t *testing.T, f *fleet) {
 		leaf := f.ordered("r-0")[29]
 		f.stop(leaf.GetName())
 		generation := f.commit("a")
@@ -132,11 +120,7 @@
 }
 
 func TestSpreadCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 3, 12))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, region("r", 3, 12), func(t *testing.T, f *fleet) {
 		alone := f.ordered("r-1")[3].GetName()
 		f.freeze(alone, true)
 		var generation uint64
@@ -179,11 +163,7 @@
 // The state of no process ever goes back, through restarts of the store,
 // lost answers, cuts and freezes.
 func TestSpreadNeverReverts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, regions(2, 2, 8))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, regions(2, 2, 8), func(t *testing.T, f *fleet) {
 		highest := map[string]uint64{}
 		check := func() {
 			for name, n := range f.nodes {
--- a/clemrelay/sum_test.go
+++ b/clemrelay/sum_test.go
@@ -40,46 +40,44 @@
 	return age, missing
 }
 
-func TestBeatCentre(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 1, letterCentre))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
-		age, missing := f.watch("pool-1", 10*time.Second)
-		require.Zero(t, missing)
-		require.Less(t, age, fallback)
-		for _, n := range f.nodes {
-			load, _ := n.board.Loads().Get().Pool("pool-1")
-			require.Equal(t, letterCentre/4, load.Servers())
-			require.EqualValues(t, 100*letterCentre/4, load.Total())
-			require.InEpsilon(t, float64(30*time.Millisecond), float64(load.Median()), 0.15)
-		}
-	})
-}
-
-func TestBeatRegions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, regions(10, 4, 8))
-		f.delay = farRegions
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
-		age, missing := f.watch("pool-1", 10*time.Second)
-		require.Zero(t, missing)
-		require.Less(t, age, fallback)
-		t.Logf("age %v", age)
-	})
+// Every node has whole sums that are young enough to use, in one data centre
+// and with all the delay between regions.
+func TestBeatSums(t *testing.T) {
+	for name, c := range map[string]struct {
+		hosts []*clemwire.Host
+		delay func(a, b *clemwire.Host) time.Duration
+	}{
+		"centre":  {region("r", 1, letterCentre), nil},
+		"regions": {regions(10, 4, 8), farRegions},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, c.hosts)
+				if c.delay != nil {
+					f.delay = c.delay
+				}
+				f.startAll()
+				defer f.stopAll()
+				time.Sleep(warmup)
+				age, missing := f.watch("pool-1", 10*time.Second)
+				require.Zero(t, missing)
+				require.Less(t, age, fallback)
+				t.Logf("age %v", age)
+				for _, n := range f.nodes {
+					load, _ := n.board.Loads().Get().Pool("pool-1")
+					require.Equal(t, len(c.hosts)/4, load.Servers())
+					require.EqualValues(t, 100*len(c.hosts)/4, load.Total())
+					require.InEpsilon(t, float64(30*time.Millisecond), float64(load.Median()), 0.15)
+				}
+			})
+		})
+	}
 }
 
 // A stopped child drops out of the sums; a frozen one stops counting within
 // the drop time and a few rounds.
 func TestBeatDrop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, region("r", 1, 40))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, region("r", 1, 40), func(t *testing.T, f *fleet) {
 		leaf := f.ordered("r-0")[39]
 		f.freeze(leaf.GetName(), true)
 		time.Sleep(6 * time.Second)
@@ -105,11 +103,7 @@
 // another parent.
 func TestBeatFrozenNode(t *testing.T) {
 	for _, index := range []int{39, 7, 3} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, region("r", 1, 40))
-			f.startAll()
-			defer f.stopAll()
-			time.Sleep(warmup)
+		inFleet(t, region("r", 1, 40), func(t *testing.T, f *fleet) {
 			order := f.ordered("r-0")
 			below := map[*clemwire.Host]bool{order[index]: true}
 			for i := index + 1; i < len(order); i++ {
@@ -138,11 +132,7 @@
 
 // A part of the fleet that hears less than half of a pool publishes no sum.
 func TestBeatSmallPart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, regions(3, 1, 8))
-		f.startAll()
-		defer f.stopAll()
-		time.Sleep(warmup)
+	inFleet(t, regions(3, 1, 8), func(t *testing.T, f *fleet) {
 		f.cutOff(func(h *clemwire.Host) bool { return h.GetRegion() == "r1" })
 		time.Sleep(20 * time.Second)
 		for _, n := range f.nodes {
