--- a/clemrelay/spread_test.go
+++ b/clemrelay/spread_test.go
@@ -24,7 +24,7 @@
 const letterCentre = 352
 
 func TestSpreadCentre(t *testing.T) {
-	inFleet(t, region("r", 1, letterCentre), func(t *testing.T, f *fleet) {
+	inFleet(t, region("r", 1, letterCentre), func(_ *testing.T, f *fleet) {
 		for i := range 5 {
 			f.inForce(f.commit(fmt.Sprintf("o%d", i)), promised)
 		}
