--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -54,7 +54,7 @@
 }
 
 // Sidecar implements clementineturn.Peer beside one backend server. Lock
-// order: Sidecar.mu before the locks of gate, answers and keeper; none of
+// order: Sidecar.mu and Sidecar.limits before the locks of gate, answers and keeper; none of
 // those is held when it calls them.
 type Sidecar struct {
 	clemrpc.Unsupported
@@ -68,6 +68,8 @@
 	ledger  *clemclaim.Ledger
 	events  *clemevent.Logger
 
+	// limits guards the passing of limits to the gate.
+	limits sync.Mutex
 	// limited is the configuration that the gate's limits come from.
 	limited atomic.Pointer[clemconfig.State]
 	// held is nil until the platform's table gave the sidecar an incarnation.
@@ -167,8 +169,11 @@
 	}
 }
 
-// refreshLimits passes configuration and pool load to the gate.
+// refreshLimits passes configuration and pool load to the gate. Ticks and
+// offers call it; the lock keeps a slower one from putting older limits back.
 func (s *Sidecar) refreshLimits(now time.Time) {
+	s.limits.Lock()
+	defer s.limits.Unlock()
 	state := s.board.Config().Get()
 	if state == nil {
 		return
