Sidecar: a repeat of a known attempt gets the first verdict, not a stale refusal

Cause: Offer checked the generation before it looked the attempt up. A repeat of an accepted attempt, after its scope had changed, was refused as stale with not_run, though its work was running.

Change: a known attempt is looked up first. New attempts are checked as before.

Tests: TestRepeatAfterChange failed before the change.

--- a/clemsidecar/offer.go
+++ b/clemsidecar/offer.go
@@ -16,6 +16,10 @@
 // Offer implements clementineturn.Peer. Every refusal it returns says that
 // the work was not run and never will be.
 func (s *Sidecar) Offer(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+	// The work of a known attempt may be running, whatever has changed since.
+	if a := s.find(offer.GetAttempt()); a != nil {
+		return s.await(ctx, a)
+	}
 	if err := s.checkGeneration(offer); err != nil {
 		return s.refuse(offer, err), nil
 	}
@@ -84,6 +88,13 @@
 	return nil
 }
 
+// find returns the attempt, or nil if it is not known.
+func (s *Sidecar) find(id string) *attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts[id]
+}
+
 // enter registers the attempt. A repeat of an attempt that is known finds the first one.
 func (s *Sidecar) enter(offer *clemwire.Offer, cancel context.CancelFunc) (*attempt, bool) {
 	s.mu.Lock()
