Sidecar: an undecided offer keeps it from being idle

Cause: an offer that had passed the drain check and not yet reached the gate was in no count. A shutdown that asked Idle just then closed the process, and the work that the offer started was cut.

Change: Idle counts attempts that have not ended. Offers are registered before they look at the drain, so that either Idle sees the offer or the offer sees the drain.

--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -273,9 +273,13 @@
 	}, nil
 }
 
-// Idle reports whether nothing runs, no outcome waits to be recorded and no
-// answer waits for its reader.
+// Idle reports whether no offer is undecided, nothing runs, no outcome waits to
+// be recorded and no answer waits for its reader. An offer is registered before
+// it looks at the drain, so that a draining sidecar that is idle stays so.
 func (s *Sidecar) Idle() bool {
+	if s.isServing() {
+		return false
+	}
 	if h := s.held.Load(); h != nil && h.keeper.Pending() > 0 {
 		return false
 	}
@@ -283,6 +287,18 @@
 	return report.Running() == 0 && report.Waiting() == 0 && s.answers.Unread() == 0
 }
 
+// isServing reports whether an attempt is between its arrival and its end.
+func (s *Sidecar) isServing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts {
+		if a.ended.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Wait returns when every dispatched piece of work has ended.
 func (s *Sidecar) Wait() { s.running.Wait() }
 
