Answers: the recorded outcome holds a stream's last event without a blank line

Cause: the outcome of at-most-once work is recorded before the answer ends, and the rest after the last blank line becomes a frame only at the end. The caller got it, a replay of the key did not.

Change: Body appends the rest.

Test: TestBodyOfOpenEvent, which failed before the change.

--- a/clemanswer/answer.go
+++ b/clemanswer/answer.go
@@ -181,7 +181,9 @@
 	return len(a.frames) > 0
 }
 
-// Body returns the data of a whole answer with its status and media type.
+// Body returns the data of a whole answer with its status and media type. It
+// may be called before the end, so that a last event without a blank line
+// counts too.
 func (a *Answer) Body() *clemwire.Outcome {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -192,6 +194,7 @@
 		}
 		outcome.Body = append(outcome.Body, frame.GetData()...)
 	}
+	outcome.Body = append(outcome.Body, a.partial...)
 	return outcome
 }
 
--- a/clemanswer/answer_test.go
+++ b/clemanswer/answer_test.go
@@ -203,3 +203,17 @@
 	require.True(t, clementineturn.IsKind(err, clementineturn.KindEvicted))
 	require.Len(t, s.ended, 2)
 }
+
+// TestBodyOfOpenEvent takes the outcome of a stream whose last event has no
+// blank line: a replay must hold it, as the answer itself does.
+func TestBodyOfOpenEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a := open(t, s, "text/event-stream")
+		require.NoError(t, a.Data([]byte("data: a\n\ndata: b")))
+		before := a.Body()
+		require.Equal(t, "data: a\n\ndata: b", string(before.GetBody()))
+		s.Close(a, nil, time.Now())
+		require.Equal(t, string(before.GetBody()), string(a.Body().GetBody()))
+	})
+}
