Backend: a media type that is not UTF-8 no longer fails the answer

Cause: a header may hold bytes beyond ASCII, and protobuf refuses to marshal a string that is not UTF-8. The start frame, and the record of an at-most-once outcome, could not be written though the call had run.

Change: such bytes become U+FFFD.

Test: TestRunMediaIsText, which failed before the change.

--- a/clembackend/relay.go
+++ b/clembackend/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 	"sync"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -26,7 +27,8 @@
 
 // relay passes the answer to the sink as it is read.
 func relay(ctx context.Context, offer *clemwire.Offer, resp *http.Response, sink clementineturn.Sink) error {
-	media := resp.Header.Get("Content-Type")
+	// A header may hold any bytes, a message holds UTF-8.
+	media := strings.ToValidUTF8(resp.Header.Get("Content-Type"), "\ufffd")
 	if err := sink.Start(&clemwire.Start{Status: uint32(resp.StatusCode), Media: media}); err != nil {
 		return err
 	}
--- a/clembackend/relay_test.go
+++ b/clembackend/relay_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -25,6 +27,23 @@
 	require.InDelta(t, allocations(10), allocations(10_000), 1)
 }
 
+// TestRunMediaIsText passes on a media type that is not UTF-8: no message of
+// the fleet could carry it, and the whole answer would fail.
+func TestRunMediaIsText(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; title=caf\xe9")
+		_, _ = io.WriteString(w, "tea")
+	})
+	inBubble(t, handler, func(t *testing.T, b *Backend) {
+		var got recorder
+		require.NoError(t, b.Run(t.Context(), reserve(), &got))
+		require.Equal(t, "text/plain; title=caf\ufffd", got.start.GetMedia())
+		_, err := proto.Marshal(got.start)
+		require.NoError(t, err)
+		require.Equal(t, "tea", got.data.String())
+	})
+}
+
 // repeater reads as a number of equal chunks.
 type repeater struct {
 	chunk []byte
