Calls: a message larger than peers read is refused before it is sent

Cause: an entry's body setting may be larger than the 32 MiB that a peer reads. Such an offer was written to the connection that all callers share; the peer answered "internal" and left the rest of the message in the stream, from where it read on as if at the next message.

Change: call refuses it as too_large with not_run before it connects.

Test: TestLargeCall, which failed before the change ("internal: message size exceeded unmarshaler's maximum configured size").

--- a/clemrpc/client.go
+++ b/clemrpc/client.go
@@ -218,8 +218,12 @@
 }
 
 // call runs one call. A broken connection is dropped; the call is not repeated,
-// since the other side may have received it.
+// since the other side may have received it. A message that the other side
+// would not read is not sent: it would break the connection for every caller.
 func (p *peer) call(ctx context.Context, method string, args, result proto.Message) error {
+	if size := proto.Size(args); size > maxMessage {
+		return clementineturn.Refuse(clementineturn.KindTooLarge, "peer %s: %s: %d bytes are more than %d", p.address, method, size, maxMessage)
+	}
 	client, err := p.connect(ctx)
 	if err != nil {
 		return err
--- a/clemrpc/rpc_test.go
+++ b/clemrpc/rpc_test.go
@@ -128,6 +128,28 @@
 	})
 }
 
+// TestLargeCall offers more than a peer reads: the offer alone is refused, and
+// a call that shares the connection goes on.
+func TestLargeCall(t *testing.T) {
+	serves := &fakePeer{offer: func(ctx context.Context, offer *clemwire.Offer) (*clemwire.Verdict, error) {
+		time.Sleep(time.Second)
+		return accept(ctx, offer)
+	}}
+	inBubble(t, serves, func(t *testing.T, p *pair) {
+		other := make(chan error, 1)
+		go func() {
+			_, err := p.Offer(t.Context(), &clemwire.Offer{Attempt: "a"})
+			other <- err
+		}()
+		synctest.Wait()
+		_, err := p.Offer(t.Context(), &clemwire.Offer{Attempt: "b", Body: make([]byte, maxMessage)})
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindTooLarge), err)
+		require.True(t, clementineturn.IsNotRun(err), err)
+		require.NoError(t, <-other)
+		require.Equal(t, 1, p.dials)
+	})
+}
+
 func TestWrongKey(t *testing.T) {
 	inBubble(t, &fakePeer{offer: accept}, func(t *testing.T, p *pair) {
 		p.peers.key = "other"
