Entry: an offer too large to send does not count against the server

Cause: every error of an offer counted as a failure of the server, so that large bodies could mark healthy servers as failed.

Change: a refusal as too_large does not count.

Test: TestFailuresOfServers; its too_large case failed before the change.

--- a/clementry/router.go
+++ b/clementry/router.go
@@ -144,7 +144,10 @@
 	for range maxLessons {
 		verdict, err := r.ask(ctx, peer, p.offer)
 		if err != nil {
-			r.Health.Failed(host.GetName(), time.Now())
+			// A message too large to send says nothing about the server.
+			if !clementineturn.IsKind(err, clementineturn.KindTooLarge) {
+				r.Health.Failed(host.GetName(), time.Now())
+			}
 			return nil, nil, lost(err)
 		}
 		refusal := clementineturn.FromRefusal(verdict.GetRefusal())
