Entry: a stream that breaks often and goes on each time is not cut

Cause: an answer had three fetches in all, so that a long stream whose connection broke three times was cut although every fetch had brought it on.

Change: a fetch that brings a frame starts the count of failed ones anew. The request's deadline still bounds them.

--- a/clementry/frame_test.go
+++ b/clementry/frame_test.go
@@ -171,3 +171,22 @@
 	require.Equal(t, http.StatusOK, got.Code)
 	require.Contains(t, got.Body.String(), events[2])
 }
+
+// TestManyCuts breaks the answer's connection after every frame: each try goes
+// on from the last, and only tries without a frame count against the answer.
+func TestManyCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		data := []string{"data: 1\n\n", "data: 2\n\n", "data: 3\n\n", "data: 4\n\n", "data: [DONE]\n\n"}
+		sidecar := &fakeSidecar{frames: func(_ context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
+			frame := whole(fetch, eventStream, data)[fetch.GetFrom()]
+			if err := handler(frame); err != nil || frame.GetEnd() != nil {
+				return err
+			}
+			return clementineturn.Errorf(clementineturn.KindCut, "cut")
+		}}
+		got := ask(newEntry(sidecar), chatPath, plain, nil)
+		for _, event := range data {
+			require.Equal(t, 1, strings.Count(got.Body.String(), event), got.Body.String())
+		}
+	})
+}
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -11,7 +11,8 @@
 
 const (
 	cancelTimeout = time.Second
-	// fetchTries and fetchDelay bound how a broken answer stream is taken up again.
+	// fetchTries and fetchDelay bound how a broken answer stream is taken up
+	// again. A try that brings a frame starts the count anew.
 	fetchTries = 3
 	fetchDelay = 100 * time.Millisecond
 	// maxRepeats bounds the attempts that one request makes after the first was dispatched.
@@ -181,17 +182,19 @@
 // relay passes the answer of one attempt to the output and takes a broken
 // stream up again where it broke.
 func (r *router) relay(ctx context.Context, s *session, out *output) error {
-	var err error
-	for try := range fetchTries {
-		if try > 0 && !pause(ctx, fetchDelay) {
-			break
-		}
-		err = s.fetch(ctx, out)
+	for failed := 0; ; {
+		from := out.next
+		err := s.fetch(ctx, out)
 		if out.complete || !clementineturn.IsKind(err, clementineturn.KindCut) {
-			break
+			return err
+		}
+		if failed++; out.next > from {
+			failed = 1
+		}
+		if failed == fetchTries || !pause(ctx, fetchDelay) {
+			return err
 		}
 	}
-	return err
 }
 
 // fetch reads frames from the output's position on and checks whose they are.
