Bodies fit the messages between processes; no kept-alive connections while draining

A body above 24 MiB would exceed the 32 MiB that a process reads from another one: the setting's range ends there. An entry that drains closes connections after their request, so that callers on kept ones cannot keep it from ending. The changes for a stale offer are fetched within the offer's context.

--- a/clemnode/process.go
+++ b/clemnode/process.go
@@ -94,6 +94,11 @@
 	if !wait(ctx, p.settle) {
 		return errGrace(ctx)
 	}
+	// Callers on connections of their own would otherwise go on coming and
+	// keep the process from ever being idle.
+	for _, s := range p.servers {
+		s.SetKeepAlivesEnabled(false)
+	}
 	for !p.idle() {
 		if !wait(ctx, drainPoll) {
 			return errGrace(ctx)
--- a/clemsetting/table.go
+++ b/clemsetting/table.go
@@ -92,7 +92,7 @@
 	{path: "operators", kind: KindOperators, role: RoleEntry, doc: "Operators that may use the operators' interface."},
 	{path: "operators[].name", kind: KindName, role: RoleEntry, required: true, doc: "Name of the operator, recorded with each change."},
 	{path: "operators[].digest", kind: KindDigest, role: RoleEntry, required: true, doc: "SHA-256 digest of the operator's token."},
-	{path: "body", kind: KindInteger, role: RoleEntry, initial: int64(4 * mib), low: kib, top: gib, doc: "Largest request body in bytes."},
+	{path: "body", kind: KindInteger, role: RoleEntry, initial: int64(4 * mib), low: kib, top: 24 * mib, doc: "Largest request body in bytes. Processes send each other messages of at most 32 MiB."},
 	{path: "header", kind: KindDuration, role: RoleEntry, initial: 10 * time.Second, low: int64(100 * time.Millisecond), top: int64(5 * time.Minute), doc: "Longest time to read a request's header."},
 	{path: "read", kind: KindDuration, role: RoleEntry, initial: 30 * time.Second, low: int64(100 * time.Millisecond), top: int64(time.Hour), doc: "Longest time to read a request's body."},
 	{path: "deadline", kind: KindDuration, role: RoleEntry, initial: 2 * time.Minute, low: int64(time.Second), top: int64(time.Hour), doc: "Deadline of a request whose caller names none."},
--- a/clemsidecar/offer.go
+++ b/clemsidecar/offer.go
@@ -21,7 +21,7 @@
 		return s.await(ctx, a)
 	}
 	if err := s.checkGeneration(offer); err != nil {
-		return s.refuse(offer, err), nil
+		return s.refuse(ctx, offer, err), nil
 	}
 	timeout := offer.GetTimeout().AsDuration()
 	if timeout <= 0 {
@@ -42,7 +42,7 @@
 	if err == nil {
 		err = s.admit(runCtx, a)
 	}
-	a.verdict = s.verdict(offer, err)
+	a.verdict = s.verdict(ctx, offer, err)
 	close(a.decided)
 	if err != nil {
 		cancel()
@@ -225,19 +225,19 @@
 	return a.begun
 }
 
-func (s *Sidecar) verdict(offer *clemwire.Offer, err error) *clemwire.Verdict {
+func (s *Sidecar) verdict(ctx context.Context, offer *clemwire.Offer, err error) *clemwire.Verdict {
 	if err != nil {
-		return s.refuse(offer, err)
+		return s.refuse(ctx, offer, err)
 	}
 	return &clemwire.Verdict{Status: s.status()}
 }
 
 // refuse returns the refusal as a verdict, with the changes that a stale offer lacked.
-func (s *Sidecar) refuse(offer *clemwire.Offer, err error) *clemwire.Verdict {
+func (s *Sidecar) refuse(ctx context.Context, offer *clemwire.Offer, err error) *clemwire.Verdict {
 	e := clementineturn.AsError(err)
 	verdict := &clemwire.Verdict{Refusal: e.Refusal(), Status: s.status()}
 	if e.Kind() == clementineturn.KindStale && offer.GetGeneration() < s.generation() {
-		if pulled, err := s.relay.Pull(context.Background(), &clemwire.Pull{Generation: offer.GetGeneration()}); err == nil {
+		if pulled, err := s.relay.Pull(ctx, &clemwire.Pull{Generation: offer.GetGeneration()}); err == nil {
 			verdict.Changes = pulled.GetChanges()
 		}
 	}
