ctl: empty arguments and unreachable reads

An empty argument ended in flaggy's panic with a stack trace; it is a fault of the command line now (exit 2). A command that only reads said that the request may have taken effect and named an --id that it does not take; now only changes say so, and claim resolve, which has no id, points to the claim.

TestParse and TestExitCodes failed first: panic, and the text on burn against a closed port.

--- a/clemcli/parse.go
+++ b/clemcli/parse.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"text/template"
@@ -41,6 +42,10 @@
 	c.Parser.HelpTemplate = captureTemplate(&help)
 	c.Parser.ShowCompletion = false
 	c.Parser.ShowVersionWithVersionFlag = false
+	// Flaggy panics on an empty argument.
+	if i := slices.Index(c.Args, ""); i >= 0 {
+		return Usage(c, "argument %d is empty", i+1), false
+	}
 	catchStray(&c.Parser.Subcommand, &stray)
 	exited, err := parse(c.Parser, c.Args)
 	switch {
--- a/clemcli/parse_test.go
+++ b/clemcli/parse_test.go
@@ -34,6 +34,7 @@
 		"unknown flag":    {args: []string{"run", "--fast"}, code: ExitUsage, err: "tool: Unknown arguments supplied: fast"},
 		"extra word":      {args: []string{"run", "far"}, code: ExitUsage, err: "tool: Unexpected argument: far"},
 		"missing value":   {args: []string{"run", "--value"}, code: ExitUsage, err: "tool: Expected a following arg"},
+		"empty word":      {args: []string{"run", ""}, code: ExitUsage, err: "tool: argument 2 is empty"},
 		"version":         {args: []string{"--version"}, code: ExitUsage, err: "tool: Unknown arguments supplied: version"},
 		"completion":      {args: []string{"completion", "bash"}, code: ExitUsage, err: "tool: "},
 	} {
--- a/clemctl/command.go
+++ b/clemctl/command.go
@@ -105,8 +105,12 @@
 	return clemwire.EntityKind(value), nil
 }
 
-// send makes one call and writes its answer.
+// send makes one call and writes its answer. A call that carries the id of a
+// request changes something and can be repeated.
 func send[Q, A any](ctx context.Context, s *session, call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), message *Q, write func(*A)) error {
+	if m, ok := any(message).(interface{ GetId() string }); ok {
+		s.doubt = "Repeat it with --id " + m.GetId() + " to be answered with its result."
+	}
 	response, err := call(ctx, request(s, message))
 	if err != nil {
 		return err
@@ -213,6 +217,7 @@
 	if err != nil {
 		return err
 	}
+	s.doubt = "Look at the claim before you repeat it."
 	return send(ctx, s, s.client.ResolveClaim, message, s.writeClaim)
 }
 
--- a/clemctl/run.go
+++ b/clemctl/run.go
@@ -58,6 +58,9 @@
 	json      bool
 	ran       bool
 	void      bool
+	// doubt tells what to do if the outcome is not known; "" if the command
+	// changes nothing.
+	doubt string
 }
 
 // usageError is a fault of the command line.
@@ -203,8 +206,8 @@
 	case clementineturn.KindConflict:
 		return clemcli.ExitConflict
 	case clementineturn.KindUnknown, clementineturn.KindTimeout, clementineturn.KindUnavailable, clementineturn.KindUnready:
-		if !e.NotRun() {
-			fmt.Fprintf(s.Err, "The request may have taken effect. Repeat it with --id %s to be answered with its result.\n", s.id)
+		if !e.NotRun() && s.doubt != "" {
+			fmt.Fprintf(s.Err, "The request may have taken effect. %s\n", s.doubt)
 		}
 		return clemcli.ExitUnreachable
 	}
--- a/clemctl/run_test.go
+++ b/clemctl/run_test.go
@@ -253,6 +253,8 @@
 		"bad address":        {clemcli.ExitUsage, "--address", []string{"burn", "--address", "10.0.0.1:80"}},
 		"token and fault":    {clemcli.ExitUsage, "poool", []string{"list", "poool", "--token", token}},
 		"token and flag":     {clemcli.ExitUsage, "force", []string{"--token", token, "burn", "--force"}},
+		"empty argument":     {clemcli.ExitUsage, "argument 2 is empty", []string{"drain", ""}},
+		"empty value":        {clemcli.ExitUsage, "argument 3 is empty", []string{"burn", "--token", ""}},
 		"bad token":          {clemcli.ExitUsage, "--token", []string{"burn", "--token", "a\nb"}},
 		"no file":            {clemcli.ExitUsage, "--file", []string{"create", "pool"}},
 		"ran and void":       {clemcli.ExitUsage, "--ran and --void", []string{"claim", "resolve", "a", "b", "--ran", "--void"}},
@@ -269,6 +271,7 @@
 			require.Contains(t, b.err.String(), tc.text)
 			require.Empty(t, b.out.String())
 			require.NotContains(t, b.err.String(), token)
+			require.NotContains(t, b.err.String(), "may have taken effect", "no such command changed anything")
 		})
 	}
 	b.table.Inject(clemstandin.TableFaults{Down: true})
@@ -277,6 +280,8 @@
 	b.table.Inject(clemstandin.TableFaults{LateWrites: 1, Late: time.Hour})
 	require.Equal(t, clemcli.ExitUnreachable, b.run(t, "", "drain", "srv-1", "--id", "d1"))
 	require.Contains(t, b.err.String(), "--id d1")
+	require.Equal(t, clemcli.ExitUnreachable, b.run(t, "", "claim", "resolve", "acme", "k", "--ran", "--address", "http://127.0.0.1:1"))
+	require.Contains(t, b.err.String(), "The request may have taken effect. Look at the claim")
 }
 
 func TestNoToken(t *testing.T) {
