Sidecar: an undrained server takes work again

The gate kept a drain for good, since it was made for shutdown, and the sidecar put every drain of the board into it. After clementine ctl undrain the process reported itself as not draining and went on refusing all work until a restart; a pool of one server answered only refusals.

Gate.Drain becomes Gate.SetDraining, which the sidecar's tick calls with the board's state.

--- a/clemgate/gate.go
+++ b/clemgate/gate.go
@@ -171,11 +171,11 @@
 	g.tick(now)
 }
 
-// Drain refuses waiting and new work for good.
-func (g *Gate) Drain(now time.Time) {
+// SetDraining refuses waiting and new work, or takes new work again.
+func (g *Gate) SetDraining(now time.Time, draining bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = true
+	g.draining = draining
 	g.tick(now)
 }
 
--- a/clemgate/model_test.go
+++ b/clemgate/model_test.go
@@ -196,7 +196,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
 		t.Repeat(rapid.StateMachineActions(m))
-		m.gate.Drain(m.now)
+		m.gate.SetDraining(m.now, true)
 		for _, ticket := range m.tickets {
 			require.True(t, isDecided(ticket), "every item is decided")
 			m.gate.Leave(m.now, ticket)
--- a/clemsidecar/limit_test.go
+++ b/clemsidecar/limit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/clementineturn/clementineturn/clemboard"
 	"github.com/clementineturn/clementineturn/clemconfig"
 )
 
@@ -42,3 +43,23 @@
 		require.Nil(t, verdict.GetRefusal(), "the new slots are in force")
 	})
 }
+
+// A drain that is undone leaves nothing behind: the server takes work again.
+func TestUndrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.close()
+		drain := func(on bool) {
+			b.board.Drain().Update(func(d *clemboard.Drain) *clemboard.Drain { return d.With("operator", on) })
+			time.Sleep(2 * tickInterval)
+		}
+		drain(true)
+		verdict, err := b.Offer(t.Context(), offerOf("r.1", "", time.Minute))
+		require.NoError(t, err)
+		require.Equal(t, "draining", verdict.GetRefusal().GetKind())
+		drain(false)
+		verdict, err = b.Offer(t.Context(), offerOf("r.2", "", time.Minute))
+		require.NoError(t, err)
+		require.Nil(t, verdict.GetRefusal())
+	})
+}
--- a/clemsidecar/sidecar.go
+++ b/clemsidecar/sidecar.go
@@ -150,10 +150,7 @@
 
 func (s *Sidecar) tick(now time.Time) {
 	s.refreshLimits(now)
-	s.gate.Expire(now)
-	if s.board.Drain().Get().Active() {
-		s.gate.Drain(now)
-	}
+	s.gate.SetDraining(now, s.board.Drain().Get().Active())
 	for _, id := range s.answers.Orphans(now) {
 		s.stop(id)
 	}
