--- a/clemops/claim.go
+++ b/clemops/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"mime"
 	"slices"
+	"strings"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -92,7 +93,7 @@
 		return nil
 	case clemwire.ClaimState_CLAIM_STATE_HELD:
 	default:
-		return clementineturn.Refuse(clementineturn.KindConflict, "the call is in state %v, only one whose outcome is unknown can be resolved", record.GetState())
+		return clementineturn.Refuse(clementineturn.KindConflict, "the call is %s, only one whose outcome is unknown can be resolved", stateName(record.GetState()))
 	}
 	hosts, err := h.listed(ctx)
 	if err != nil {
@@ -150,3 +151,8 @@
 	}
 	return nil
 }
+
+// stateName returns the state as operators read it.
+func stateName(state clemwire.ClaimState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "CLAIM_STATE_"))
+}
--- a/clemops/claim_test.go
+++ b/clemops/claim_test.go
@@ -73,6 +73,7 @@
 	b.claim(t, "done", done)
 	_, err = b.resolve(t, anaToken, "done", false, nil)
 	requireError(t, err, connect.CodeAborted, clementineturn.KindConflict, "")
+	require.Contains(t, err.Error(), "the call is done, only one")
 	shown, err := b.ana(t).ShowClaim(t.Context(), req(&clemwire.ShowClaimRequest{Organisation: "acme", Key: "done"}))
 	require.NoError(t, err)
 	require.Equal(t, done, shown.Msg.GetRecord().GetState())
