--- a/clemdoc/page.go
+++ b/clemdoc/page.go
@@ -148,7 +148,7 @@
 }
 
 func metrics() []byte {
-	p := newPage("Metrics", "Served at `/metrics` in Prometheus's text form, where every name starts with `clementine_`, and at `/metrics.json`. "+
+	p := newPage("Metrics", "Served without a token at `/metrics` in Prometheus's text form, where every name starts with `clementine_`, and at `/metrics.json`. "+
 		"Summaries have the quantiles 0.5, 0.95 and 0.99 of about the last five minutes, and a count and a sum over all values. "+
 		"The service-level burn report is `clementine ctl burn`.")
 	p.table("Metric", "Type", "Role", "Labels", "Meaning")
