Calls that never left go over a new connection

After a sidecar's graceful restart the first call of every entry ended as unknown (502, not_run false, also for chats): the entry's idle connection was closed, net/rpc refused the call before it was sent, and its ErrShutdown was taken for a call that may have run. Found by following upgrade.md by hand; seen at each of three restarts of a sidecar.

The codec notes on the call's argument that a write began, and net/rpc writes under the lock that ends pending calls, so the note is final once the call ends. A call without it is sent again once, over a new connection, and then refused as unavailable, not run. ErrShutdown alone does not tell: a call that was sent ends with it too if this side closes the connection. TestBrokenWhileIdle failed first (unknown: connection is shut down).

--- a/clemrpc/client.go
+++ b/clemrpc/client.go
@@ -217,37 +217,52 @@
 	return conn.SetDeadline(time.Time{})
 }
 
-// call runs one call. A broken connection is dropped; the call is not repeated,
-// since the other side may have received it.
+// call runs one call. A broken connection is dropped. A call that never left,
+// since the connection broke while it was idle, goes over a new one; no other
+// is repeated, since the other side may have received it.
 func (p *peer) call(ctx context.Context, method string, args, result proto.Message) error {
-	client, err := p.connect(ctx)
-	if err != nil {
-		return err
-	}
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 	}
+	sent, err := p.callOnce(ctx, method, args, result)
+	if err != nil && !sent && !clementineturn.IsNotRun(err) {
+		sent, err = p.callOnce(ctx, method, args, result)
+	}
+	if err != nil && !sent && !clementineturn.IsNotRun(err) {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "%w", err)
+	}
+	return err
+}
+
+// callOnce runs one call over the open connection or a new one, and reports
+// whether the other side may have received it.
+func (p *peer) callOnce(ctx context.Context, method string, args, result proto.Message) (sent bool, err error) {
+	client, err := p.connect(ctx)
+	if err != nil {
+		return false, err
+	}
 	// Go waits behind a write to a peer that no longer reads, for up to
 	// writeTimeout; the caller's context may end before.
 	done := make(chan *rpc.Call, 1)
-	go client.Go(serviceName+"."+method, args, result, done)
+	out := &outgoing{message: args}
+	go client.Go(serviceName+"."+method, out, result, done)
 	var pending *rpc.Call
 	select {
 	case <-ctx.Done():
-		return clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, ctx.Err())
+		return true, clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, ctx.Err())
 	case pending = <-done:
 	}
 	if pending.Error == nil {
-		return nil
+		return true, nil
 	}
 	var served rpc.ServerError
 	if errors.As(pending.Error, &served) {
-		return decodeError(served)
+		return true, decodeError(served)
 	}
 	p.drop(client)
-	return clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, pending.Error)
+	return out.written.Load(), clementineturn.Errorf(clementineturn.KindUnknown, "peer %s: %s: %w", p.address, method, pending.Error)
 }
 
 func (p *peer) drop(client *rpc.Client) {
--- a/clemrpc/codec.go
+++ b/clemrpc/codec.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -71,12 +72,23 @@
 	return message, nil
 }
 
+// outgoing is the argument of a call. It tells whether the call may have left,
+// which net/rpc does not: rpc.ErrShutdown stands for both cases.
+type outgoing struct {
+	message proto.Message
+	written atomic.Bool
+}
+
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct {
 	*stream
 }
 
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	if o, ok := body.(*outgoing); ok {
+		o.written.Store(true)
+		body = o.message
+	}
 	message, err := asMessage(body)
 	if err != nil {
 		return err
--- a/clemrpc/rpc_test.go
+++ b/clemrpc/rpc_test.go
@@ -254,6 +254,25 @@
 	})
 }
 
+// TestBrokenWhileIdle breaks the connection between two calls, as the restart
+// of a peer does: the second one never left, so it goes over a new connection.
+func TestBrokenWhileIdle(t *testing.T) {
+	inBubble(t, &fakePeer{offer: accept}, func(t *testing.T, p *pair) {
+		var latest net.Conn
+		p.wrap = func(conn net.Conn) net.Conn {
+			latest = conn
+			return conn
+		}
+		for dials := range 3 {
+			_, err := p.Offer(t.Context(), &clemwire.Offer{})
+			require.NoError(t, err)
+			require.Equal(t, dials+1, p.dials)
+			require.NoError(t, latest.Close())
+			synctest.Wait()
+		}
+	})
+}
+
 func frame(seq uint64) *clemwire.Frame {
 	return &clemwire.Frame{Request: "r", Attempt: "r.1", Seq: seq, Data: []byte("data")}
 }
