--- a/clemgate/model_test.go
+++ b/clemgate/model_test.go
@@ -126,6 +126,10 @@
 	m.gate.SetBusy(m.now, rapid.SampledFrom([]uint64{0, 0, 700}).Draw(t, "busy"))
 }
 
+func (m *machine) SetDraining(t *rapid.T) {
+	m.gate.SetDraining(m.now, rapid.SampledFrom([]bool{false, false, true}).Draw(t, "draining"))
+}
+
 func (m *machine) running() int {
 	running := 0
 	for _, ticket := range m.tickets {
