--- a/clemsetting/example_test.go
+++ b/clemsetting/example_test.go
@@ -25,6 +25,6 @@
 	}`))
 	fmt.Println(err)
 	// Output:
-	// body: found 10, allowed: an integer, 1024 to 1073741824
+	// body: found 10, allowed: an integer, 1024 to 25165824
 	// setle: found an unknown key; did you mean "settle"?
 }
