--- a/clementry/chat.go
+++ b/clementry/chat.go
@@ -142,7 +142,7 @@
 
 func (e *Entry) models(_ context.Context, c *call) error {
 	list := modelList{Object: "list", Data: []modelItem{}}
-	for _, entity := range e.Board.Config().Get().List(clemwire.EntityKind_ENTITY_KIND_POOL) {
+	for _, entity := range e.config.Board.Config().Get().List(clemwire.EntityKind_ENTITY_KIND_POOL) {
 		if model := entity.GetPool().GetModel(); model != "" {
 			list.Data = append(list.Data, modelItem{ID: model, Object: "model", Owner: "clementineturn"})
 		}
--- a/clementry/entry.go
+++ b/clementry/entry.go
@@ -52,7 +52,7 @@
 // Entry serves callers. It implements clementineturn.Peer for the fleet.
 type Entry struct {
 	clemrpc.Unsupported
-	Config
+	config Config
 	router *router
 	ration *ration
 	active atomic.Int64
@@ -60,23 +60,23 @@
 
 // New returns the entry that the configuration describes.
 func New(c Config) *Entry {
-	return &Entry{Config: c, router: newRouter(c), ration: newRation(c.Body)}
+	return &Entry{config: c, router: newRouter(c), ration: newRation(c.Body)}
 }
 
 // Pull implements clementineturn.Peer.
 func (e *Entry) Pull(ctx context.Context, pull *clemwire.Pull) (*clemwire.Pulled, error) {
-	return e.Relay.Pull(ctx, pull)
+	return e.config.Relay.Pull(ctx, pull)
 }
 
 // Beat implements clementineturn.Peer.
 func (e *Entry) Beat(ctx context.Context, beat *clemwire.Beat) (*clemwire.BeatReply, error) {
-	return e.Relay.Beat(ctx, beat)
+	return e.config.Relay.Beat(ctx, beat)
 }
 
 // Probe implements clementineturn.Peer.
 func (e *Entry) Probe(context.Context) (*clemwire.Probed, error) {
-	probed := &clemwire.Probed{Node: e.Name, Role: "entry", Draining: e.Board.Drain().Get().Active()}
-	if state := e.Board.Config().Get(); state != nil {
+	probed := &clemwire.Probed{Node: e.config.Name, Role: "entry", Draining: e.config.Board.Drain().Get().Active()}
+	if state := e.config.Board.Config().Get(); state != nil {
 		probed.Generation, probed.Ready = state.Generation(), true
 	}
 	return probed, nil
@@ -84,7 +84,7 @@
 
 // Gather implements clementineturn.Peer.
 func (e *Entry) Gather(context.Context) (*clemwire.Gathered, error) {
-	return e.Burn.Gather(e.Name), nil
+	return e.config.Burn.Gather(e.config.Name), nil
 }
 
 // Active returns the number of callers' requests in progress.
--- a/clementry/frame_test.go
+++ b/clementry/frame_test.go
@@ -166,7 +166,7 @@
 // TestResumeLeaving resumes at a server that takes no new work any more.
 func TestResumeLeaving(t *testing.T) {
 	e := newEntry(spoiled(eventStream, events, same))
-	e.Board.Members().Set(clemboard.NewMembers([]*clemwire.Host{{Name: "srv-1", Address: "srv-1", Pool: "chats", Leaving: true}}))
+	e.config.Board.Members().Set(clemboard.NewMembers([]*clemwire.Host{{Name: "srv-1", Address: "srv-1", Pool: "chats", Leaving: true}}))
 	got := ask(e, "/v1/chat/completions", "", map[string]string{headerEvent: strings.Repeat("A", 26) + ".1/srv-1/2"})
 	require.Equal(t, http.StatusOK, got.Code)
 	require.Contains(t, got.Body.String(), events[2])
--- a/clementry/health_test.go
+++ b/clementry/health_test.go
@@ -31,7 +31,7 @@
 				e := newEntry(&fakeSidecar{offer: func(context.Context, *clemwire.Offer) (*clemwire.Verdict, error) {
 					return nil, clementineturn.Refuse(kind, "no")
 				}})
-				e.router.Health = health
+				e.router.config.Health = health
 				got := ask(e, chatPath, plain, nil)
 				require.NotEqual(t, http.StatusOK, got.Code)
 				requireError(t, kind, "", got)
--- a/clementry/http.go
+++ b/clementry/http.go
@@ -45,7 +45,7 @@
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.Board.Config().Get() == nil || e.Board.Members().Get() == nil || e.Board.Drain().Get().Active() {
+	if e.config.Board.Config().Get() == nil || e.config.Board.Members().Get() == nil || e.config.Board.Drain().Get().Active() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -81,7 +81,7 @@
 
 // admit runs the handler if the ration has room for the request.
 func (e *Entry) admit(c *call, handle func(ctx context.Context, c *call) error) error {
-	bytes := cost(c.r, e.Body)
+	bytes := cost(c.r, e.config.Body)
 	if err := e.ration.take(c.organisation.GetName(), bytes); err != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 
 // authenticate returns the organisation whose key the request carries.
 func (e *Entry) authenticate(r *http.Request) (*clemwire.Organisation, error) {
-	state := e.Board.Config().Get()
+	state := e.config.Board.Config().Get()
 	if state == nil {
 		return nil, clementineturn.Refuse(clementineturn.KindUnready, "no configuration is held yet")
 	}
@@ -119,12 +119,12 @@
 	if failure != nil {
 		kind = failure.Kind().String()
 	}
-	e.Metrics.Counter("requests", "kind", kind).Inc(1)
-	e.Metrics.Timer("request_time").Update(now.Sub(c.begun))
+	e.config.Metrics.Counter("requests", "kind", kind).Inc(1)
+	e.config.Metrics.Timer("request_time").Update(now.Sub(c.begun))
 	if c.organisation != nil && c.pool != "" {
 		e.record(c, failure, now)
 	}
-	e.Events.Emit(clemevent.RequestEnded, zap.String("request", c.request), zap.String("organisation", c.organisation.GetName()),
+	e.config.Events.Emit(clemevent.RequestEnded, zap.String("request", c.request), zap.String("organisation", c.organisation.GetName()),
 		zap.String("pool", c.pool), zap.String("kind", kind), zap.Duration("took", now.Sub(c.begun)), zap.NamedError("error", errorOrNil(failure)))
 }
 
@@ -143,8 +143,8 @@
 	if out := c.floor.owner(); out != nil && out.sent {
 		first = out.first
 	}
-	objective := clemburn.Objective(e.Board.Config().Get(), c.organisation.GetName(), c.pool)
-	e.Burn.Record(now, c.organisation.GetName(), c.pool, failed, first.Sub(c.begun), objective.GetFirst().AsDuration())
+	objective := clemburn.Objective(e.config.Board.Config().Get(), c.organisation.GetName(), c.pool)
+	e.config.Burn.Record(now, c.organisation.GetName(), c.pool, failed, first.Sub(c.begun), objective.GetFirst().AsDuration())
 }
 
 // fail tells the caller of an error. After a part of the answer was sent an
@@ -205,10 +205,10 @@
 
 // body reads the request's body up to the limit.
 func (e *Entry) body(c *call) ([]byte, error) {
-	if c.r.ContentLength > e.Body {
-		return nil, tooLarge(e.Body)
+	if c.r.ContentLength > e.config.Body {
+		return nil, tooLarge(e.config.Body)
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.Body))
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.config.Body))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -239,7 +239,7 @@
 // run serves the task within its deadline.
 func (e *Entry) run(ctx context.Context, c *call, t *task, timeout time.Duration) error {
 	if timeout <= 0 {
-		timeout = e.Deadline
+		timeout = e.config.Deadline
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/clementry/input_test.go
+++ b/clementry/input_test.go
@@ -101,7 +101,7 @@
 		data := []string{strings.Repeat("x", wholeLimit+1), "rest"}
 		e := newEntry(spoiled("application/json", data, func(f []*clemwire.Frame) []*clemwire.Frame { return f[:2] }))
 		require.PanicsWithError(t, http.ErrAbortHandler.Error(), func() { ask(e, chatPath, plain, nil) })
-		require.EqualValues(t, 1, e.Metrics.Counter("requests", "kind", "cut").Count())
+		require.EqualValues(t, 1, e.config.Metrics.Counter("requests", "kind", "cut").Count())
 		require.Zero(t, e.Active())
 	})
 }
--- a/clementry/resume.go
+++ b/clementry/resume.go
@@ -53,10 +53,10 @@
 		return clementineturn.Errorf(clementineturn.KindEvicted, "no answer of %q is held", text)
 	}
 	c.pool = host.GetPool()
-	s := &session{host: host, peer: e.Peers.Peer(host.GetAddress()), offer: &clemwire.Offer{
+	s := &session{host: host, peer: e.config.Peers.Peer(host.GetAddress()), offer: &clemwire.Offer{
 		Request: id.request, Attempt: id.attempt, Organisation: c.organisation.GetName(), Mode: clemwire.Mode_MODE_IDEMPOTENT,
 	}}
-	ctx, cancel := context.WithTimeout(ctx, e.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, e.config.Deadline)
 	defer cancel()
 	c.bound(ctx)
 	out := c.floor.output()
@@ -72,7 +72,7 @@
 // sidecar returns the host of a backend server, or nil. A server that takes no
 // new work still holds its answers.
 func (e *Entry) sidecar(server string) *clemwire.Host {
-	members := e.Board.Members().Get()
+	members := e.config.Board.Members().Get()
 	if members == nil {
 		return nil
 	}
--- a/clementry/router.go
+++ b/clementry/router.go
@@ -34,7 +34,7 @@
 
 // router places requests on backend servers.
 type router struct {
-	Config
+	config   Config
 	offers   *clembudget.Budget
 	repeats  *clembudget.Budget
 	hedges   *clembudget.Hedge
@@ -43,7 +43,7 @@
 
 func newRouter(c Config) *router {
 	return &router{
-		Config:   c,
+		config:   c,
 		offers:   clembudget.New(clembudget.Config{Share: clemoffer.RetryShare, Burst: clemoffer.RetryBurst}),
 		repeats:  clembudget.New(clembudget.Config{Share: repeatShare, Burst: repeatBurst}),
 		overload: clembudget.NewOverload(clembudget.OverloadConfig{Hold: clemoffer.OverloadHold}),
@@ -65,7 +65,7 @@
 // place offers the task to ranked backend servers until one accepts. It
 // returns the last error; the task knows whether an offer was lost before it.
 func (r *router) place(ctx context.Context, t *task, hedge bool) (*session, error) {
-	p, err := t.plan(ctx, r.Board.Config().Get())
+	p, err := t.plan(ctx, r.config.Board.Config().Get())
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +81,7 @@
 			r.noteOverload(p, hedge, last)
 			return nil, last
 		}
-		p, err := t.plan(ctx, r.Board.Config().Get())
+		p, err := t.plan(ctx, r.config.Board.Config().Get())
 		if err != nil {
 			return nil, err
 		}
@@ -116,11 +116,11 @@
 
 // ranked returns the pool's backend servers, the best first.
 func (r *router) ranked(p *plan) []*clemwire.Host {
-	members := r.Board.Members().Get()
+	members := r.config.Board.Members().Get()
 	if members == nil {
 		return nil
 	}
-	return r.Ranker.Rank(p.work, members.Pool(p.offer.GetPool()))
+	return r.config.Ranker.Rank(p.work, members.Pool(p.offer.GetPool()))
 }
 
 // mayGoOn reports whether another backend server may get the work. A lost
@@ -140,29 +140,29 @@
 // offer makes one offer. A refusal as stale exchanges the missing changes and
 // offers again; the classification may then differ.
 func (r *router) offer(ctx context.Context, t *task, p *plan, host *clemwire.Host) (*session, *clemwire.Status, error) {
-	peer := r.Peers.Peer(host.GetAddress())
+	peer := r.config.Peers.Peer(host.GetAddress())
 	for range maxLessons {
 		verdict, err := r.ask(ctx, peer, p.offer)
 		if err != nil {
 			// A message too large to send says nothing about the server.
 			if !clementineturn.IsKind(err, clementineturn.KindTooLarge) {
-				r.Health.Failed(host.GetName(), time.Now())
+				r.config.Health.Failed(host.GetName(), time.Now())
 			}
 			return nil, nil, lost(err)
 		}
 		refusal := clementineturn.FromRefusal(verdict.GetRefusal())
 		if refusal == nil {
-			r.Health.Succeeded(host.GetName(), time.Now())
+			r.config.Health.Succeeded(host.GetName(), time.Now())
 			return &session{host: host, peer: peer, offer: p.offer}, verdict.GetStatus(), nil
 		}
 		if refusal.Kind() != clementineturn.KindStale {
-			r.Health.Refused(host.GetName(), refusal.Kind(), time.Now())
+			r.config.Health.Refused(host.GetName(), refusal.Kind(), time.Now())
 			if refusal.Kind() == clementineturn.KindOverloaded && !p.offer.GetEager() {
 				r.hedges.Overloaded(time.Now(), p.offer.GetPool())
 			}
 			return nil, verdict.GetStatus(), refusal
 		}
-		r.Events.Emit(clemevent.OfferStale, zap.String("request", t.request), zap.String("server", host.GetName()))
+		r.config.Events.Emit(clemevent.OfferStale, zap.String("request", t.request), zap.String("server", host.GetName()))
 		next, err := r.reconcile(ctx, t, p, verdict)
 		if err != nil {
 			return nil, nil, err
@@ -210,9 +210,9 @@
 func (r *router) reconcile(ctx context.Context, t *task, p *plan, verdict *clemwire.Verdict) (*plan, error) {
 	theirs := verdict.GetStatus().GetGeneration()
 	if theirs > p.offer.GetGeneration() {
-		r.Relay.Learn(verdict.GetChanges())
+		r.config.Relay.Learn(verdict.GetChanges())
 	}
-	next, err := t.plan(ctx, r.Board.Config().Get())
+	next, err := t.plan(ctx, r.config.Board.Config().Get())
 	if err != nil {
 		return nil, err
 	}
@@ -222,7 +222,7 @@
 	next.offer.Attempt, next.offer.Hedge = p.offer.GetAttempt(), p.offer.GetHedge()
 	next.offer.Eager, next.offer.Seen = p.offer.GetEager(), p.offer.GetSeen()
 	if theirs < next.offer.GetGeneration() {
-		pulled, err := r.Relay.Pull(ctx, &clemwire.Pull{Generation: theirs})
+		pulled, err := r.config.Relay.Pull(ctx, &clemwire.Pull{Generation: theirs})
 		if err != nil {
 			return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "changes since generation %d: %w", theirs, err)
 		}
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -44,7 +44,7 @@
 // the caller, a failed attempt of idempotent work is repeated elsewhere within
 // the retry budget, and a slow one is hedged within the pool's.
 func (r *router) serve(ctx context.Context, t *task, f *floor) error {
-	p, err := t.plan(ctx, r.Board.Config().Get())
+	p, err := t.plan(ctx, r.config.Board.Config().Get())
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 
 // earn credits the budgets with the work that the caller asked for.
 func (r *router) earn(p *plan) {
-	pool := r.Board.Config().Get().Pool(p.offer.GetPool())
+	pool := r.config.Board.Config().Get().Pool(p.offer.GetPool())
 	r.offers.Earn(1)
 	r.repeats.Earn(1)
 	r.hedges.Earn(p.offer.GetPool(), pool.GetHedge(), p.cost())
--- a/clementry/service.go
+++ b/clementry/service.go
@@ -66,7 +66,7 @@
 			Mode: mode, Key: key, Conversation: affinity(key, body), Prompt: callCost,
 		}}, nil
 	}
-	rule := e.Board.Config().Get().Rule(name, method)
+	rule := e.config.Board.Config().Get().Rule(name, method)
 	return e.run(ctx, c, newTask(c.request, c.organisation.GetName(), build), rule.GetTimeout().AsDuration())
 }
 
--- a/clemrpc/server.go
+++ b/clemrpc/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemwire"
@@ -249,3 +250,12 @@
 	}
 	return clementineturn.FromRefusal(refusal)
 }
+
+// reply moves a result into the message that net/rpc provides.
+func reply(to, from proto.Message, err error) error {
+	if err != nil {
+		return encodeError(err)
+	}
+	proto.Merge(to, from)
+	return nil
+}
