--- a/clemconfig/log.go
+++ b/clemconfig/log.go
@@ -24,10 +24,13 @@
 type Log struct {
 	table   clementineturn.Table
 	repeats *repeats
+	recent  *recent
 }
 
 // NewLog returns the log that the configuration describes.
-func NewLog(c LogConfig) *Log { return &Log{table: c.Table, repeats: newRepeats()} }
+func NewLog(c LogConfig) *Log {
+	return &Log{table: c.Table, repeats: newRepeats(), recent: newRecent()}
+}
 
 func rowKey(generation uint64) string { return fmt.Sprintf("config/%020d", generation) }
 
@@ -43,9 +46,17 @@
 		return nil, clementineturn.Errorf(clementineturn.KindInternal, "row %s: %w", row.Key(), err)
 	}
 	l.repeats.add(change)
+	l.recent.add(change)
 	return change, nil
 }
 
+// Recent returns the changes after one generation up to another from memory,
+// and false if this log did not read or make all of them lately. They must
+// not be changed.
+func (l *Log) Recent(after, last uint64) ([]*clemwire.Change, bool) {
+	return l.recent.between(after, last)
+}
+
 // Advance returns the state after every change that the log holds beyond the
 // given state. On an error it returns the newest state it reached.
 func (l *Log) Advance(ctx context.Context, state *State) (*State, error) {
@@ -99,6 +110,7 @@
 		if err != nil {
 			return state, 0, err
 		}
+		l.recent.add(change)
 		next, err = state.Apply(change)
 		return next, change.GetGeneration(), err
 	}
--- a/clemrelay/relay_test.go
+++ b/clemrelay/relay_test.go
@@ -28,7 +28,7 @@
 		require.NoError(t, err)
 		state = next
 	}
-	r := New(Config{Self: &clemwire.Host{Name: "a"}, Board: clemboard.New(), Log: log})
+	r := New(Config{Self: &clemwire.Host{Name: "a"}, Board: clemboard.New(), Log: clemconfig.NewLog(clemconfig.LogConfig{Table: table})})
 	r.contact.heard()
 	return r, table
 }
@@ -60,13 +60,14 @@
 	require.EqualValues(t, 5, r.config.Board.Config().Get().Generation())
 }
 
-// A state that this process committed leaves a gap in the changes it holds;
+// A state that came without its changes leaves a gap in those that are held;
 // children get them from the table, or a snapshot if they are far behind.
 func TestAdoptBackfills(t *testing.T) {
 	r, table := alone(t, 200)
 	r.Adopt(clemconfig.Empty())
 	r.Learn(changesOf(t, r, 0, 2))
-	state, err := r.config.Log.Advance(t.Context(), r.config.Board.Config().Get())
+	other := clemconfig.NewLog(clemconfig.LogConfig{Table: table})
+	state, err := other.Advance(t.Context(), r.config.Board.Config().Get())
 	require.NoError(t, err)
 	r.Adopt(state)
 	pulled, err := r.Pull(t.Context(), &clemwire.Pull{Generation: 150})
@@ -84,6 +85,22 @@
 	require.EqualValues(t, 200, pulled.GetSnapshot().GetGeneration())
 }
 
+// The process that committed a change can tell it while the table is down.
+func TestAdoptKeepsOwnChange(t *testing.T) {
+	r, table := alone(t, 3)
+	r.Adopt(clemconfig.Empty())
+	r.Learn(changesOf(t, r, 0, 3))
+	state, generation, err := r.config.Log.Commit(t.Context(), r.config.Board.Config().Get(), organisation("new"))
+	require.NoError(t, err)
+	table.Inject(clemstandin.TableFaults{Down: true})
+	r.Adopt(state)
+	pulled, err := r.Pull(t.Context(), &clemwire.Pull{Generation: generation - 1})
+	require.NoError(t, err)
+	require.Len(t, pulled.GetChanges(), 1)
+	require.Equal(t, generation, pulled.GetChanges()[0].GetGeneration())
+	require.Len(t, r.Changes(0), 4, "the changes before it are still held")
+}
+
 // Of two pulls that meet the same gap, the later one finds it closed.
 func TestBackfillOfNoGap(t *testing.T) {
 	r, _ := alone(t, 5)
--- a/clemrelay/store.go
+++ b/clemrelay/store.go
@@ -75,18 +75,35 @@
 	return nil
 }
 
-// adopt takes a whole state if it is newer than the one held, and reports whether it did.
+// adopt takes a whole state if it is newer than the one held, and reports
+// whether it did. The changes in between are kept for others if the log still
+// has them: the process that committed a change is the only one that can tell
+// it while the table is down.
 func (s *store) adopt(state *clemconfig.State) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != nil && state.Generation() <= s.state.Generation() {
 		return false
 	}
-	s.held = nil
+	if !s.bridge(state.Generation()) {
+		s.held = nil
+	}
 	s.publish(state)
 	return true
 }
 
+// bridge holds the changes up to a generation if the log still has them.
+func (s *store) bridge(generation uint64) bool {
+	if s.state == nil {
+		return false
+	}
+	changes, ok := s.log.Recent(s.state.Generation(), generation)
+	for _, change := range changes {
+		s.hold(change)
+	}
+	return ok
+}
+
 func (s *store) hold(change *clemwire.Change) {
 	if len(s.held) >= 2*maxHeld {
 		s.held = append([]*clemwire.Change(nil), s.held[len(s.held)-maxHeld:]...)
