--- a/clemfault/fleet_test.go
+++ b/clemfault/fleet_test.go
@@ -62,8 +62,7 @@
 	if n.ctx.Err() != nil || n.board.Config().Get() == nil {
 		return 0, clementineturn.Refuse(clementineturn.KindUnavailable, "%s is down", entry)
 	}
-	log := clemconfig.NewLog(clemconfig.LogConfig{Table: &nodeTable{n}})
-	state, generation, err := log.Commit(n.ctx, n.board.Config().Get(), &clemwire.Change{
+	state, generation, err := n.config.Commit(n.ctx, n.board.Config().Get(), &clemwire.Change{
 		Id: "new-organisation", Action: clemwire.Action_ACTION_CREATE,
 		Entity: &clemwire.Entity{Kind: &clemwire.Entity_Organisation{Organisation: &clemwire.Organisation{Name: "new", Weight: 1, Queue: 10}}},
 	})
--- a/clemfault/stale_test.go
+++ b/clemfault/stale_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/clementineturn/clementineturn/clemstandin"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -41,6 +43,27 @@
 	})
 }
 
+// The table goes down right after an entry accepted a change. The entry passes
+// the change on with its offers, and the call is served at its first try.
+func TestChangeBeforeOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		n := w.node("entry-1")
+		pool := proto.CloneOf(n.board.Config().Get().Pool("chat"))
+		pool.Bound = 3
+		state, generation, err := n.config.Commit(n.ctx, n.board.Config().Get(), &clemwire.Change{
+			Id: "before-outage", Action: clemwire.Action_ACTION_UPDATE, Entity: &clemwire.Entity{Kind: &clemwire.Entity_Pool{Pool: pool}},
+		})
+		require.NoError(t, err)
+		w.table.Inject(clemstandin.TableFaults{Down: true})
+		n.relay.Adopt(state)
+		body := `{"model":"llama","stream":true,"messages":[{"role":"user","content":"now"}]}`
+		r := w.ask("entry-1", "/v1/chat/completions", body, nil)
+		assert.Equal(t, 200, r.status, r.body)
+		assert.Equal(t, generation, n.generation())
+	})
+}
+
 // isolate keeps a process from the table and from its parents' news.
 func (w *world) isolate(name string) {
 	w.mu.Lock()
--- a/clemfault/world_test.go
+++ b/clemfault/world_test.go
@@ -71,6 +71,7 @@
 	*world
 	host    *clemwire.Host
 	board   *clemboard.Board
+	config  *clemconfig.Log
 	relay   *clemrelay.Relay
 	member  *clemmember.Controller
 	entry   *clementry.Entry
@@ -229,10 +230,10 @@
 	w.mu.Unlock()
 	n := &node{world: w, host: host, board: clemboard.New()}
 	n.ctx, n.cancel = context.WithCancel(w.ctx)
-	log := clemconfig.NewLog(clemconfig.LogConfig{Table: &nodeTable{n}})
+	n.config = clemconfig.NewLog(clemconfig.LogConfig{Table: &nodeTable{n}})
 	n.member = clemmember.New(clemmember.Config{Hosts: w, Board: n.board, Self: name})
 	config := clemrelay.Config{
-		Self: host, Incarnation: uint64(time.Now().UnixNano()), Board: n.board, Log: log, Peers: &nodePeers{n},
+		Self: host, Incarnation: uint64(time.Now().UnixNano()), Board: n.board, Log: n.config, Peers: &nodePeers{n},
 	}
 	if host.GetRole() == "entry" {
 		n.relay = clemrelay.New(config)
