Offers: work that a leaving server hands back is offered elsewhere for free

Ruled out: the budget's size, any size is spent in a crowd. Change: an offer in place of one to an excluded server costs no budget; there is at most one for each server.

--- a/clemoffer/sequence.go
+++ b/clemoffer/sequence.go
@@ -71,12 +71,14 @@
 }
 
 // advance returns the round's next server that is not excluded, if the budget
-// pays for it.
+// pays for it. An offer in place of one to a server that was excluded since is
+// free: a leaving server hands its queue back, and none of it may be lost for
+// want of budget.
 func (s *Sequence) advance() (*clemwire.Host, bool) {
 	if s.single && s.last != "" && !s.excluded[s.last] {
 		return nil, false
 	}
-	isFirst := s.next == 0
+	isFree := s.next == 0 || s.excluded[s.last]
 	for s.next < len(s.ranked) {
 		host := s.ranked[s.next]
 		s.next++
@@ -84,7 +86,7 @@
 			continue
 		}
 		s.last = host.GetName()
-		return host, isFirst || s.retries.Spend(1)
+		return host, isFree || s.retries.Spend(1)
 	}
 	return nil, false
 }
--- a/clemoffer/sequence_test.go
+++ b/clemoffer/sequence_test.go
@@ -59,6 +59,23 @@
 	require.Equal(t, []string{"b eager=true", "b eager=false"}, drain(s))
 }
 
+// Work that a leaving server hands back is offered elsewhere without budget.
+func TestSequenceReplacesExcluded(t *testing.T) {
+	s := clemoffer.New(clemoffer.Config{Ranked: hosts("a", "b", "c"), Retries: clembudget.New(clembudget.Config{})})
+	var offers []string
+	for {
+		host, eager, ok := s.Next()
+		if !ok {
+			break
+		}
+		offers = append(offers, fmt.Sprintf("%s eager=%t", host.GetName(), eager))
+		if !eager && host.GetName() != "c" {
+			s.Exclude(host.GetName())
+		}
+	}
+	require.Equal(t, []string{"a eager=true", "a eager=false", "b eager=false", "c eager=false"}, offers)
+}
+
 func TestSequenceOfNoServers(t *testing.T) {
 	require.Empty(t, drain(clemoffer.New(clemoffer.Config{Retries: clembudget.New(clembudget.Config{})})))
 }
