--- a/clemfault/matrix_test.go
+++ b/clemfault/matrix_test.go
@@ -120,6 +120,9 @@
 func (w *world) flap(server string) {
 	for range 2 {
 		host := w.listed(server)
+		if host == nil {
+			return // Another flap dropped the host and brings it back.
+		}
 		w.setHost(server, nil)
 		rest(w.ctx, 5*time.Second)
 		w.setHost(server, host)
--- a/clemgate/gate.go
+++ b/clemgate/gate.go
@@ -18,7 +18,7 @@
 	agedAfter = 2 * time.Second
 	// boundPatience is how long an item waits for the bound once a slot is free:
 	// longer than the sums of loads need to show a burst.
-	boundPatience = 1500 * time.Millisecond
+	boundPatience = time.Second
 	// hedgeShare is the share of the slots up to which hedges are admitted.
 	hedgeShare = 0.75
 )
