Entry: racing attempts no longer write the request's pool unguarded

Found by reading the whole change: the classification that each attempt runs wrote the pool into the caller's request, so a hedge and the first attempt did it at the same time. The task keeps the pool under its lock, and the request takes it once all attempts have ended.

--- a/clementry/chat.go
+++ b/clementry/chat.go
@@ -117,7 +117,6 @@
 				Kind: clementineturn.KindNotFound, Field: "model", Message: "no model " + strconv.Quote(chat.Model), NotRun: true,
 			})
 		}
-		c.pool = pool.GetName()
 		return &plan{offer: &clemwire.Offer{
 			Pool: pool.GetName(), Media: "application/json", Body: body, Stream: chat.Stream,
 			Mode: clemwire.Mode_MODE_IDEMPOTENT, Conversation: conversation,
--- a/clementry/http.go
+++ b/clementry/http.go
@@ -244,5 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.bound(ctx)
-	return e.router.serve(ctx, t, c.floor)
+	err := e.router.serve(ctx, t, c.floor)
+	c.pool = t.planned()
+	return err
 }
--- a/clementry/plan.go
+++ b/clementry/plan.go
@@ -32,6 +32,8 @@
 	// touched says that a backend server may have seen some attempt, so that no
 	// later refusal may say that the request was not run.
 	touched bool
+	// pool is that of the newest plan. Attempts that race plan at the same time.
+	pool string
 }
 
 func newTask(request, organisation string, build func(state *clemconfig.State) (*plan, error)) *task {
@@ -101,10 +103,20 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		p.offer.Timeout = durationpb.New(time.Until(deadline))
 	}
+	t.mu.Lock()
+	t.pool = p.offer.GetPool()
+	t.mu.Unlock()
 	p.work = clementineturn.NewWork(p.offer.GetPool(), t.organisation, p.offer.GetConversation())
 	return p, nil
 }
 
+// planned returns the pool of the newest plan, or "" without one.
+func (t *task) planned() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pool
+}
+
 // cost returns the estimated work in tokens.
 func (p *plan) cost() float64 { return float64(p.offer.GetPrompt() + p.offer.GetOutput()) }
 
--- a/clementry/service.go
+++ b/clementry/service.go
@@ -50,7 +50,6 @@
 				Kind: clementineturn.KindNotFound, Field: "service", Message: "no service " + strconv.Quote(name), NotRun: true,
 			})
 		}
-		c.pool = service.GetPool()
 		mode := clemwire.Mode_MODE_AT_MOST_ONCE
 		if rule := state.Rule(name, method); rule != nil {
 			mode = rule.GetMode()
