--- a/clemevent/catalogue.go
+++ b/clemevent/catalogue.go
@@ -9,10 +9,10 @@
 
 // catalogue joins the components' tables. Numbers: 100 process, 200 entry,
 // 300 sidecar, 400 claims, 500 relay and configuration, 600 membership,
-// 700 operators, 800 orders.
+// 700 operators, 800 orders, 900 entries without sidecars.
 var catalogue = []map[Event]Info{
 	processEvents, entryEvents, sidecarEvents, claimEvents,
-	relayEvents, memberEvents, operatorEvents, orderEvents,
+	relayEvents, memberEvents, operatorEvents, orderEvents, routerEvents,
 }
 
 // Events returns every event of the catalogue in the order of the numbers.
--- a/clemevent/event.go
+++ b/clemevent/event.go
@@ -3,6 +3,8 @@
 package clemevent
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -38,7 +40,8 @@
 
 // Logger writes events of the catalogue. A nil Logger writes nothing.
 type Logger struct {
-	zap *zap.Logger
+	zap   *zap.Logger
+	limit *Limit
 }
 
 // New returns a logger on top of the given one.
@@ -50,6 +53,9 @@
 		return
 	}
 	info := e.Info()
+	if l.limit != nil && !l.limit.allow(l, e, info.level, time.Now()) {
+		return
+	}
 	if entry := l.zap.Check(info.level, info.text); entry != nil {
 		entry.Write(append(fields, zap.Int("event", int(e)))...)
 	}
@@ -60,5 +66,5 @@
 	if l == nil {
 		return nil
 	}
-	return &Logger{zap: l.zap.With(fields...)}
+	return &Logger{zap: l.zap.With(fields...), limit: l.limit}
 }
--- /dev/null
+++ b/clempool/choose.go
@@ -0,0 +1,219 @@
+package clempool
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemconn"
+	"github.com/clementineturn/clementineturn/clemrank"
+)
+
+// Want describes a request for which a server is chosen.
+type Want struct {
+	Service string
+	// Group and Chat are digests of the prompt's first part and of its last
+	// shared one; Grouped tells whether they count.
+	Group, Chat uint64
+	Grouped     bool
+	// Hold is how long the request is expected to run.
+	Hold time.Duration
+	// Tried are the ids of servers that were tried for the request.
+	Tried []string
+	// Again is set for a further attempt of a request that was counted before.
+	Again bool
+}
+
+// Lease is a request's place at a server. It must be given back by Done.
+type Lease struct {
+	directory *Directory
+	server    *server
+	pool      *clemconn.Pool
+	id        string
+	load      int
+	mean      float64
+	rank      int
+}
+
+// Pool returns the connections to the server.
+func (l *Lease) Pool() *clemconn.Pool { return l.pool }
+
+// Server returns the server's id.
+func (l *Lease) Server() string { return l.id }
+
+// Load returns the requests that the server had when it was chosen, as far as known.
+func (l *Lease) Load() int { return l.load }
+
+// Mean returns the mean load of the service when the server was chosen.
+func (l *Lease) Mean() float64 { return l.mean }
+
+// Rank returns the place of the server in the order of preference, 0 the first.
+func (l *Lease) Rank() int { return l.rank }
+
+// Done gives the place back and counts the outcome; the load may be nil.
+func (l *Lease) Done(outcome Outcome, load *clementineturn.Load, now time.Time) {
+	d, s := l.directory, l.server
+	d.mu.Lock()
+	s.running--
+	if load != nil {
+		s.load = *load
+	}
+	ejected := s.health.note(outcome, d.meanFailures(s), now)
+	failures, until := s.health.failures, s.health.until
+	d.mu.Unlock()
+	if ejected && d.config.Ejected != nil {
+		d.config.Ejected(l.id, outcome, failures, until)
+	}
+}
+
+// meanFailures returns the mean share of failures of the service's other servers.
+func (d *Directory) meanFailures(s *server) float64 {
+	sum, n := 0.0, 0
+	for _, other := range d.services[s.record.Service()].servers {
+		if other != s {
+			sum += other.health.failures
+			n++
+		}
+	}
+	if n == 0 {
+		// A server without others is never worse than them.
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// Take chooses a server and counts the request there. Errors: KindOverloaded
+// and KindUnavailable, both not run.
+func (d *Directory) Take(w Want, now time.Time) (*Lease, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[w.Service]
+	if s == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server", w.Service)
+	}
+	choice := d.candidates(s, w, now)
+	if len(choice.servers) == 0 {
+		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server left to try", w.Service)
+	}
+	var chosen *server
+	rank := 0
+	if w.Grouped {
+		share := 0.0
+		if w.Again {
+			share = s.rates.add(w.Group, 0, now)
+		} else {
+			share = s.rates.add(w.Group, w.Hold, now)
+		}
+		chosen, rank = d.near(choice, w, share)
+	} else {
+		chosen = d.least(choice)
+	}
+	if chosen == nil {
+		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
+			Kind: clementineturn.KindOverloaded, NotRun: true, Retry: fullRetry,
+			Message: "every backend server of service " + w.Service + " is full",
+		})
+	}
+	lease := &Lease{
+		directory: d, server: chosen, pool: chosen.pool, id: chosen.record.ID(),
+		load: chosen.running + chosen.others, mean: choice.mean, rank: rank,
+	}
+	chosen.running++
+	return lease, nil
+}
+
+// choice is what a server is chosen from.
+type choice struct {
+	servers []*server
+	// mean is the mean load of all servers of the service, leaving ones included.
+	mean float64
+}
+
+// candidates returns the servers that may take the request. If too many are
+// ejected, ejection does not count.
+func (d *Directory) candidates(s *service, w Want, now time.Time) choice {
+	var all, sound []*server
+	total, ready, out := 0, 0, 0
+	for _, server := range s.servers {
+		total += server.running + server.others
+		if server.record.Leaving() {
+			continue
+		}
+		ready++
+		isOut := server.health.isOut(now, server.running)
+		if isOut {
+			out++
+		}
+		if contains(w.Tried, server.record.ID()) {
+			continue
+		}
+		all = append(all, server)
+		if !isOut {
+			sound = append(sound, server)
+		}
+	}
+	c := choice{servers: sound, mean: float64(total) / float64(max(len(s.servers), 1))}
+	if len(sound) == 0 || float64(out) > ejectedShare*float64(ready) {
+		c.servers = all
+	}
+	return c
+}
+
+func contains(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// near returns the first server in the request's order of preference that has
+// room under the bound. The servers that prefer the group come first, as many
+// as its share of the load asks for; among them the chat's order decides. So
+// the prompts' first parts are kept at few servers, and each chat at one.
+func (d *Directory) near(c choice, w Want, share float64) (*server, int) {
+	homes := int(math.Ceil(share * float64(len(c.servers))))
+	homes = min(max(homes, 1), len(c.servers))
+	order := make([]*server, len(c.servers))
+	copy(order, c.servers)
+	clemrank.Order(order, w.Group, func(s *server) uint64 { return s.digest })
+	clemrank.Order(order[:homes], w.Chat, func(s *server) uint64 { return s.digest })
+	bound := boundMargin*d.config.Multiple()*c.mean + boundFloor
+	for rank, s := range order {
+		load := float64(s.running + s.others)
+		if load < bound && load < engineQueue*float64(s.record.Slots()) {
+			return s, rank
+		}
+	}
+	return nil, 0
+}
+
+// least returns the server with the least load for its speed, one of the own
+// data centre if several have it, or nil if all are full.
+func (d *Directory) least(c choice) *server {
+	var best *server
+	var bestLoad, bestTie float64
+	for _, s := range c.servers {
+		load := float64(s.running) + lateCount*float64(s.others)
+		if load >= plainQueue*float64(s.record.Slots()) {
+			continue
+		}
+		if slow := s.load.Slowness(); slow > 1 {
+			load *= slow
+		}
+		tie := float64(d.config.Draw()%1024) / 1024
+		if s.record.Centre() == d.config.Centre {
+			tie--
+		}
+		if best == nil || load < bestLoad || load == bestLoad && tie < bestTie {
+			best, bestLoad, bestTie = s, load, tie
+		}
+	}
+	return best
+}
+
+// Digest returns the digest of a group or chat of a service.
+func Digest(service string, part uint64) uint64 { return xxhash.Sum64String(service) ^ part }
--- /dev/null
+++ b/clempool/directory.go
@@ -0,0 +1,176 @@
+package clempool
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemconn"
+)
+
+const (
+	// toldTime is how long another entry's counts are believed: a few of the
+	// exchanges between entries.
+	toldTime = 1200 * time.Millisecond
+	// boundMargin is the part of the promised multiple of the mean that is used:
+	// the rest covers requests that other entries sent since they last told.
+	boundMargin = 0.8
+	// boundFloor is what a server may carry beyond the multiple, as promised.
+	boundFloor = 3
+	// plainQueue is the number of requests for each slot that a plain server
+	// may hold: with more a request waits longer than several of its kind take.
+	plainQueue = 3.0
+	// engineQueue is the same for engines, whose batch slows as it fills.
+	engineQueue = 1.25
+	// fullRetry is the time after which a full service is worth another try.
+	fullRetry = 300 * time.Millisecond
+	// lateCount is the weight of other entries' counts at plain servers, whose
+	// requests have often ended by the time that their counts arrive.
+	lateCount = 0.5
+)
+
+// Config describes a Directory to construct.
+type Config struct {
+	// Multiple returns how many times its service's mean load a server may carry.
+	Multiple func() float64
+	// Centre is the data centre of this entry.
+	Centre string
+	// Dial opens a connection; nil takes clemconn.Dial.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Draw returns a random number; equal choices are made by it.
+	Draw func() uint64
+	// Ejected, if set, is called after a server was ejected by an outcome.
+	Ejected func(id string, outcome Outcome, failures float64, until time.Time)
+}
+
+// Directory holds the backend servers. It is safe for concurrent use.
+type Directory struct {
+	config Config
+
+	// mu guards everything below.
+	mu       sync.Mutex
+	servers  map[string]*server
+	services map[string]*service
+	told     map[string]told
+}
+
+// told is what another entry said of its running requests.
+type told struct {
+	at      time.Time
+	running map[string]int
+}
+
+type server struct {
+	record  Record
+	digest  uint64
+	pool    *clemconn.Pool
+	running int
+	others  int
+	load    clementineturn.Load
+	health  health
+}
+
+type service struct {
+	servers []*server
+	rates   rates
+}
+
+// New returns an empty directory.
+func New(c Config) *Directory {
+	return &Directory{
+		config: c, servers: map[string]*server{}, services: map[string]*service{}, told: map[string]told{},
+	}
+}
+
+// Put adds a server or what changed of it, and reports whether anything did.
+func (d *Directory) Put(record Record) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.servers[record.ID()]
+	if old != nil && old.record == record {
+		return false
+	}
+	if old != nil && old.record.Address() == record.Address() && old.record.Service() == record.Service() &&
+		old.record.Incarnation() == record.Incarnation() {
+		old.record = record
+		return true
+	}
+	d.remove(record.ID())
+	added := &server{
+		record: record, digest: xxhash.Sum64String(record.ID()),
+		pool: clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
+	}
+	d.servers[record.ID()] = added
+	s := d.services[record.Service()]
+	if s == nil {
+		s = &service{rates: rates{}}
+		d.services[record.Service()] = s
+	}
+	s.servers = append(s.servers, added)
+	return true
+}
+
+// Remove drops a server, and reports whether there was one.
+func (d *Directory) Remove(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.remove(id)
+}
+
+func (d *Directory) remove(id string) bool {
+	old := d.servers[id]
+	if old == nil {
+		return false
+	}
+	delete(d.servers, id)
+	s := d.services[old.record.Service()]
+	s.servers = slices.DeleteFunc(s.servers, func(o *server) bool { return o == old })
+	old.pool.Close()
+	return true
+}
+
+// Len returns the number of servers.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.servers)
+}
+
+// Running returns this entry's running requests by server, without the idle ones.
+func (d *Directory) Running() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	running := map[string]int{}
+	for id, s := range d.servers {
+		if s.running > 0 {
+			running[id] = s.running
+		}
+	}
+	return running
+}
+
+// Tell notes what another entry has running.
+func (d *Directory) Tell(entry string, running map[string]int, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.told[entry] = told{at: now, running: running}
+	for _, s := range d.servers {
+		s.others = 0
+	}
+	for name, t := range d.told {
+		if now.Sub(t.at) > toldTime {
+			delete(d.told, name)
+			continue
+		}
+		for id, count := range t.running {
+			if s := d.servers[id]; s != nil {
+				s.others += count
+			}
+		}
+	}
+}
--- a/clemrpc/client.go
+++ b/clemrpc/client.go
@@ -323,3 +323,9 @@
 	gathered := &clemwire.Gathered{}
 	return gathered, p.call(ctx, "Gather", &clemwire.Gather{}, gathered)
 }
+
+// Share implements clementineturn.Peer.
+func (p *peer) Share(ctx context.Context, share *clemwire.Share) (*clemwire.Share, error) {
+	answer := &clemwire.Share{}
+	return answer, p.call(ctx, "Share", share, answer)
+}
--- a/clemrpc/server.go
+++ b/clemrpc/server.go
@@ -222,6 +222,13 @@
 	return reply(gathered, got, err)
 }
 
+// Share serves Peer.Share.
+func (m *methods) Share(share, answer *clemwire.Share) (err error) {
+	defer caught(&err)
+	got, err := m.peer.Share(m.ctx, share)
+	return reply(answer, got, err)
+}
+
 // caught turns a panic into an error of the call, as net/http does for its
 // handlers: net/rpc would let it end the process and all other calls.
 func caught(err *error) {
--- a/clemrpc/unsupported.go
+++ b/clemrpc/unsupported.go
@@ -59,3 +59,8 @@
 func (Unsupported) Gather(context.Context) (*clemwire.Gathered, error) {
 	return nil, unsupported("Gather")
 }
+
+// Share implements clementineturn.Peer.
+func (Unsupported) Share(context.Context, *clemwire.Share) (*clemwire.Share, error) {
+	return nil, unsupported("Share")
+}
--- /dev/null
+++ b/clemspread/exchange.go
@@ -0,0 +1,156 @@
+package clemspread
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	// shareTimeout bounds a call between entries: several times the way there
+	// and back between regions.
+	shareTimeout = 600 * time.Millisecond
+	// rosterPace is the pace at which the rows of entries are read again, in
+	// case that nobody named a new one.
+	rosterPace = 20 * time.Second
+)
+
+// registration is the row of an entry.
+type registration struct {
+	Address string `json:"address"`
+}
+
+// register writes this entry's row and reads those of the others.
+func (s *Spread) register(ctx context.Context) {
+	for _, seed := range s.config.Seeds() {
+		s.roster.add(seed, time.Now())
+	}
+	var retry backoff
+	isWritten := false
+	for ctx.Err() == nil {
+		err := s.readEntries(ctx)
+		if err == nil && !isWritten {
+			err = s.writeEntry(ctx)
+			isWritten = err == nil
+		}
+		s.note(err)
+		if err != nil {
+			if !retry.wait(ctx) {
+				return
+			}
+			continue
+		}
+		retry = backoff{}
+		if !sleep(ctx, rosterPace) {
+			return
+		}
+	}
+}
+
+func (s *Spread) readEntries(ctx context.Context) error {
+	batch, err := s.config.Store.Read(ctx, clementineturn.SectionEntries)
+	if err != nil {
+		return err
+	}
+	for _, change := range batch.Changes() {
+		var r registration
+		if err := json.Unmarshal(change.Value(), &r); err != nil {
+			s.config.Events.Emit(clemevent.EntryInvalid, zap.String("entry", change.Key()), zap.Error(err))
+			continue
+		}
+		s.roster.add(r.Address, time.Now())
+	}
+	return nil
+}
+
+func (s *Spread) writeEntry(ctx context.Context) error {
+	value, err := json.Marshal(registration{Address: s.config.Address})
+	if err != nil {
+		return clementineturn.Errorf(clementineturn.KindInternal, "encoding the entry's row: %w", err)
+	}
+	return s.config.Store.Write(ctx, clementineturn.SectionEntries, s.config.Name, value)
+}
+
+// exchange calls the other entries in turn.
+func (s *Spread) exchange(ctx context.Context) {
+	ticker := time.NewTicker(exchangePace / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, address := range s.roster.due(time.Now()) {
+			go s.call(ctx, address)
+		}
+	}
+}
+
+func (s *Spread) call(ctx context.Context, address string) {
+	defer s.roster.called(address)
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	version, view := s.roster.held(address)
+	answer, err := s.config.Peers.Peer(address).Share(ctx, s.share(version, view))
+	if err != nil {
+		if s.roster.lost(address) {
+			s.config.Events.Emit(clemevent.EntryLost, zap.String("entry", address), zap.Error(err))
+		}
+		return
+	}
+	s.take(answer)
+}
+
+// Share answers another entry's call.
+func (s *Spread) Share(_ context.Context, share *clemwire.Share) (*clemwire.Share, error) {
+	s.take(share)
+	return s.share(share.GetVersion(), share.GetView()), nil
+}
+
+// share returns what this entry tells one that holds the given versions.
+func (s *Spread) share(version, view uint64) *clemwire.Share {
+	now := time.Now()
+	ownView, age := s.catalogue.View(now)
+	share := &clemwire.Share{
+		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
+		View: ownView, Age: durationpb.New(age), Entries: s.roster.addresses(), Leaving: s.config.Leaving(), Floor: s.catalogue.Floor(),
+	}
+	if share.GetVersion() > version {
+		share.Document = s.config.Table.Current().Document()
+	}
+	if ownView > view {
+		share.Rows = s.catalogue.Since(view)
+	}
+	for id, count := range s.config.Directory.Running() {
+		share.Running = append(share.Running, &clemwire.Running{Server: id, Count: uint32(count)})
+	}
+	return share
+}
+
+// take enters what another entry told.
+func (s *Spread) take(share *clemwire.Share) {
+	now := time.Now()
+	if s.roster.heard(share.GetAddress(), share.GetVersion(), share.GetView(), now) {
+		s.config.Events.Emit(clemevent.EntryBack, zap.String("entry", share.GetAddress()), zap.String("name", share.GetName()))
+	}
+	for _, address := range share.GetEntries() {
+		s.roster.add(address, now)
+	}
+	if len(share.GetDocument()) > 0 && share.GetVersion() > s.config.Table.Version() {
+		s.propose(share.GetDocument(), share.GetName())
+	}
+	s.catalogue.Told(share, now)
+	running := make(map[string]int, len(share.GetRunning()))
+	for _, r := range share.GetRunning() {
+		running[r.GetServer()] = int(r.GetCount())
+	}
+	s.config.Directory.Tell(share.GetName(), running, now)
+}
--- /dev/null
+++ b/clemspread/roster.go
@@ -0,0 +1,142 @@
+package clemspread
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// silentTime is how long an entry that does not answer still counts as one
+	// that takes part: longer than a restart, since it may serve all the while.
+	silentTime = 10 * time.Second
+	// forgetTime is how long after its last word an entry is called again.
+	forgetTime = 5 * time.Minute
+	// silentPace is the pace of calls to an entry that does not answer.
+	silentPace = time.Second
+)
+
+// roster holds the other entries by address.
+type roster struct {
+	own string
+
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+type entry struct {
+	// heard is when the entry last said something, added when it was named.
+	heard, added time.Time
+	called       time.Time
+	isCalling    bool
+	isLost       bool
+	// version and view are what the entry last said it holds.
+	version, view uint64
+}
+
+func newRoster(own string) *roster { return &roster{own: own, entries: map[string]*entry{}} }
+
+// add notes an entry that somebody named.
+func (r *roster) add(address string, now time.Time) {
+	if address == "" || address == r.own {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entries[address] == nil {
+		r.entries[address] = &entry{added: now}
+	}
+}
+
+// heard notes what an entry said, and reports whether it was lost or new before.
+func (r *roster) heard(address string, version, view uint64, now time.Time) (isBack bool) {
+	r.add(address, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[address]
+	if e == nil {
+		return false
+	}
+	isBack = e.isLost || e.heard.IsZero()
+	e.heard, e.version, e.view, e.isLost = now, version, view, false
+	return isBack
+}
+
+// held returns what the entry last said it holds.
+func (r *roster) held(address string) (version, view uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[address]; e != nil {
+		return e.version, e.view
+	}
+	return 0, 0
+}
+
+// lost notes a failed call, and reports whether the entry answered before.
+func (r *roster) lost(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[address]
+	if e == nil || e.isLost || e.heard.IsZero() {
+		return false
+	}
+	e.isLost = true
+	return true
+}
+
+// due returns the entries to call now. Of two entries the one with the
+// lower address calls, the other one only if it was not called for a while.
+func (r *roster) due(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []string
+	for address, e := range r.entries {
+		last := e.heard
+		if e.added.After(last) {
+			last = e.added
+		}
+		if now.Sub(last) > forgetTime {
+			delete(r.entries, address)
+			continue
+		}
+		pace := exchangePace
+		if e.isLost {
+			pace = silentPace
+		}
+		isMine := r.own < address || now.Sub(e.heard) > 3*exchangePace
+		if !isMine || e.isCalling || now.Sub(e.called) < pace {
+			continue
+		}
+		e.isCalling, e.called = true, now
+		due = append(due, address)
+	}
+	return due
+}
+
+func (r *roster) called(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[address]; e != nil {
+		e.isCalling = false
+	}
+}
+
+// count returns the number of other entries that took part lately.
+func (r *roster) count(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.entries {
+		if !e.heard.IsZero() && now.Sub(e.heard) < silentTime {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *roster) addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.entries))
+}
--- /dev/null
+++ b/clemspread/spread.go
@@ -0,0 +1,233 @@
+package clemspread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemroute"
+	"github.com/clementineturn/clementineturn/clemrpc"
+)
+
+const (
+	// feedWait is how long a feed of the operator's rows waits for a change. A
+	// connection that went silent is noticed after it; meanwhile other entries
+	// tell of newer versions.
+	feedWait = 6 * time.Second
+	// listPace is the age at which the list of backend servers is read again by
+	// the first entry to notice. With exchangePace it stays well below the time
+	// within which a leaving server must get no new work.
+	listPace = 450 * time.Millisecond
+	// listSpread spreads the reads of entries that notice at the same time.
+	listSpread = 250 * time.Millisecond
+	// exchangePace is the pace of calls between two entries.
+	exchangePace = 200 * time.Millisecond
+	// firstBackoff and lastBackoff pace calls to a store that fails.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = time.Second
+)
+
+// Config describes a Spread to construct.
+type Config struct {
+	// Name and Address, for calls of other entries, of this entry.
+	Name, Address string
+	// Seeds returns addresses of entries that may be stale.
+	Seeds     func() []string
+	Store     clementineturn.Store
+	Peers     clementineturn.Peers
+	Table     *clemroute.Table
+	Directory *clempool.Directory
+	Events    *clemevent.Logger
+	// Key is the key of the configuration's row.
+	Key                 string
+	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
+	DecodeServer        func(id string, value []byte) (clempool.Record, error)
+	// Leaving reports whether this entry leaves.
+	Leaving func() bool
+}
+
+// Spread keeps an entry's configuration and list of backend servers. It
+// answers other entries' calls as a clementineturn.Peer.
+type Spread struct {
+	clemrpc.Unsupported
+
+	config    Config
+	catalogue *catalogue
+	roster    *roster
+	// failed is the time of the last failed call to the store, in Unix
+	// nanoseconds on the steady clock's base, or 0.
+	failed atomic.Int64
+	start  time.Time
+
+	// mu guards isAway.
+	mu     sync.Mutex
+	isAway bool
+}
+
+// New returns the spread that the configuration describes.
+func New(c Config) *Spread {
+	return &Spread{config: c, catalogue: newCatalogue(c), roster: newRoster(c.Address), start: time.Now()}
+}
+
+// IsReady reports whether a configuration and a list of backend servers are held.
+func (s *Spread) IsReady() bool {
+	view, _ := s.catalogue.View(time.Now())
+	return s.config.Table.Current() != nil && view > 0
+}
+
+// Entries returns the number of entries that take part, this one included.
+func (s *Spread) Entries() int { return s.roster.count(time.Now()) + 1 }
+
+// Start runs the controllers until the context ends.
+func (s *Spread) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	var running sync.WaitGroup
+	for _, loop := range []func(context.Context){s.followConfiguration, s.followServers, s.register, s.exchange} {
+		running.Go(func() { loop(ctx) })
+	}
+	go func() {
+		running.Wait()
+		ended <- ctx.Err()
+	}()
+	return ended
+}
+
+// note records the outcome of a call to the store and logs its loss and return.
+func (s *Spread) note(err error) {
+	if err != nil {
+		s.failed.Store(int64(time.Since(s.start)) + 1)
+	}
+	s.mu.Lock()
+	changed := s.isAway != (err != nil)
+	s.isAway = err != nil
+	s.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		s.config.Events.Emit(clemevent.StoreLost, zap.Error(err))
+	default:
+		s.config.Events.Emit(clemevent.StoreBack)
+	}
+}
+
+// isUnstable reports whether the store failed lately.
+func (s *Spread) isUnstable() bool {
+	failed := s.failed.Load()
+	return failed > 0 && time.Since(s.start)-time.Duration(failed) < outageMemory
+}
+
+// backoff is the pace of repeated calls to a store that fails.
+type backoff struct{ next time.Duration }
+
+// wait waits longer after each failure, with jitter, and returns false when the context ends.
+func (b *backoff) wait(ctx context.Context) bool {
+	if b.next == 0 {
+		b.next = firstBackoff
+	}
+	wait := b.next/2 + rand.N(b.next)
+	b.next = min(2*b.next, lastBackoff)
+	return sleep(ctx, wait)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// followConfiguration reads the operator's rows and follows their changes.
+func (s *Spread) followConfiguration(ctx context.Context) {
+	var after uint64
+	var retry backoff
+	for ctx.Err() == nil {
+		batch, err := s.readOperator(ctx, after)
+		if clementineturn.IsKind(err, clementineturn.KindStale) {
+			after = 0
+			continue
+		}
+		s.note(err)
+		if err != nil {
+			if !retry.wait(ctx) {
+				return
+			}
+			continue
+		}
+		retry = backoff{}
+		for _, change := range batch.Changes() {
+			if change.Key() == s.config.Key && !change.Removed() {
+				s.propose(change.Value(), "store")
+			}
+		}
+		after = max(after, batch.Version())
+	}
+}
+
+func (s *Spread) readOperator(ctx context.Context, after uint64) (clementineturn.Batch, error) {
+	if after == 0 {
+		return s.config.Store.Read(ctx, clementineturn.SectionOperator)
+	}
+	return s.config.Store.Follow(ctx, clementineturn.SectionOperator, after, feedWait)
+}
+
+// propose puts a configuration's document in force if it is valid and newer.
+func (s *Spread) propose(document []byte, source string) {
+	configuration, err := s.config.DecodeConfiguration(document)
+	if err != nil {
+		s.config.Events.Emit(clemevent.ConfigurationRejected, zap.String("source", source), zap.Error(err))
+		return
+	}
+	if s.config.Table.Apply(configuration) {
+		s.config.Events.Emit(clemevent.ConfigurationApplied, zap.Uint64("version", configuration.Version()), zap.String("source", source))
+	}
+}
+
+// followServers reads the list of backend servers whenever neither this
+// entry nor another one that told it has read it lately.
+func (s *Spread) followServers(ctx context.Context) {
+	var retry backoff
+	isStale := false
+	for ctx.Err() == nil {
+		now := time.Now()
+		s.catalogue.Settle(now)
+		view, age := s.catalogue.View(now)
+		if wait := listPace - age; wait > 0 {
+			if !sleep(ctx, wait+rand.N(listSpread)) {
+				return
+			}
+			continue
+		}
+		var batch clementineturn.Batch
+		var err error
+		isWhole := view == 0 || isStale
+		if isWhole {
+			batch, err = s.config.Store.Read(ctx, clementineturn.SectionServers)
+		} else {
+			batch, err = s.config.Store.Follow(ctx, clementineturn.SectionServers, view, 0)
+		}
+		if clementineturn.IsKind(err, clementineturn.KindStale) {
+			isStale = true
+			continue
+		}
+		s.note(err)
+		if err != nil {
+			if !retry.wait(ctx) {
+				return
+			}
+			continue
+		}
+		retry, isStale = backoff{}, false
+		s.catalogue.Apply(batch, isWhole, s.isUnstable(), now, time.Now())
+	}
+}
--- /dev/null
+++ b/cmd/clementine-front/main.go
@@ -0,0 +1,41 @@
+// Command clementine-front runs an entry on the platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemfront"
+	"github.com/clementineturn/clementineturn/clemsite"
+	"github.com/clementineturn/clementineturn/platform"
+)
+
+// collectAt is the growth of the heap in per cent at which garbage is
+// collected: memory is priced higher than processor time.
+const collectAt = 50
+
+func main() {
+	debug.SetGCPercent(collectAt)
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	path := os.Getenv(platform.SettingsVariable)
+	err := clemfront.Run(context.Background(), clemfront.Config{
+		Read: func() (*clemsite.Settings, error) { return platform.ReadSettings(path) },
+		Store: func(address func() string) clementineturn.Store {
+			return platform.NewStore(platform.StoreConfig{Address: address})
+		},
+		Dialect: platform.Dialect{}, ConfigurationKey: platform.ConfigurationKey,
+		DecodeConfiguration: platform.DecodeConfiguration, DecodeServer: platform.DecodeServer,
+		Out: os.Stdout, Stop: stop, Reload: reload,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -31,6 +31,8 @@
 	Probe(ctx context.Context) (*clemwire.Probed, error)
 	// Gather asks an entry for its service-level counts.
 	Gather(ctx context.Context) (*clemwire.Gathered, error)
+	// Share tells an entry what another one believes and returns its answer.
+	Share(ctx context.Context, share *clemwire.Share) (*clemwire.Share, error)
 }
 
 // Peers finds the peer at an address. Peers are shared and stay usable
