--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -222,7 +222,7 @@
 		route = q.route.Kind().String()
 	}
 	q.router.Metrics.Counter(clemmetric.Requests, "kind", outcome, "route", route).Inc(1)
-	q.routeX
+	q.router.Metrics.Timer(clemmetric.RequestTime, "route", route).UpdateSince(q.arrived)
 }
 
 func (q *request) log(event clemevent.Event, err *clementineturn.Error) {
