Pool: chats are placed by their last shared part alone

Cause: placing by the prompt's first part put all of crib-safety's cold prompts on the homes of four first parts; the reading queued for seconds and the bound was passed (LIMIT). Ruled out: homes by the first part's share of running time, or of the prompt work times 1.0, 1.5, 2.5, and grouping only first parts with a small share (0.3, 0.8 of a server): all read more again, through the bound.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -1,7 +1,7 @@
 package clempool
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,16 +14,11 @@
 // Want describes a request for which a server is chosen.
 type Want struct {
 	Service string
-	// Group and Chat are digests of the prompt's first part and of its last
-	// shared one; Grouped tells whether they count.
-	Group, Chat uint64
-	Grouped     bool
-	// Hold is how long the request is expected to run.
-	Hold time.Duration
+	// Chat is the digest of the prompt's last shared part, if Grouped is set.
+	Chat    uint64
+	Grouped bool
 	// Tried are the ids of servers that were tried for the request.
 	Tried []string
-	// Again is set for a further attempt of a request that was counted before.
-	Again bool
 }
 
 // Lease is a request's place at a server. It must be given back by Done.
@@ -100,13 +95,7 @@
 	var chosen *server
 	rank := 0
 	if w.Grouped {
-		share := 0.0
-		if w.Again {
-			share = s.rates.add(w.Group, 0, now)
-		} else {
-			share = s.rates.add(w.Group, w.Hold, now)
-		}
-		chosen, rank = d.near(choice, w, share)
+		chosen, rank = d.near(choice, w)
 	} else {
 		chosen = d.least(choice)
 	}
@@ -146,7 +135,7 @@
 		if isOut {
 			out++
 		}
-		if contains(w.Tried, server.record.ID()) {
+		if slices.Contains(w.Tried, server.record.ID()) {
 			continue
 		}
 		all = append(all, server)
@@ -161,26 +150,11 @@
 	return c
 }
 
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // near returns the first server in the request's order of preference that has
-// room under the bound. The servers that prefer the group come first, as many
-// as its share of the load asks for; among them the chat's order decides. So
-// the prompts' first parts are kept at few servers, and each chat at one.
-func (d *Directory) near(c choice, w Want, share float64) (*server, int) {
-	homes := int(math.Ceil(share * float64(len(c.servers))))
-	homes = min(max(homes, 1), len(c.servers))
-	order := make([]*server, len(c.servers))
-	copy(order, c.servers)
-	clemrank.Order(order, w.Group, func(s *server) uint64 { return s.digest })
-	clemrank.Order(order[:homes], w.Chat, func(s *server) uint64 { return s.digest })
+// room under the bound, so that the prompts of a chat are kept at one server.
+func (d *Directory) near(c choice, w Want) (*server, int) {
+	order := slices.Clone(c.servers)
+	clemrank.Order(order, w.Chat, func(s *server) uint64 { return s.digest })
 	bound := boundMargin*d.config.Multiple()*c.mean + boundFloor
 	for rank, s := range order {
 		load := float64(s.running + s.others)
@@ -215,5 +189,5 @@
 	return best
 }
 
-// Digest returns the digest of a group or chat of a service.
+// Digest returns the digest of a chat of a service.
 func Digest(service string, part uint64) uint64 { return xxhash.Sum64String(service) ^ part }
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -77,7 +77,6 @@
 
 type service struct {
 	servers []*server
-	rates   rates
 }
 
 // New returns an empty directory.
@@ -108,7 +107,7 @@
 	d.servers[record.ID()] = added
 	s := d.services[record.Service()]
 	if s == nil {
-		s = &service{rates: rates{}}
+		s = &service{}
 		d.services[record.Service()] = s
 	}
 	s.servers = append(s.servers, added)
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -110,11 +110,11 @@
 
 // want returns what a server is chosen by.
 func (q *request) want() clempool.Want {
-	want := clempool.Want{Service: q.service, Hold: q.hold(), Tried: q.tried, Again: len(q.tried) > 0}
+	want := clempool.Want{Service: q.service, Tried: q.tried}
 	if parts := q.arrival.Parts(); q.route.Affinity() && len(parts) > 0 {
 		shared := parts[max(len(parts)-2, 0)]
 		want.Grouped = true
-		want.Group, want.Chat = clempool.Digest(q.service, parts[0].ID()), clempool.Digest(q.service, shared.ID())
+		want.Chat = clempool.Digest(q.service, shared.ID())
 	}
 	return want
 }
