--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -35,6 +35,9 @@
 	// repeatShare is the part of the promised slack for repeats that entries
 	// use: the rest covers entries that restart and forget what they spent.
 	repeatShare = 0.7
+	// peerKey keeps calls of other programs out by accident. The platform hands
+	// out no secrets; its network alone keeps strangers away.
+	peerKey = "clementine-front"
 )
 
 // Config describes a front to run.
@@ -136,7 +139,9 @@
 	return c.Store(func() string { return held.Load().Store() })
 }
 
-func newPeers() *clemrpc.Peers { return clemrpc.NewPeers(clemrpc.ClientConfig{Dial: clemconn.Dial}) }
+func newPeers() *clemrpc.Peers {
+	return clemrpc.NewPeers(clemrpc.ClientConfig{Key: peerKey, Dial: clemconn.Dial})
+}
 
 func newSpread(c Config, held *current, store clementineturn.Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, router *clemrouter.Router, r *repeats, events *clemevent.Logger) *clemspread.Spread {
 	spread := clemspread.New(clemspread.Config{
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -72,7 +72,7 @@
 		<-sunk
 	}()
 	settings := f.held.Load()
-	calls := clemrpc.NewServer(clemrpc.ServerConfig{Context: ctx, Peer: f.spread})
+	calls := clemrpc.NewServer(clemrpc.ServerConfig{Context: ctx, Key: peerKey, Peer: f.spread})
 	defer calls.Close()
 	defer f.peers.Close()
 	failed := make(chan error, 4)
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -19,7 +19,7 @@
 	shareTimeout = 600 * time.Millisecond
 	// rosterPace is the pace at which the rows of entries are read again, in
 	// case that nobody named a new one.
-	rosterPace = 20 * time.Second
+	rosterPace = time.Minute
 )
 
 // registration is the row of an entry.
@@ -35,11 +35,16 @@
 	var retry backoff
 	isWritten := false
 	for ctx.Err() == nil {
-		err := s.readEntries(ctx)
-		if err == nil && !isWritten {
+		// Written before it is read: of two entries that start at once, one
+		// sees the other.
+		var err error
+		if !isWritten {
 			err = s.writeEntry(ctx)
 			isWritten = err == nil
 		}
+		if err == nil {
+			err = s.readEntries(ctx)
+		}
 		s.note(err)
 		if err != nil {
 			if !retry.wait(ctx) {
@@ -80,7 +85,7 @@
 
 // exchange calls the other entries in turn.
 func (s *Spread) exchange(ctx context.Context) {
-	ticker := time.NewTicker(exchangePace / 2)
+	ticker := time.NewTicker(exchangePace / 4)
 	defer ticker.Stop()
 	for {
 		select {
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -11,8 +11,13 @@
 	// silentTime is how long an entry that does not answer still counts as one
 	// that takes part: longer than a restart, since it may serve all the while.
 	silentTime = 10 * time.Second
+	// lostTime is how long after its last word an entry keeps its turn.
+	lostTime = time.Second
 	// forgetTime is how long after its last word an entry is called again.
 	forgetTime = 5 * time.Minute
+	// calledTime is how long an entry waits for the calls of one with a lower
+	// address before it calls itself.
+	calledTime = 400 * time.Millisecond
 	// silentPace is the pace of calls to an entry that does not answer.
 	silentPace = time.Second
 )
@@ -104,7 +109,7 @@
 		if e.isLost {
 			pace = silentPace
 		}
-		isMine := r.own < address || now.Sub(e.heard) > 3*exchangePace
+		isMine := r.own < address || now.Sub(e.heard) > calledTime
 		if !isMine || e.isCalling || now.Sub(e.called) < pace {
 			continue
 		}
@@ -114,6 +119,19 @@
 	return due
 }
 
+// turn returns the number of entries before this one that took part lately.
+func (r *roster) turn(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for address, e := range r.entries {
+		if address < r.own && !e.heard.IsZero() && now.Sub(e.heard) < lostTime {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *roster) called(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -20,18 +20,22 @@
 	// feedWait is how long a feed of the operator's rows waits for a change. A
 	// connection that went silent is noticed after it; meanwhile other entries
 	// tell of newer versions.
-	feedWait = 6 * time.Second
-	// listPace is the age at which the list of backend servers is read again by
-	// the first entry to notice. With exchangePace it stays well below the time
-	// within which a leaving server must get no new work.
-	listPace = 450 * time.Millisecond
-	// listSpread spreads the reads of entries that notice at the same time.
-	listSpread = 250 * time.Millisecond
-	// exchangePace is the pace of calls between two entries.
-	exchangePace = 200 * time.Millisecond
+	feedWait = 20 * time.Second
+	// listPace is the age at which the first entry reads the list of backend
+	// servers again and tells the others. With exchangePace and the turns of
+	// others it stays well below the time within which a leaving server must
+	// get no new work.
+	listPace = 550 * time.Millisecond
+	// listTurn is how much later each further entry reads the list if those
+	// before it do not, and lastTurn the last entry to have a turn of its own.
+	listTurn = 250 * time.Millisecond
+	lastTurn = 3
+	// exchangePace is the pace of calls between two entries: a tenth of the
+	// time that a request usually runs, so that counts of requests are fresh.
+	exchangePace = 80 * time.Millisecond
 	// firstBackoff and lastBackoff pace calls to a store that fails.
 	firstBackoff = 100 * time.Millisecond
-	lastBackoff  = time.Second
+	lastBackoff  = 500 * time.Millisecond
 )
 
 // Config describes a Spread to construct.
@@ -66,9 +70,10 @@
 	failed atomic.Int64
 	start  time.Time
 
-	// mu guards isAway.
-	mu     sync.Mutex
-	isAway bool
+	// mu guards isAway and stopFeed, which ends a waiting feed.
+	mu       sync.Mutex
+	isAway   bool
+	stopFeed context.CancelFunc
 }
 
 // New returns the spread that the configuration describes.
@@ -107,6 +112,10 @@
 	s.mu.Lock()
 	changed := s.isAway != (err != nil)
 	s.isAway = err != nil
+	if err != nil && s.stopFeed != nil {
+		// A store that fails may never answer the feed that waits.
+		s.stopFeed()
+	}
 	s.mu.Unlock()
 	switch {
 	case !changed:
@@ -148,23 +157,26 @@
 }
 
 // followConfiguration reads the operator's rows and follows their changes.
+// After a failure the feed does not wait until a call succeeded.
 func (s *Spread) followConfiguration(ctx context.Context) {
 	var after uint64
 	var retry backoff
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		batch, err := s.readOperator(ctx, after)
+		batch, err := s.readOperator(ctx, after, wait)
 		if clementineturn.IsKind(err, clementineturn.KindStale) {
-			after = 0
+			after, wait = 0, 0
 			continue
 		}
 		s.note(err)
 		if err != nil {
+			wait = 0
 			if !retry.wait(ctx) {
 				return
 			}
 			continue
 		}
-		retry = backoff{}
+		retry, wait = backoff{}, feedWait
 		for _, change := range batch.Changes() {
 			if change.Key() == s.config.Key && !change.Removed() {
 				s.propose(change.Value(), "store")
@@ -174,11 +186,16 @@
 	}
 }
 
-func (s *Spread) readOperator(ctx context.Context, after uint64) (clementineturn.Batch, error) {
+func (s *Spread) readOperator(ctx context.Context, after uint64, wait time.Duration) (clementineturn.Batch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	s.stopFeed = cancel
+	s.mu.Unlock()
 	if after == 0 {
 		return s.config.Store.Read(ctx, clementineturn.SectionOperator)
 	}
-	return s.config.Store.Follow(ctx, clementineturn.SectionOperator, after, feedWait)
+	return s.config.Store.Follow(ctx, clementineturn.SectionOperator, after, wait)
 }
 
 // propose puts a configuration's document in force if it is valid and newer.
@@ -194,7 +211,8 @@
 }
 
 // followServers reads the list of backend servers whenever neither this
-// entry nor another one that told it has read it lately.
+// entry nor another one that told it has read it lately. The entries take
+// turns by their addresses, so that usually one reads for all.
 func (s *Spread) followServers(ctx context.Context) {
 	var retry backoff
 	isStale := false
@@ -202,8 +220,9 @@
 		now := time.Now()
 		s.catalogue.Settle(now)
 		view, age := s.catalogue.View(now)
-		if wait := listPace - age; wait > 0 {
-			if !sleep(ctx, wait+rand.N(listSpread)) {
+		turn := time.Duration(min(s.roster.turn(now), lastTurn)) * listTurn
+		if wait := listPace + turn - age; view > 0 && wait > 0 {
+			if !sleep(ctx, wait) {
 				return
 			}
 			continue
