Pool: the bound uses 0.95 of the promised multiple

Cause: with the others' counts at most a tenth of a second old, 0.8 sent chats to second homes that the promise did not ask for.

--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -17,9 +17,9 @@
 	// toldTime is how long another entry's counts are believed: a few of the
 	// exchanges between entries.
 	toldTime = 1200 * time.Millisecond
-	// boundMargin is the part of the promised multiple of the mean that is used:
+	// boundMargin is the part of the promised multiple of the mean that is used;
 	// the rest covers requests that other entries sent since they last told.
-	boundMargin = 0.8
+	boundMargin = 0.95
 	// boundFloor is what a server may carry beyond the multiple, as promised.
 	boundFloor = 3
 	// plainQueue is the number of requests for each slot that a plain server
