Spread: only an outage of the store delays dropping a server whose row is gone

Ruled out: late reads of the list (it was read 0.5 s after the row went). Change: an outage is a time without news of the list from anybody, and the delay counts from its end.

--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	// settleTime is how long a backend server whose row vanished around an
-	// outage of the store is still used: rows that lapsed in the outage are
+	// settleTime is how long after the end of an outage of the store a backend
+	// server without a row is still used: rows that lapsed in the outage are
 	// back about two seconds after it.
 	settleTime = 2200 * time.Millisecond
-	// outageMemory is how long after a failed call to the store a vanished row
-	// may be due to the outage.
-	outageMemory = 3 * time.Second
+	// outageGap is the time without news of the list, from the store or from
+	// another entry, that counts as an outage: several turns of reading it.
+	outageGap = 1500 * time.Millisecond
 )
 
 // catalogue holds the rows of backend servers, and enters them into the directory.
@@ -40,6 +40,8 @@
 	// the store said so.
 	view uint64
 	seen time.Time
+	// returned is when news of the list came after the last outage.
+	returned time.Time
 	// floor is the version from which on every removed row is known.
 	floor uint64
 	// lapsing are servers whose rows vanished around an outage, with the time
@@ -74,21 +76,24 @@
 
 // Apply enters rows that changed. If whole is set they are all there are.
 // Batches older than the view are dropped: the store's reads may be behind.
-func (c *catalogue) Apply(batch clementineturn.Batch, isWhole, isUnstable bool, seen, now time.Time) {
+func (c *catalogue) Apply(batch clementineturn.Batch, isWhole bool, seen, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if batch.Version() < c.view {
 		return
 	}
+	if c.view > 0 && seen.Sub(c.seen) > outageGap {
+		c.returned = seen
+	}
 	present := map[string]bool{}
 	for _, change := range batch.Changes() {
 		present[change.Key()] = true
-		c.enter(change, isUnstable, now)
+		c.enter(change, now)
 	}
 	if isWhole {
 		for _, id := range slices.Collect(maps.Keys(c.rows)) {
 			if !present[id] && !c.rows[id].change.Removed() {
-				c.enter(clementineturn.NewChange(clementineturn.ChangeConfig{Key: id, Version: batch.Version(), Removed: true}), isUnstable, now)
+				c.enter(clementineturn.NewChange(clementineturn.ChangeConfig{Key: id, Version: batch.Version(), Removed: true}), now)
 			}
 		}
 	}
@@ -101,7 +106,7 @@
 	}
 }
 
-func (c *catalogue) enter(change clementineturn.Change, isUnstable bool, now time.Time) {
+func (c *catalogue) enter(change clementineturn.Change, now time.Time) {
 	id := change.Key()
 	old, known := c.rows[id]
 	if known && old.change.Version() > change.Version() {
@@ -110,7 +115,7 @@
 	if change.Removed() {
 		if known && !old.change.Removed() {
 			c.rows[id] = row{change: change, record: old.record, version: change.Version()}
-			c.vanish(id, isUnstable, now)
+			c.vanish(id, now)
 		}
 		return
 	}
@@ -120,7 +125,7 @@
 			c.events.Emit(clemevent.ServerInvalid, zap.String("server", id), zap.Uint64("version", change.Version()), zap.Error(err))
 		}
 		c.rows[id] = row{change: change, version: change.Version()}
-		c.vanish(id, false, now)
+		c.vanish(id, now)
 		return
 	}
 	delete(c.lapsing, id)
@@ -135,10 +140,10 @@
 	}
 }
 
-// vanish drops a server, around an outage of the store only after a while.
-func (c *catalogue) vanish(id string, isUnstable bool, now time.Time) {
-	if isUnstable {
-		c.lapsing[id] = now.Add(settleTime)
+// vanish drops a server, soon after an outage of the store only after a while.
+func (c *catalogue) vanish(id string, now time.Time) {
+	if until := c.returned.Add(settleTime); now.Before(until) {
+		c.lapsing[id] = until
 		return
 	}
 	delete(c.lapsing, id)
@@ -153,7 +158,7 @@
 	defer c.mu.Unlock()
 	for id, at := range c.lapsing {
 		if now.After(at) {
-			c.vanish(id, false, now)
+			c.vanish(id, now)
 		}
 	}
 }
@@ -170,10 +175,9 @@
 		if view == 0 && r.change.Removed() {
 			continue
 		}
-		_, isLapsing := c.lapsing[id]
 		rows = append(rows, &clemwire.ServerRow{
 			Key: id, Value: r.change.Value(), Version: r.change.Version(),
-			Removed: r.change.Removed(), Lapsing: isLapsing,
+			Removed: r.change.Removed(),
 		})
 	}
 	return rows
@@ -190,19 +194,13 @@
 		c.setFloor(share.GetView())
 	}
 	seen := now.Add(-share.GetAge().AsDuration())
-	var stable, lapsing []clementineturn.Change
-	for _, r := range share.GetRows() {
-		change := clementineturn.NewChange(clementineturn.ChangeConfig{
+	changes := make([]clementineturn.Change, len(share.GetRows()))
+	for i, r := range share.GetRows() {
+		changes[i] = clementineturn.NewChange(clementineturn.ChangeConfig{
 			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
 		})
-		if r.GetLapsing() {
-			lapsing = append(lapsing, change)
-		} else {
-			stable = append(stable, change)
-		}
 	}
-	c.Apply(clementineturn.NewBatch(stable, share.GetView()), false, false, seen, now)
-	c.Apply(clementineturn.NewBatch(lapsing, share.GetView()), false, true, seen, now)
+	c.Apply(clementineturn.NewBatch(changes, share.GetView()), false, seen, now)
 	return true
 }
 
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,10 +64,6 @@
 	config    Config
 	catalogue *catalogue
 	roster    *roster
-	// failed is the time of the last failed call to the store, in Unix
-	// nanoseconds on the steady clock's base, or 0.
-	failed atomic.Int64
-	start  time.Time
 
 	// mu guards isAway and stopFeed, which ends a waiting feed.
 	mu       sync.Mutex
@@ -78,7 +73,7 @@
 
 // New returns the spread that the configuration describes.
 func New(c Config) *Spread {
-	return &Spread{config: c, catalogue: newCatalogue(c), roster: newRoster(c.Address), start: time.Now()}
+	return &Spread{config: c, catalogue: newCatalogue(c), roster: newRoster(c.Address)}
 }
 
 // IsReady reports whether a configuration and a list of backend servers are held.
@@ -106,9 +101,6 @@
 
 // note records the outcome of a call to the store and logs its loss and return.
 func (s *Spread) note(err error) {
-	if err != nil {
-		s.failed.Store(int64(time.Since(s.start)) + 1)
-	}
 	s.mu.Lock()
 	changed := s.isAway != (err != nil)
 	s.isAway = err != nil
@@ -126,12 +118,6 @@
 	}
 }
 
-// isUnstable reports whether the store failed lately.
-func (s *Spread) isUnstable() bool {
-	failed := s.failed.Load()
-	return failed > 0 && time.Since(s.start)-time.Duration(failed) < outageMemory
-}
-
 // backoff is the pace of repeated calls to a store that fails.
 type backoff struct{ next time.Duration }
 
@@ -247,6 +233,6 @@
 			continue
 		}
 		retry, isStale = backoff{}, false
-		s.catalogue.Apply(batch, isWhole, s.isUnstable(), now, time.Now())
+		s.catalogue.Apply(batch, isWhole, now, time.Now())
 	}
 }
