Engines fetch shared parts of prompts from each other; chats stay where they are kept

Change: entries note which engine read which part and tell each other the news; a request to an engine that lacks shared parts names one that keeps more; engines that keep a chat come first while the bound leaves them room.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -14,9 +14,9 @@
 // Want describes a request for which a server is chosen.
 type Want struct {
 	Service string
-	// Chat is the digest of the prompt's last shared part, if Grouped is set.
-	Chat    uint64
-	Grouped bool
+	// Shared are the parts of the prompt that other requests have, too, the
+	// last of them the chat's own. Without any, the least load decides.
+	Shared []clementineturn.Part
 	// Tried are the ids of servers that were tried for the request.
 	Tried []string
 }
@@ -27,6 +27,7 @@
 	server    *server
 	pool      *clemconn.Pool
 	id        string
+	source    string
 	load      int
 	mean      float64
 	rank      int
@@ -38,6 +39,10 @@
 // Server returns the server's id.
 func (l *Lease) Server() string { return l.id }
 
+// Source returns the address of a server that keeps shared parts of the prompt
+// which this one lacks, or "".
+func (l *Lease) Source() string { return l.source }
+
 // Load returns the requests that the server had when it was chosen, as far as known.
 func (l *Lease) Load() int { return l.load }
 
@@ -94,7 +99,7 @@
 	}
 	var chosen *server
 	rank := 0
-	if w.Grouped {
+	if len(w.Shared) > 0 {
 		chosen, rank = d.near(choice, w)
 	} else {
 		chosen = d.least(choice)
@@ -109,6 +114,10 @@
 		directory: d, server: chosen, pool: chosen.pool, id: chosen.record.ID(),
 		load: chosen.running + chosen.others, mean: choice.mean, rank: rank,
 	}
+	if source := d.source(s, chosen, w); source != nil {
+		lease.source = source.record.Address()
+	}
+	d.note(chosen, w)
 	chosen.running++
 	return lease, nil
 }
@@ -151,10 +160,13 @@
 }
 
 // near returns the first server in the request's order of preference that has
-// room under the bound, so that the prompts of a chat are kept at one server.
+// room under the bound. Servers that keep the chat's prompt come before the
+// others, so that servers that join do not take chats from those with room.
 func (d *Directory) near(c choice, w Want) (*server, int) {
+	chat := Digest(w.Service, w.Shared[len(w.Shared)-1].ID())
 	order := slices.Clone(c.servers)
-	clemrank.Order(order, w.Chat, func(s *server) uint64 { return s.digest })
+	clemrank.Order(order, chat, func(s *server) uint64 { return s.digest })
+	slices.SortStableFunc(order, func(a, b *server) int { return b.keeps(chat) - a.keeps(chat) })
 	bound := boundMargin*d.config.Multiple()*c.mean + boundFloor
 	for rank, s := range order {
 		load := float64(s.running + s.others)
@@ -189,5 +201,5 @@
 	return best
 }
 
-// Digest returns the digest of a chat of a service.
+// Digest returns the digest of a part of a service's prompts.
 func Digest(service string, part uint64) uint64 { return xxhash.Sum64String(service) ^ part }
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -57,6 +57,7 @@
 	servers  map[string]*server
 	services map[string]*service
 	told     map[string]told
+	news     news
 }
 
 // told is what another entry said of its running requests.
@@ -73,6 +74,8 @@
 	others  int
 	load    clementineturn.Load
 	health  health
+	// kept are the parts of prompts that the server has read, by digest.
+	kept map[uint64]struct{}
 }
 
 type service struct {
@@ -103,6 +106,7 @@
 	added := &server{
 		record: record, digest: xxhash.Sum64String(record.ID()),
 		pool: clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
+		kept: map[uint64]struct{}{},
 	}
 	d.servers[record.ID()] = added
 	s := d.services[record.Service()]
--- /dev/null
+++ b/clempool/kept.go
@@ -0,0 +1,119 @@
+package clempool
+
+import clementineturn "github.com/clementineturn/clementineturn"
+
+const (
+	// mostKept bounds the parts that are known of one server. An engine keeps
+	// about as many prompts of some hundred tokens.
+	mostKept = 4096
+	// mostNews bounds the news that other entries have not heard yet.
+	mostNews = 4096
+	// leastFetch is the number of tokens below which reading them again takes
+	// less time than setting up a transfer between engines.
+	leastFetch = 64
+)
+
+// Kept is a part of a prompt that a server has read.
+type Kept struct {
+	Server string
+	Part   uint64
+}
+
+// news is the log of parts that this entry sent to a server first.
+type news struct {
+	entries []Kept
+	// end is the number of entries that there ever were.
+	end uint64
+}
+
+func (n *news) add(k Kept) {
+	if len(n.entries) >= mostNews {
+		n.entries = append(n.entries[:0], n.entries[mostNews/2:]...)
+	}
+	n.entries = append(n.entries, k)
+	n.end++
+}
+
+// since returns what came after the number, as far as it is still held, and the end.
+func (n *news) since(number uint64) ([]Kept, uint64) {
+	missing := min(n.end-min(number, n.end), uint64(len(n.entries)))
+	return append([]Kept(nil), n.entries[uint64(len(n.entries))-missing:]...), n.end
+}
+
+// keep notes that the server reads the part, and reports whether that is new.
+func (s *server) keep(part uint64) bool {
+	if _, known := s.kept[part]; known {
+		return false
+	}
+	if len(s.kept) >= mostKept {
+		clear(s.kept)
+	}
+	s.kept[part] = struct{}{}
+	return true
+}
+
+// keeps returns 1 if the server has read the part, else 0.
+func (s *server) keeps(part uint64) int {
+	if _, known := s.kept[part]; known {
+		return 1
+	}
+	return 0
+}
+
+// keepsOf returns the number of tokens of the shared parts that the server keeps:
+// a part counts only if all before it are kept, too.
+func (s *server) keepsOf(service string, shared []clementineturn.Part) int {
+	tokens := 0
+	for _, part := range shared {
+		if _, known := s.kept[Digest(service, part.ID())]; !known {
+			break
+		}
+		tokens += part.Tokens()
+	}
+	return tokens
+}
+
+// source returns the server to fetch the shared parts from that the chosen
+// one lacks, or nil if it is not worth it.
+func (d *Directory) source(s *service, chosen *server, w Want) *server {
+	most := chosen.keepsOf(w.Service, w.Shared) + leastFetch
+	var best *server
+	for _, other := range s.servers {
+		if other == chosen || other.health.streak > 0 {
+			continue
+		}
+		if tokens := other.keepsOf(w.Service, w.Shared); tokens >= most {
+			best, most = other, tokens+1
+		}
+	}
+	return best
+}
+
+// note records that the chosen server reads the shared parts.
+func (d *Directory) note(chosen *server, w Want) {
+	for _, part := range w.Shared {
+		digest := Digest(w.Service, part.ID())
+		if chosen.keep(digest) {
+			d.news.add(Kept{Server: chosen.record.ID(), Part: digest})
+		}
+	}
+}
+
+// News returns the parts that this entry sent to a server first after the
+// given number, and the number to go on from.
+func (d *Directory) News(since uint64) ([]Kept, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.news.since(since)
+}
+
+// TellKept notes what another entry sent to servers.
+func (d *Directory) TellKept(server string, parts []uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.servers[server]; s != nil {
+		for _, part := range parts {
+			s.keep(part)
+		}
+	}
+}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -112,9 +112,7 @@
 func (q *request) want() clempool.Want {
 	want := clempool.Want{Service: q.service, Tried: q.tried}
 	if parts := q.arrival.Parts(); q.route.Affinity() && len(parts) > 0 {
-		shared := parts[max(len(parts)-2, 0)]
-		want.Grouped = true
-		want.Chat = clempool.Digest(q.service, shared.ID())
+		want.Shared = parts[:max(len(parts)-1, 1)]
 	}
 	return want
 }
@@ -216,7 +214,8 @@
 	response, err := lease.Pool().Exchange(ctx, &clemconn.Request{
 		Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, Kept: kept,
 		Header: q.router.Dialect.Outgoing(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
-			Server: lease.Server(), Organisation: q.organisation, Remaining: time.Until(q.deadline), Resume: q.last,
+			Server: lease.Server(), Organisation: q.organisation, Remaining: time.Until(q.deadline),
+			Resume: q.last, Source: lease.Source(),
 		})),
 		IsOwn: func(status int, header http.Header) bool {
 			id := q.router.Dialect.Reply(status, header).ID()
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -103,8 +103,7 @@
 	defer s.roster.called(address)
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	version, view := s.roster.held(address)
-	answer, err := s.config.Peers.Peer(address).Share(ctx, s.share(version, view))
+	answer, err := s.config.Peers.Peer(address).Share(ctx, s.share(address))
 	if err != nil {
 		if s.roster.lost(address) {
 			s.config.Events.Emit(clemevent.EntryLost, zap.String("entry", address), zap.Error(err))
@@ -117,12 +116,13 @@
 // Share answers another entry's call.
 func (s *Spread) Share(_ context.Context, share *clemwire.Share) (*clemwire.Share, error) {
 	s.take(share)
-	return s.share(share.GetVersion(), share.GetView()), nil
+	return s.share(share.GetAddress()), nil
 }
 
-// share returns what this entry tells one that holds the given versions.
-func (s *Spread) share(version, view uint64) *clemwire.Share {
+// share returns what this entry tells another one.
+func (s *Spread) share(address string) *clemwire.Share {
 	now := time.Now()
+	version, view := s.roster.held(address)
 	ownView, age := s.catalogue.View(now)
 	share := &clemwire.Share{
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
@@ -137,9 +137,26 @@
 	for id, count := range s.config.Directory.Running() {
 		share.Running = append(share.Running, &clemwire.Running{Server: id, Count: uint32(count)})
 	}
+	share.Kept = s.news(address)
 	return share
 }
 
+// news returns the parts of prompts that the other entry has not been told of.
+func (s *Spread) news(address string) []*clemwire.Kept {
+	news, end := s.config.Directory.News(s.roster.told(address))
+	s.roster.tell(address, end)
+	var kept []*clemwire.Kept
+	servers := map[string]*clemwire.Kept{}
+	for _, k := range news {
+		if servers[k.Server] == nil {
+			servers[k.Server] = &clemwire.Kept{Server: k.Server}
+			kept = append(kept, servers[k.Server])
+		}
+		servers[k.Server].Parts = append(servers[k.Server].Parts, k.Part)
+	}
+	return kept
+}
+
 // take enters what another entry told.
 func (s *Spread) take(share *clemwire.Share) {
 	now := time.Now()
@@ -157,5 +174,8 @@
 	for _, r := range share.GetRunning() {
 		running[r.GetServer()] = int(r.GetCount())
 	}
+	for _, k := range share.GetKept() {
+		s.config.Directory.TellKept(k.GetServer(), k.GetParts())
+	}
 	s.config.Directory.Tell(share.GetName(), running, now)
 }
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -38,6 +38,8 @@
 	isLost       bool
 	// version and view are what the entry last said it holds.
 	version, view uint64
+	// news is the number up to which the entry was told of kept parts.
+	news uint64
 }
 
 func newRoster(own string) *roster { return &roster{own: own, entries: map[string]*entry{}} }
@@ -78,6 +80,26 @@
 	return 0, 0
 }
 
+// told returns the number up to which the entry was told of kept parts.
+func (r *roster) told(address string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[address]; e != nil {
+		return e.news
+	}
+	return 0
+}
+
+// tell notes the number up to which the entry was told of kept parts. A
+// message that is lost costs some reading again at most.
+func (r *roster) tell(address string, number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[address]; e != nil {
+		e.news = number
+	}
+}
+
 // lost notes a failed call, and reports whether the entry answered before.
 func (r *roster) lost(address string) bool {
 	r.mu.Lock()
--- a/dialect.go
+++ b/dialect.go
@@ -80,6 +80,8 @@
 	Remaining time.Duration
 	// the id of the last event to resume after, or ""
 	Resume string
+	// the address of a backend server that keeps more of the prompt, or ""
+	Source string
 }
 
 // Dispatch is what the system tells a backend server with a request.
@@ -100,6 +102,9 @@
 // Resume returns the id of the last event to resume after, or "".
 func (d Dispatch) Resume() string { return d.config.Resume }
 
+// Source returns the address of a backend server that keeps more of the prompt, or "".
+func (d Dispatch) Source() string { return d.config.Source }
+
 // LoadConfig describes a Load to construct.
 type LoadConfig struct {
 	// the number of requests that run
