Sick servers are ejected by all entries' outcomes

Cause: eleven entries each saw about one request a second of a server that reset 45 in 100 of them; one entry's own outcomes took seconds to tell. Change: the exchange carries decaying counts of good and failed outcomes; a server is ejected if it fails a quarter of all, and 2.5 times as often as its service's sound ones; trials by repeatable requests come first; sick servers stay in use while the sound ones lack room (half of their slots).

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -17,6 +17,8 @@
 	// Shared are the parts of the prompt that other requests have, too, the
 	// last of them the chat's own. Without any, the least load decides.
 	Shared []clementineturn.Part
+	// Idempotent is set if the request may be repeated.
+	Idempotent bool
 	// Tried are the ids of servers that were tried for the request.
 	Tried []string
 }
@@ -60,30 +62,13 @@
 	if load != nil {
 		s.load = *load
 	}
-	ejected := s.health.note(outcome, d.meanFailures(s), now)
-	failures, until := s.health.failures, s.health.until
+	ejected := s.health.note(outcome, now) || outcome == OutcomeFailed && d.isSick(s, now) && s.health.eject(now)
 	d.mu.Unlock()
-	if ejected && d.config.Ejected != nil {
-		d.config.Ejected(l.id, outcome, failures, until)
+	if ejected {
+		d.tellEjected(s, outcome, now)
 	}
 }
 
-// meanFailures returns the mean share of failures of the service's other servers.
-func (d *Directory) meanFailures(s *server) float64 {
-	sum, n := 0.0, 0
-	for _, other := range d.services[s.record.Service()].servers {
-		if other != s {
-			sum += other.health.failures
-			n++
-		}
-	}
-	if n == 0 {
-		// A server without others is never worse than them.
-		return 1
-	}
-	return sum / float64(n)
-}
-
 // Take chooses a server and counts the request there. Errors: KindOverloaded
 // and KindUnavailable, both not run.
 func (d *Directory) Take(w Want, now time.Time) (*Lease, error) {
@@ -129,31 +114,36 @@
 	mean float64
 }
 
-// candidates returns the servers that may take the request. If too many are
-// ejected, ejection does not count.
+// candidates returns the servers that may take the request. Sick servers
+// count as long as the sound ones have not enough room without them.
 func (d *Directory) candidates(s *service, w Want, now time.Time) choice {
-	var all, sound []*server
-	total, ready, out := 0, 0, 0
+	var all, reached, sound []*server
+	total, slots := 0, 0
 	for _, server := range s.servers {
 		total += server.running + server.others
 		if server.record.Leaving() {
 			continue
 		}
-		ready++
-		isOut := server.health.isOut(now, server.running)
-		if isOut {
-			out++
+		isOut := server.health.isOut(now, server.running, w.Idempotent)
+		if !isOut {
+			slots += server.record.Slots()
 		}
 		if slices.Contains(w.Tried, server.record.ID()) {
 			continue
 		}
 		all = append(all, server)
+		if !isOut || !server.health.isUnreached {
+			reached = append(reached, server)
+		}
 		if !isOut {
 			sound = append(sound, server)
 		}
 	}
 	c := choice{servers: sound, mean: float64(total) / float64(max(len(s.servers), 1))}
-	if len(sound) == 0 || float64(out) > ejectedShare*float64(ready) {
+	if len(sound) == 0 || float64(total) > roomyShare*float64(slots) {
+		c.servers = reached
+	}
+	if len(c.servers) == 0 {
 		c.servers = all
 	}
 	return c
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -60,10 +60,10 @@
 	news     news
 }
 
-// told is what another entry said of its running requests.
+// told is what another entry said of its requests.
 type told struct {
-	at      time.Time
-	running map[string]int
+	at        time.Time
+	standings map[string]Standing
 }
 
 type server struct {
@@ -144,36 +144,72 @@
 	return len(d.servers)
 }
 
-// Running returns this entry's running requests by server, without the idle ones.
-func (d *Directory) Running() map[string]int {
+// Standing is what one entry has at a server: running requests, and the
+// outcomes of the last seconds.
+type Standing struct {
+	Running      int
+	Good, Failed float64
+}
+
+// leastTold is the number of outcomes below which they are not told.
+const leastTold = 0.02
+
+// Standings returns what this entry has at the servers, the idle ones left out.
+func (d *Directory) Standings(now time.Time) map[string]Standing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	running := map[string]int{}
+	standings := map[string]Standing{}
 	for id, s := range d.servers {
-		if s.running > 0 {
-			running[id] = s.running
+		s.health.own.decay(now)
+		own := s.health.own
+		if s.running > 0 || own.good > leastTold || own.failed > leastTold {
+			standings[id] = Standing{Running: s.running, Good: own.good, Failed: own.failed}
 		}
 	}
-	return running
+	return standings
 }
 
-// Tell notes what another entry has running.
-func (d *Directory) Tell(entry string, running map[string]int, now time.Time) {
+// Tell notes what another entry has at the servers. A server that turns out
+// to be sick by it is ejected.
+func (d *Directory) Tell(entry string, standings map[string]Standing, now time.Time) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.told[entry] = told{at: now, running: running}
+	d.told[entry] = told{at: now, standings: standings}
 	for _, s := range d.servers {
 		s.others = 0
+		s.health.others = tally{at: now}
 	}
 	for name, t := range d.told {
 		if now.Sub(t.at) > toldTime {
 			delete(d.told, name)
 			continue
 		}
-		for id, count := range t.running {
+		for id, standing := range t.standings {
 			if s := d.servers[id]; s != nil {
-				s.others += count
+				s.others += standing.Running
+				s.health.others.add(standing.Good, standing.Failed, now)
 			}
 		}
 	}
+	var ejected []*server
+	for id, standing := range standings {
+		if s := d.servers[id]; s != nil && standing.Failed > 0 && d.isSick(s, now) && s.health.eject(now) {
+			ejected = append(ejected, s)
+		}
+	}
+	d.mu.Unlock()
+	for _, s := range ejected {
+		d.tellEjected(s, OutcomeFailed, now)
+	}
+}
+
+// tellEjected passes an ejection on.
+func (d *Directory) tellEjected(s *server, outcome Outcome, now time.Time) {
+	if d.config.Ejected == nil {
+		return
+	}
+	d.mu.Lock()
+	share, _ := s.health.share(now)
+	until := s.health.until
+	d.mu.Unlock()
+	d.config.Ejected(s.record.ID(), outcome, share, until)
 }
--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -79,7 +79,7 @@
 	most := chosen.keepsOf(w.Service, w.Shared) + leastFetch
 	var best *server
 	for _, other := range s.servers {
-		if other == chosen || other.health.streak > 0 {
+		if other == chosen || other.health.isUnreached {
 			continue
 		}
 		if tokens := other.keepsOf(w.Service, w.Shared); tokens >= most {
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -10,6 +10,7 @@
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -20,6 +21,8 @@
 	// rosterPace is the pace at which the rows of entries are read again, in
 	// case that nobody named a new one.
 	rosterPace = time.Minute
+	// hundredths is the unit in which outcomes are told.
+	hundredths = 100
 )
 
 // registration is the row of an entry.
@@ -134,8 +137,11 @@
 	if ownView > view {
 		share.Rows = s.catalogue.Since(view)
 	}
-	for id, count := range s.config.Directory.Running() {
-		share.Running = append(share.Running, &clemwire.Running{Server: id, Count: uint32(count)})
+	for id, standing := range s.config.Directory.Standings(now) {
+		share.Running = append(share.Running, &clemwire.Running{
+			Server: id, Count: uint32(standing.Running),
+			Good: uint32(standing.Good * hundredths), Failed: uint32(standing.Failed * hundredths),
+		})
 	}
 	share.Kept = s.news(address)
 	return share
@@ -170,12 +176,15 @@
 		s.propose(share.GetDocument(), share.GetName())
 	}
 	s.catalogue.Told(share, now)
-	running := make(map[string]int, len(share.GetRunning()))
+	standings := make(map[string]clempool.Standing, len(share.GetRunning()))
 	for _, r := range share.GetRunning() {
-		running[r.GetServer()] = int(r.GetCount())
+		standings[r.GetServer()] = clempool.Standing{
+			Running: int(r.GetCount()),
+			Good:    float64(r.GetGood()) / hundredths, Failed: float64(r.GetFailed()) / hundredths,
+		}
 	}
 	for _, k := range share.GetKept() {
 		s.config.Directory.TellKept(k.GetServer(), k.GetParts())
 	}
-	s.config.Directory.Tell(share.GetName(), running, now)
+	s.config.Directory.Tell(share.GetName(), standings, now)
 }
