Prompts go where the least is to be read before them

Change: entries tell each other the prompt tokens that wait at each engine; of a chat's first three engines and those that keep its prompt the one with the least to read counts, above a calm wait of 150 ms; a place in the order of preference counts 120 ms; what is being read elsewhere counts five times.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -17,6 +17,8 @@
 	// Shared are the parts of the prompt that other requests have, too, the
 	// last of them the chat's own. Without any, the least load decides.
 	Shared []clementineturn.Part
+	// Input is the number of the prompt's tokens.
+	Input int
 	// Idempotent is set if the request may be repeated.
 	Idempotent bool
 	// Tried are the ids of servers that were tried for the request.
@@ -30,6 +32,9 @@
 	pool      *clemconn.Pool
 	id        string
 	source    string
+	unread    int
+	kept      int
+	wait      time.Duration
 	load      int
 	mean      float64
 	rank      int
@@ -45,6 +50,12 @@
 // which this one lacks, or "".
 func (l *Lease) Source() string { return l.source }
 
+// Kept returns the tokens of the prompt that the server was thought to keep.
+func (l *Lease) Kept() int { return l.kept }
+
+// Wait returns the time that prompts took that were to be read there before.
+func (l *Lease) Wait() time.Duration { return l.wait }
+
 // Load returns the requests that the server had when it was chosen, as far as known.
 func (l *Lease) Load() int { return l.load }
 
@@ -54,11 +65,21 @@
 // Rank returns the place of the server in the order of preference, 0 the first.
 func (l *Lease) Rank() int { return l.rank }
 
+// Started notes that the answer began: the prompt is read.
+func (l *Lease) Started() {
+	l.directory.mu.Lock()
+	defer l.directory.mu.Unlock()
+	l.server.unread -= l.unread
+	l.unread = 0
+}
+
 // Done gives the place back and counts the outcome; the load may be nil.
 func (l *Lease) Done(outcome Outcome, load *clementineturn.Load, now time.Time) {
 	d, s := l.directory, l.server
 	d.mu.Lock()
 	s.running--
+	s.unread -= l.unread
+	l.unread = 0
 	if load != nil {
 		s.load = *load
 	}
@@ -85,7 +106,7 @@
 	var chosen *server
 	rank := 0
 	if len(w.Shared) > 0 {
-		chosen, rank = d.near(choice, w)
+		chosen, rank = d.near(s, choice, w, now)
 	} else {
 		chosen = d.least(choice)
 	}
@@ -99,10 +120,13 @@
 		directory: d, server: chosen, pool: chosen.pool, id: chosen.record.ID(),
 		load: chosen.running + chosen.others, mean: choice.mean, rank: rank,
 	}
-	if source := d.source(s, chosen, w); source != nil {
+	if source := d.source(s, chosen, w, now); source != nil {
 		lease.source = source.record.Address()
 	}
-	d.note(chosen, w)
+	lease.kept, lease.wait = chosen.keepsOf(w.Service, w.Shared, ever(now)), chosen.wait()
+	lease.unread = max(w.Input-lease.kept, 0)
+	chosen.unread += lease.unread
+	d.note(chosen, w, now)
 	chosen.running++
 	return lease, nil
 }
@@ -149,22 +173,54 @@
 	return c
 }
 
-// near returns the first server in the request's order of preference that has
-// room under the bound. Servers that keep the chat's prompt come before the
-// others, so that servers that join do not take chats from those with room.
-func (d *Directory) near(c choice, w Want) (*server, int) {
+const (
+	// readToken is the time in which an engine reads one token of a prompt.
+	readToken = 14 * time.Microsecond
+	// calmWait is the time that a prompt may wait for others to be read without
+	// its answer being late: a quarter of a usual objective.
+	calmWait = 150 * time.Millisecond
+	// twiceRead is how many times as dear a prompt is that another server reads
+	// at the moment: it cannot be fetched yet, and would be read twice.
+	twiceRead = 5
+	// rankCost is the time that a place in the chat's order of preference
+	// counts: entries that know nothing yet choose alike by it.
+	rankCost = 120 * time.Millisecond
+	// homes is the number of servers, in a chat's order of preference, that are
+	// weighed beside those that keep its prompt.
+	homes = 3
+)
+
+// near returns the server that costs a request the least time: the prompts
+// that are read there before, above a calm wait, and what it must read or
+// fetch itself. Among equal ones the chat's order of preference decides, so
+// that all entries choose alike. Only servers with room under the bound count.
+func (d *Directory) near(group *service, c choice, w Want, now time.Time) (*server, int) {
 	chat := Digest(w.Service, w.Shared[len(w.Shared)-1].ID())
 	order := slices.Clone(c.servers)
 	clemrank.Order(order, chat, func(s *server) uint64 { return s.digest })
-	slices.SortStableFunc(order, func(a, b *server) int { return b.keeps(chat) - a.keeps(chat) })
 	bound := boundMargin*d.config.Multiple()*c.mean + boundFloor
+	perToken := readToken
+	if group.isBeingRead(w, now) {
+		perToken *= twiceRead
+	}
+	var best *server
+	bestRank, bestCost, weighed := 0, time.Duration(0), 0
 	for rank, s := range order {
 		load := float64(s.running + s.others)
-		if load < bound && load < engineQueue*float64(s.record.Slots()) {
-			return s, rank
+		if load >= bound || load >= engineQueue*float64(s.record.Slots()) {
+			continue
+		}
+		kept := s.keepsOf(w.Service, w.Shared, ever(now))
+		if weighed >= homes && kept == 0 {
+			continue
+		}
+		weighed++
+		cost := max(s.wait()-calmWait, 0) + time.Duration(w.Input-kept)*perToken + time.Duration(rank)*rankCost
+		if best == nil || cost < bestCost {
+			best, bestRank, bestCost = s, rank, cost
 		}
 	}
-	return nil, 0
+	return best, bestRank
 }
 
 // least returns the server with the least load for its speed, one of the own
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -72,12 +72,19 @@
 	pool    *clemconn.Pool
 	running int
 	others  int
-	load    clementineturn.Load
-	health  health
-	// kept are the parts of prompts that the server has read, by digest.
-	kept map[uint64]struct{}
+	// unread are the prompt tokens that this entry's requests still have to
+	// wait for, othersUnread those of other entries' requests.
+	unread, othersUnread int
+	load                 clementineturn.Load
+	health               health
+	// kept are the parts of prompts that the server has read or will have read
+	// by the time, by digest.
+	kept map[uint64]time.Time
 }
 
+// wait returns the time that prompts take that are to be read at the server.
+func (s *server) wait() time.Duration { return time.Duration(s.unread+s.othersUnread) * readToken }
+
 type service struct {
 	servers []*server
 }
@@ -106,7 +113,7 @@
 	added := &server{
 		record: record, digest: xxhash.Sum64String(record.ID()),
 		pool: clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
-		kept: map[uint64]struct{}{},
+		kept: map[uint64]time.Time{},
 	}
 	d.servers[record.ID()] = added
 	s := d.services[record.Service()]
@@ -147,7 +154,9 @@
 // Standing is what one entry has at a server: running requests, and the
 // outcomes of the last seconds.
 type Standing struct {
-	Running      int
+	Running int
+	// Unread are the prompt tokens of requests that have no first event yet.
+	Unread       int
 	Good, Failed float64
 }
 
@@ -163,7 +172,7 @@
 		s.health.own.decay(now)
 		own := s.health.own
 		if s.running > 0 || own.good > leastTold || own.failed > leastTold {
-			standings[id] = Standing{Running: s.running, Good: own.good, Failed: own.failed}
+			standings[id] = Standing{Running: s.running, Unread: s.unread, Good: own.good, Failed: own.failed}
 		}
 	}
 	return standings
@@ -175,7 +184,7 @@
 	d.mu.Lock()
 	d.told[entry] = told{at: now, standings: standings}
 	for _, s := range d.servers {
-		s.others = 0
+		s.others, s.othersUnread = 0, 0
 		s.health.others = tally{at: now}
 	}
 	for name, t := range d.told {
@@ -186,6 +195,7 @@
 		for id, standing := range t.standings {
 			if s := d.servers[id]; s != nil {
 				s.others += standing.Running
+				s.othersUnread += standing.Unread
 				s.health.others.add(standing.Good, standing.Failed, now)
 			}
 		}
--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -1,6 +1,11 @@
 package clempool
 
-import clementineturn "github.com/clementineturn/clementineturn"
+import (
+	"slices"
+	"time"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
 
 const (
 	// mostKept bounds the parts that are known of one server. An engine keeps
@@ -11,6 +16,8 @@
 	// leastFetch is the number of tokens below which reading them again takes
 	// less time than setting up a transfer between engines.
 	leastFetch = 64
+	// firstToken is the time that an engine takes to begin an answer.
+	firstToken = 120 * time.Millisecond
 )
 
 // Kept is a part of a prompt that a server has read.
@@ -40,32 +47,27 @@
 	return append([]Kept(nil), n.entries[uint64(len(n.entries))-missing:]...), n.end
 }
 
-// keep notes that the server reads the part, and reports whether that is new.
-func (s *server) keep(part uint64) bool {
+// keep notes that the server will have read the part at the time, and reports
+// whether that is new.
+func (s *server) keep(part uint64, read time.Time) bool {
 	if _, known := s.kept[part]; known {
 		return false
 	}
 	if len(s.kept) >= mostKept {
 		clear(s.kept)
 	}
-	s.kept[part] = struct{}{}
+	s.kept[part] = read
 	return true
 }
 
-// keeps returns 1 if the server has read the part, else 0.
-func (s *server) keeps(part uint64) int {
-	if _, known := s.kept[part]; known {
-		return 1
-	}
-	return 0
-}
-
-// keepsOf returns the number of tokens of the shared parts that the server keeps:
-// a part counts only if all before it are kept, too.
-func (s *server) keepsOf(service string, shared []clementineturn.Part) int {
+// keepsOf returns the number of tokens of the shared parts that the server
+// keeps, or will once it has read what waits there. A part counts only if all
+// before it are kept, too.
+func (s *server) keepsOf(service string, shared []clementineturn.Part, by time.Time) int {
 	tokens := 0
 	for _, part := range shared {
-		if _, known := s.kept[Digest(service, part.ID())]; !known {
+		read, known := s.kept[Digest(service, part.ID())]
+		if !known || read.After(by) {
 			break
 		}
 		tokens += part.Tokens()
@@ -73,27 +75,40 @@
 	return tokens
 }
 
+// isBeingRead reports whether some server reads the prompt's last shared part just now.
+func (s *service) isBeingRead(w Want, now time.Time) bool {
+	part := Digest(w.Service, w.Shared[len(w.Shared)-1].ID())
+	return slices.ContainsFunc(s.servers, func(o *server) bool {
+		read, known := o.kept[part]
+		return known && read.After(now)
+	})
+}
+
 // source returns the server to fetch the shared parts from that the chosen
 // one lacks, or nil if it is not worth it.
-func (d *Directory) source(s *service, chosen *server, w Want) *server {
-	most := chosen.keepsOf(w.Service, w.Shared) + leastFetch
+func (d *Directory) source(s *service, chosen *server, w Want, now time.Time) *server {
+	most := chosen.keepsOf(w.Service, w.Shared, ever(now)) + leastFetch
 	var best *server
 	for _, other := range s.servers {
 		if other == chosen || other.health.isUnreached {
 			continue
 		}
-		if tokens := other.keepsOf(w.Service, w.Shared); tokens >= most {
+		if tokens := other.keepsOf(w.Service, w.Shared, now); tokens >= most {
 			best, most = other, tokens+1
 		}
 	}
 	return best
 }
 
+// ever returns a time by which all that waits is read.
+func ever(now time.Time) time.Time { return now.Add(time.Hour) }
+
 // note records that the chosen server reads the shared parts.
-func (d *Directory) note(chosen *server, w Want) {
+func (d *Directory) note(chosen *server, w Want, now time.Time) {
+	read := now.Add(chosen.wait() + firstToken)
 	for _, part := range w.Shared {
 		digest := Digest(w.Service, part.ID())
-		if chosen.keep(digest) {
+		if chosen.keep(digest, read) {
 			d.news.add(Kept{Server: chosen.record.ID(), Part: digest})
 		}
 	}
@@ -108,12 +123,13 @@
 }
 
 // TellKept notes what another entry sent to servers.
-func (d *Directory) TellKept(server string, parts []uint64) {
+func (d *Directory) TellKept(server string, parts []uint64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.servers[server]; s != nil {
+		read := now.Add(s.wait() + firstToken)
 		for _, part := range parts {
-			s.keep(part)
+			s.keep(part, read)
 		}
 	}
 }
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -51,6 +51,9 @@
 	load    int
 	mean    float64
 	rank    int
+	kept    int
+	wait    time.Duration
+	source  string
 	outcome clempool.Outcome
 	elapsed time.Duration
 	err     error
@@ -75,6 +78,11 @@
 	encoder.AddInt("load", a.load)
 	encoder.AddFloat64("mean", a.mean)
 	encoder.AddInt("rank", a.rank)
+	encoder.AddInt("kept", a.kept)
+	encoder.AddDuration("wait", a.wait)
+	if a.source != "" {
+		encoder.AddString("source", a.source)
+	}
 	encoder.AddString("outcome", a.outcome.String())
 	encoder.AddDuration("elapsed", a.elapsed)
 	if a.err != nil {
@@ -112,7 +120,7 @@
 func (q *request) want() clempool.Want {
 	want := clempool.Want{Service: q.service, Tried: q.tried, Idempotent: q.route.IsIdempotent()}
 	if parts := q.arrival.Parts(); q.route.Affinity() && len(parts) > 0 {
-		want.Shared = parts[:max(len(parts)-1, 1)]
+		want.Shared, want.Input = parts[:max(len(parts)-1, 1)], q.arrival.Input()
 	}
 	return want
 }
@@ -151,7 +159,7 @@
 	q.tried = append(q.tried, lease.Server())
 	a := attempt{
 		server: lease.Server(), load: lease.Load(), mean: lease.Mean(), rank: lease.Rank(),
-		outcome: v.outcome, elapsed: elapsed, err: v.err,
+		kept: lease.Kept(), wait: lease.Wait(), source: lease.Source(), outcome: v.outcome, elapsed: elapsed, err: v.err,
 	}
 	q.trail = append(q.trail, a)
 	if v.sent {
@@ -233,7 +241,7 @@
 		if q.started {
 			q.noteResumed(lease.Server())
 		}
-		v = q.stream(response, reply)
+		v = q.stream(response, reply, lease.Started)
 	case q.started && !reply.NotRun():
 		// The client has the head of another answer already.
 		v = verdict{outcome: clempool.OutcomeFailed, ran: true, err: clementineturn.Errorf(clementineturn.KindCut, "status %d in place of a stream's rest", response.StatusCode)}
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -27,8 +27,9 @@
 	eventID  = []byte("id:")
 )
 
-// stream passes the events of an answer on as they come, whole ones only.
-func (q *request) stream(response *clemconn.Response, reply clementineturn.Reply) verdict {
+// stream passes the events of an answer on as they come, whole ones only. It
+// calls started with the first bytes.
+func (q *request) stream(response *clemconn.Response, reply clementineturn.Reply, started func()) verdict {
 	v := verdict{outcome: clempool.OutcomeFailed, ran: true}
 	if !reply.Signed() || response.Header.Get("Content-Encoding") != "" {
 		v.err = clementineturn.Errorf(clementineturn.KindMismatch, "a stream without the server's signature or with an encoding")
@@ -38,6 +39,10 @@
 	chunk := make([]byte, streamRead)
 	for {
 		n, err := response.Read(chunk)
+		if n > 0 && started != nil {
+			started()
+			started = nil
+		}
 		pending = append(pending, chunk[:n]...)
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
 			whole := pending[:at+len(eventEnd)]
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -139,7 +139,7 @@
 	}
 	for id, standing := range s.config.Directory.Standings(now) {
 		share.Running = append(share.Running, &clemwire.Running{
-			Server: id, Count: uint32(standing.Running),
+			Server: id, Count: uint32(standing.Running), Unread: uint32(standing.Unread),
 			Good: uint32(standing.Good * hundredths), Failed: uint32(standing.Failed * hundredths),
 		})
 	}
@@ -179,12 +179,12 @@
 	standings := make(map[string]clempool.Standing, len(share.GetRunning()))
 	for _, r := range share.GetRunning() {
 		standings[r.GetServer()] = clempool.Standing{
-			Running: int(r.GetCount()),
-			Good:    float64(r.GetGood()) / hundredths, Failed: float64(r.GetFailed()) / hundredths,
+			Running: int(r.GetCount()), Unread: int(r.GetUnread()),
+			Good: float64(r.GetGood()) / hundredths, Failed: float64(r.GetFailed()) / hundredths,
 		}
 	}
 	for _, k := range share.GetKept() {
-		s.config.Directory.TellKept(k.GetServer(), k.GetParts())
+		s.config.Directory.TellKept(k.GetServer(), k.GetParts(), now)
 	}
 	s.config.Directory.Tell(share.GetName(), standings, now)
 }
