--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -183,9 +183,9 @@
 	return rows
 }
 
-// Told enters what another entry told of the rows, and reports whether it
-// was newer.
-func (c *catalogue) Told(share *clemwire.Share, now time.Time) bool {
+// Told enters what another entry told of the rows at most the given time ago,
+// and reports whether it was newer.
+func (c *catalogue) Told(share *clemwire.Share, transit time.Duration, now time.Time) bool {
 	view, _ := c.View(now)
 	if share.GetView() == 0 || share.GetView() < view || view > 0 && view < share.GetFloor() {
 		return false
@@ -193,7 +193,7 @@
 	if view == 0 {
 		c.setFloor(share.GetView())
 	}
-	seen := now.Add(-share.GetAge().AsDuration())
+	seen := now.Add(-share.GetAge().AsDuration() - transit)
 	changes := make([]clementineturn.Change, len(share.GetRows()))
 	for i, r := range share.GetRows() {
 		changes[i] = clementineturn.NewChange(clementineturn.ChangeConfig{
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -21,6 +21,12 @@
 	// rosterPace is the pace at which the rows of entries are read again, in
 	// case that nobody named a new one.
 	rosterPace = time.Minute
+	// askDelay is how long an entry waits for the store to bring a version that
+	// another entry holds, before it asks that one for it: documents are large
+	// beside the links of the smallest entries.
+	askDelay = 300 * time.Millisecond
+	// transitLimit is the longest way of a message whose rows are entered.
+	transitLimit = 2 * time.Second
 	// hundredths is the unit in which outcomes are told.
 	hundredths = 100
 )
@@ -125,17 +131,19 @@
 // share returns what this entry tells another one.
 func (s *Spread) share(address string) *clemwire.Share {
 	now := time.Now()
-	version, view := s.roster.held(address)
+	peer := s.roster.held(address)
 	ownView, age := s.catalogue.View(now)
 	share := &clemwire.Share{
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
-		View: ownView, Age: durationpb.New(age), Entries: s.roster.addresses(), Leaving: s.config.Leaving(), Floor: s.catalogue.Floor(),
+		View: ownView, Age: durationpb.New(age), Entries: s.roster.addresses(), Leaving: s.config.Leaving(),
+		Floor: s.catalogue.Floor(), Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
+		Asks: s.mustAsk(peer, now),
 	}
-	if share.GetVersion() > version {
+	if peer.asks && share.GetVersion() > peer.version {
 		share.Document = s.config.Table.Current().Document()
 	}
-	if ownView > view {
-		share.Rows = s.catalogue.Since(view)
+	if ownView > peer.view {
+		share.Rows = s.catalogue.Since(peer.view)
 	}
 	for id, standing := range s.config.Directory.Standings(now) {
 		share.Running = append(share.Running, &clemwire.Running{
@@ -147,6 +155,23 @@
 	return share
 }
 
+// transit returns the longest time that the message can have been on its way,
+// and false if it is not known or too long for what it tells to be of use.
+func (s *Spread) transit(share *clemwire.Share, now time.Time) (time.Duration, bool) {
+	echo := share.GetEcho().AsDuration()
+	passed := now.Sub(s.start) - echo
+	return passed, echo > 0 && passed >= 0 && passed < transitLimit
+}
+
+// mustAsk reports whether the peer holds a newer configuration that has not
+// come from the store in the time in which it usually does.
+func (s *Spread) mustAsk(peer held, now time.Time) bool {
+	if peer.version <= s.config.Table.Version() {
+		return false
+	}
+	return s.config.Table.Version() == 0 || now.Sub(peer.newer) > askDelay
+}
+
 // news returns the parts of prompts that the other entry has not been told of.
 func (s *Spread) news(address string) []*clemwire.Kept {
 	news, end := s.config.Directory.News(s.roster.told(address))
@@ -166,7 +191,7 @@
 // take enters what another entry told.
 func (s *Spread) take(share *clemwire.Share) {
 	now := time.Now()
-	if s.roster.heard(share.GetAddress(), share.GetVersion(), share.GetView(), now) {
+	if s.roster.heard(share, now) {
 		s.config.Events.Emit(clemevent.EntryBack, zap.String("entry", share.GetAddress()), zap.String("name", share.GetName()))
 	}
 	for _, address := range share.GetEntries() {
@@ -175,7 +200,9 @@
 	if len(share.GetDocument()) > 0 && share.GetVersion() > s.config.Table.Version() {
 		s.propose(share.GetDocument(), share.GetName())
 	}
-	s.catalogue.Told(share, now)
+	if transit, ok := s.transit(share, now); ok {
+		s.catalogue.Told(share, transit, now)
+	}
 	standings := make(map[string]clempool.Standing, len(share.GetRunning()))
 	for _, r := range share.GetRunning() {
 		standings[r.GetServer()] = clempool.Standing{
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -5,12 +5,17 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/clementineturn/clementineturn/clemwire"
 )
 
 const (
 	// silentTime is how long an entry that does not answer still counts as one
 	// that takes part: longer than a restart, since it may serve all the while.
 	silentTime = 10 * time.Second
+	// entryPace is added to the pace for each entry, so that the bytes of an
+	// entry's link grow less than the fleet.
+	entryPace = 4 * time.Millisecond
 	// lostTime is how long after its last word an entry keeps its turn.
 	lostTime = time.Second
 	// forgetTime is how long after its last word an entry is called again.
@@ -30,14 +35,24 @@
 	entries map[string]*entry
 }
 
+// held is what an entry last said it holds.
+type held struct {
+	version, view uint64
+	// newer is when the entry first told of this version.
+	newer time.Time
+	// clock is the last time of its steady clock that it told.
+	clock time.Duration
+	// asks is set if it asked for the configuration's document.
+	asks bool
+}
+
 type entry struct {
 	// heard is when the entry last said something, added when it was named.
 	heard, added time.Time
 	called       time.Time
 	isCalling    bool
 	isLost       bool
-	// version and view are what the entry last said it holds.
-	version, view uint64
+	held
 	// news is the number up to which the entry was told of kept parts.
 	news uint64
 }
@@ -57,27 +72,32 @@
 }
 
 // heard notes what an entry said, and reports whether it was lost or new before.
-func (r *roster) heard(address string, version, view uint64, now time.Time) (isBack bool) {
-	r.add(address, now)
+func (r *roster) heard(share *clemwire.Share, now time.Time) (isBack bool) {
+	r.add(share.GetAddress(), now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.entries[address]
+	e := r.entries[share.GetAddress()]
 	if e == nil {
 		return false
 	}
 	isBack = e.isLost || e.heard.IsZero()
-	e.heard, e.version, e.view, e.isLost = now, version, view, false
+	e.heard, e.isLost = now, false
+	if e.version != share.GetVersion() {
+		e.newer = now
+	}
+	e.version, e.view, e.asks = share.GetVersion(), share.GetView(), share.GetAsks()
+	e.clock = share.GetClock().AsDuration()
 	return isBack
 }
 
 // held returns what the entry last said it holds.
-func (r *roster) held(address string) (version, view uint64) {
+func (r *roster) held(address string) held {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e := r.entries[address]; e != nil {
-		return e.version, e.view
+		return e.held
 	}
-	return 0, 0
+	return held{}
 }
 
 // told returns the number up to which the entry was told of kept parts.
@@ -127,7 +147,7 @@
 			delete(r.entries, address)
 			continue
 		}
-		pace := exchangePace
+		pace := exchangePace + time.Duration(len(r.entries))*entryPace
 		if e.isLost {
 			pace = silentPace
 		}
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -64,6 +64,8 @@
 	config    Config
 	catalogue *catalogue
 	roster    *roster
+	// start is the zero of the clock that other entries are told.
+	start time.Time
 
 	// mu guards isAway and stopFeed, which ends a waiting feed.
 	mu       sync.Mutex
@@ -73,7 +75,7 @@
 
 // New returns the spread that the configuration describes.
 func New(c Config) *Spread {
-	return &Spread{config: c, catalogue: newCatalogue(c), roster: newRoster(c.Address)}
+	return &Spread{config: c, catalogue: newCatalogue(c), roster: newRoster(c.Address), start: time.Now()}
 }
 
 // IsReady reports whether a configuration and a list of backend servers are held.
