--- a/cmd/clementine-front/main.go
+++ b/cmd/clementine-front/main.go
@@ -17,7 +17,7 @@
 
 // collectAt is the growth of the heap in per cent at which garbage is
 // collected: memory is priced higher than processor time.
-const collectAt = 50
+const collectAt = 20
 
 func main() {
 	debug.SetGCPercent(collectAt)
