Pool: plain servers are chosen by own counts alone

Cause: ten entries that follow the same told counts choose the same server together; a plain request has ended before its count arrives.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -231,15 +231,17 @@
 }
 
 // least returns the server with the least load for its speed, one of the own
-// data centre if several have it, or nil if all are full.
+// data centre if several have it, or nil if all are full. Other entries'
+// counts only tell whether a server is full: their requests have often ended
+// by the time that the counts arrive, and all entries would follow them alike.
 func (d *Directory) least(c choice) *server {
 	var best *server
 	var bestLoad, bestTie float64
 	for _, s := range c.servers {
-		load := float64(s.running) + lateCount*float64(s.others)
-		if load >= plainQueue*float64(s.record.Slots()) {
+		if float64(s.running+s.others) >= plainQueue*float64(s.record.Slots()) {
 			continue
 		}
+		load := float64(s.running)
 		if slow := s.load.Slowness(); slow > 1 {
 			load *= slow
 		}
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -29,9 +29,6 @@
 	engineQueue = 1.25
 	// fullRetry is the time after which a full service is worth another try.
 	fullRetry = 300 * time.Millisecond
-	// lateCount is the weight of other entries' counts at plain servers, whose
-	// requests have often ended by the time that their counts arrive.
-	lateCount = 0.5
 )
 
 // Config describes a Directory to construct.
