Router: a resumable stream goes on elsewhere when its server is silent

Change: silence longer than 0.6 of the objective beside the prompts to be read, or 1.5 of the longest pause, moves the request; it says nothing of the server.

--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -24,9 +24,15 @@
 	// that the server closed meanwhile would leave its outcome unknown.
 	keptIdempotent = 10 * time.Second
 	keptOnce       = 3 * time.Second
-	// patientFactor is how many times its objective an idempotent request
-	// waits at one server before another one is tried.
-	patientFactor = 3
+	// patientShare is the part of its objective that an idempotent request
+	// waits for the beginning of an answer, beside the prompts that are read
+	// before it, until another server is tried: so that this one may still be
+	// on time. Without prompts plainFactor objectives are waited.
+	patientShare = 0.6
+	plainFactor  = 1.5
+	// pauseFactor is how many of its route's longest pauses a stream may stand
+	// still before it goes on at another server.
+	pauseFactor = 1.5
 	// leastRemaining is the time that must be left for another attempt.
 	leastRemaining = 20 * time.Millisecond
 	// leavingFactor is the safety with which the time of a request is
@@ -213,13 +219,13 @@
 
 // attempt sends the request to one server and passes a good answer on.
 func (q *request) attempt(ctx context.Context, lease *clempool.Lease) verdict {
-	ctx, cancel := q.limit(ctx)
-	defer cancel()
+	watch := q.watch(ctx, lease)
+	defer watch.end()
 	kept := keptIdempotent
 	if !q.route.IsIdempotent() {
 		kept = keptOnce
 	}
-	response, err := lease.Pool().Exchange(ctx, &clemconn.Request{
+	response, err := lease.Pool().Exchange(watch.ctx, &clemconn.Request{
 		Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, Kept: kept,
 		Header: q.router.Dialect.Outgoing(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
 			Server: lease.Server(), Organisation: q.organisation, Remaining: time.Until(q.deadline),
@@ -231,7 +237,7 @@
 		},
 	})
 	if err != nil {
-		return q.unanswered(err)
+		return watch.judge(ctx, q.unanswered(err))
 	}
 	defer response.Close()
 	reply := q.router.Dialect.Reply(response.StatusCode, response.Header)
@@ -241,7 +247,7 @@
 		if q.started {
 			q.noteResumed(lease.Server())
 		}
-		v = q.stream(response, reply, lease.Started)
+		v = q.stream(response, reply, func() { lease.Started(); watch.begun() })
 	case q.started && !reply.NotRun():
 		// The client has the head of another answer already.
 		v = verdict{outcome: clempool.OutcomeFailed, ran: true, err: clementineturn.Errorf(clementineturn.KindCut, "status %d in place of a stream's rest", response.StatusCode)}
@@ -249,15 +255,45 @@
 		v = q.whole(response, reply)
 	}
 	v.sent, v.load = true, reply.Load()
+	return watch.judge(ctx, v)
+}
+
+// judge leaves an attempt that was given up for its silence out of account: at
+// a moment of many cold prompts it says nothing of the server.
+func (w *watch) judge(parent context.Context, v verdict) verdict {
+	if w.ctx.Err() != nil && parent.Err() == nil && v.outcome == clempool.OutcomeFailed {
+		v.outcome = clempool.OutcomeAbandoned
+	}
 	return v
 }
 
-// limit bounds an attempt that another one may follow.
-func (q *request) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	if q.route.Kind() == clemroute.KindSafe && q.runs+1 < q.route.Attempts() && q.route.Objective() > 0 {
-		return context.WithTimeout(ctx, patientFactor*q.route.Objective())
+// watch bounds the silence of an attempt that another one may follow.
+type watch struct {
+	ctx   context.Context
+	end   context.CancelFunc
+	timer *time.Timer
+	pause time.Duration
+}
+
+// watch returns the bound of the next attempt's silence, if there is one.
+func (q *request) watch(ctx context.Context, lease *clempool.Lease) *watch {
+	w := &watch{pause: time.Duration(pauseFactor * float64(q.route.Pause()))}
+	w.ctx, w.end = context.WithCancel(ctx)
+	first := time.Duration(plainFactor * float64(q.route.Objective()))
+	if q.route.Kind() == clemroute.KindStream {
+		first = time.Duration(patientShare*float64(q.route.Objective())) + lease.Wait()
+	}
+	if q.route.IsIdempotent() && q.runs+1 < q.route.Attempts() && first > 0 {
+		w.timer = time.AfterFunc(first, w.end)
+	}
+	return w
+}
+
+// begun notes that bytes of the answer came.
+func (w *watch) begun() {
+	if w.timer != nil && w.pause > 0 {
+		w.timer.Reset(w.pause)
 	}
-	return context.WithCancel(ctx)
 }
 
 // unanswered returns the verdict on a server that sent no head of an answer.
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -62,13 +62,15 @@
 
 // The answers of backend servers; "!" at the end closes the connection.
 const (
-	good      = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 4\r\n\r\ngood"
-	bad       = "HTTP/1.1 500 Bad\r\nSigned: s\r\nContent-Length: 3\r\n\r\nbad"
-	full      = "HTTP/1.1 503 Full\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
-	stranger  = "HTTP/1.1 421 Wrong\r\nContent-Length: 0\r\n\r\n"
-	unsigned  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
-	busy      = "HTTP/1.1 503 Busy\r\nSigned: s\r\nContent-Length: 0\r\n\r\n"
-	reset     = "!"
+	good     = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 4\r\n\r\ngood"
+	bad      = "HTTP/1.1 500 Bad\r\nSigned: s\r\nContent-Length: 3\r\n\r\nbad"
+	full     = "HTTP/1.1 503 Full\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
+	stranger = "HTTP/1.1 421 Wrong\r\nContent-Length: 0\r\n\r\n"
+	unsigned = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+	busy     = "HTTP/1.1 503 Busy\r\nSigned: s\r\nContent-Length: 0\r\n\r\n"
+	reset    = "!"
+	// hang sends nothing until the other side closes the connection.
+	hang      = "hang"
 	streaming = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
 )
 
@@ -84,11 +86,13 @@
 			Timeout: time.Minute, Objective: 10 * time.Second, Targets: []clemroute.Target{clemroute.NewTarget("pool", 1)},
 		}
 	}
+	hasty := route("hasty", clemroute.KindStream, 2, true)
+	hasty.Objective = 20 * time.Millisecond
 	configuration, err := clemroute.New(clemroute.Config{
 		Version: 1,
 		Routes: []clemroute.RouteConfig{
 			route("safe", clemroute.KindSafe, 2, false), route("unsafe", clemroute.KindUnsafe, 1, false),
-			route("stream", clemroute.KindStream, 1, false), route("resumable", clemroute.KindStream, 2, true),
+			route("stream", clemroute.KindStream, 1, false), route("resumable", clemroute.KindStream, 2, true), hasty,
 		},
 		Services:      []clemroute.ServiceConfig{{Name: "pool"}},
 		Organisations: []clemroute.OrganisationConfig{{Name: "acme", Keys: []string{"k"}}},
@@ -141,6 +145,10 @@
 			answer, w.answers = w.answers[0], w.answers[1:]
 		}
 		w.mu.Unlock()
+		if answer == hang {
+			_, _ = reader.ReadByte()
+			return
+		}
 		text, closes := strings.CutSuffix(answer, "!")
 		_, _ = io.WriteString(conn, text)
 		if closes || strings.HasPrefix(text, streaming) {
@@ -198,6 +206,7 @@
 		"unreached servers cost nothing":        {path: "/unsafe/", answers: []string{good}, refused: 2, status: 200, sent: 1},
 		"all full is a true promise":            {path: "/unsafe/", answers: []string{full, full, full, full}, status: 503, sent: 3},
 		"stream that is not resumable":          {path: "/stream/", answers: []string{reset, good}, status: 502, sent: 1},
+		"resumable stream at a silent server":   {path: "/hasty/", answers: []string{hang, streaming + event(1)}, status: 200, sent: 2},
 		"resumable stream before its start":     {path: "/resumable/", answers: []string{reset, streaming + event(1)}, status: 200, sent: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -28,8 +28,8 @@
 )
 
 // stream passes the events of an answer on as they come, whole ones only. It
-// calls started with the first bytes.
-func (q *request) stream(response *clemconn.Response, reply clementineturn.Reply, started func()) verdict {
+// calls begun whenever bytes came.
+func (q *request) stream(response *clemconn.Response, reply clementineturn.Reply, begun func()) verdict {
 	v := verdict{outcome: clempool.OutcomeFailed, ran: true}
 	if !reply.Signed() || response.Header.Get("Content-Encoding") != "" {
 		v.err = clementineturn.Errorf(clementineturn.KindMismatch, "a stream without the server's signature or with an encoding")
@@ -39,9 +39,8 @@
 	chunk := make([]byte, streamRead)
 	for {
 		n, err := response.Read(chunk)
-		if n > 0 && started != nil {
-			started()
-			started = nil
+		if n > 0 {
+			begun()
 		}
 		pending = append(pending, chunk[:n]...)
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
