--- a/clemmain/main.go
+++ b/clemmain/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/clementineturn/clementineturn/clemcli"
 	"github.com/clementineturn/clementineturn/clemctl"
+	"github.com/clementineturn/clementineturn/clemexplain"
 	"github.com/clementineturn/clementineturn/clemnode"
 	"github.com/clementineturn/clementineturn/clemsetting"
 )
@@ -51,6 +52,9 @@
 	if len(c.Args) > 0 && c.Args[0] == "ctl" {
 		return clemctl.Run(ctx, clemctl.Config{Args: c.Args[1:], In: c.In, Out: c.Out, Err: c.Err, Env: c.Env})
 	}
+	if len(c.Args) > 0 && c.Args[0] == "explain" {
+		return runExplain(c)
+	}
 	parser := flaggy.NewParser("clementine")
 	parser.Description = "A router fleet for returning chats on shared language-model servers."
 	parser.AdditionalHelpAppend = exitCodes
@@ -65,7 +69,7 @@
 	}
 	used := find()
 	if used == nil {
-		return clemcli.Usage(cli, "a subcommand is needed: entry, sidecar, ctl, check or version")
+		return clemcli.Usage(cli, "a subcommand is needed: entry, sidecar, ctl, explain, check or version")
 	}
 	return used.run(ctx, c, *path)
 }
@@ -97,6 +101,9 @@
 	ctl := flaggy.NewSubcommand("ctl")
 	ctl.Description = "Drive the fleet as an operator; see clementine ctl --help."
 	parser.AttachSubcommand(ctl, 1)
+	explain := flaggy.NewSubcommand("explain")
+	explain.Description = "Print one request's life from log files: explain ID FILE..."
+	parser.AttachSubcommand(explain, 1)
 	return path, func() *command {
 		for i, s := range subcommands {
 			if s.Used {
@@ -124,6 +131,33 @@
 	return clemcli.ExitOK
 }
 
+// runExplain prints a request's lines from the files, or from standard input
+// if none is named.
+func runExplain(c Config) int {
+	if len(c.Args) < 2 || strings.HasPrefix(c.Args[1], "-") {
+		fmt.Fprintln(c.Err, "usage: clementine explain ID [FILE...]")
+		return clemcli.ExitUsage
+	}
+	logs := []io.Reader{c.In}
+	if len(c.Args) > 2 {
+		logs = nil
+	}
+	for _, path := range c.Args[2:] {
+		file, err := os.Open(path)
+		if err != nil {
+			fmt.Fprintln(c.Err, err)
+			return clemcli.ExitUsage
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	if err := clemexplain.Report(c.Out, c.Args[1], logs); err != nil {
+		fmt.Fprintln(c.Err, err)
+		return clemcli.ExitFailed
+	}
+	return clemcli.ExitOK
+}
+
 func runCheck(_ context.Context, c Config, path string) int {
 	if _, err := clemsetting.Read(path); err != nil {
 		fmt.Fprintln(c.Err, err)
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -74,6 +74,21 @@
 	streaming = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
 )
 
+// waitLimit bounds waiting for what must happen; it is no measure of speed.
+const (
+	waitLimit = time.Minute
+	waitPace  = time.Millisecond
+)
+
+// fill takes places at the servers as if requests ran there.
+func fill(t *testing.T, w *world, places int) {
+	t.Helper()
+	for range places {
+		_, err := w.router.Directory.Take(clempool.Want{Service: "pool"}, time.Now())
+		require.NoError(t, err)
+	}
+}
+
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
 
 func newWorld(t *testing.T, answers ...string) *world {
@@ -333,7 +348,7 @@
 	_, err = io.ReadFull(response.Body, make([]byte, len(event(1))))
 	require.NoError(t, err)
 	cancel()
-	require.Eventually(t, func() bool { return w.router.Active() == 0 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return w.router.Active() == 0 }, waitLimit, waitPace)
 }
 
 func TestEventIDs(t *testing.T) {
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -73,6 +74,9 @@
 
 // broken returns the verdict on a stream that broke off.
 func (q *request) broken(v verdict, err error) verdict {
+	if !time.Now().Before(q.deadline) {
+		err = context.DeadlineExceeded
+	}
 	v.err = clementineturn.Errorf(clementineturn.KindCut, "the stream broke off after %d events: %w", q.events, err)
 	if q.http.Context().Err() != nil {
 		v.outcome = clempool.OutcomeAbandoned
--- a/cmd/clementine-front/main.go
+++ b/cmd/clementine-front/main.go
@@ -24,18 +24,22 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
-	path := os.Getenv(platform.SettingsVariable)
-	err := clemfront.Run(context.Background(), clemfront.Config{
+	config := newConfig(os.Getenv(platform.SettingsVariable))
+	config.Out, config.Stop, config.Reload = os.Stdout, stop, reload
+	if err := clemfront.Run(context.Background(), config); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// newConfig returns a front on the platform with its settings in the file.
+func newConfig(path string) clemfront.Config {
+	return clemfront.Config{
 		Read: func() (*clemsite.Settings, error) { return platform.ReadSettings(path) },
 		Store: func(address func() string) clementineturn.Store {
 			return platform.NewStore(platform.StoreConfig{Address: address})
 		},
 		Dialect: platform.Dialect{}, ConfigurationKey: platform.ConfigurationKey,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeServer: platform.DecodeServer,
-		Out: os.Stdout, Stop: stop, Reload: reload,
-	})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
 	}
 }
