--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -18,6 +18,7 @@
 	ClockJumped           Event = 911
 	SettingsApplied       Event = 912
 	SettingsRejected      Event = 913
+	EntryRemoved          Event = 914
 	RequestRefused        Event = 920
 	AttemptFailed         Event = 921
 	RequestAnswered       Event = 922
@@ -44,6 +45,7 @@
 	ClockJumped:           {zapcore.WarnLevel, "clock jumped or process stood still", "The time of day and the steady clock went apart. Timers use the steady clock only."},
 	SettingsApplied:       {zapcore.InfoLevel, "settings read again", "The settings file changed."},
 	SettingsRejected:      {zapcore.ErrorLevel, "settings rejected", "The changed settings file is not valid; the field is named. The settings before stay in force."},
+	EntryRemoved:          {zapcore.InfoLevel, "row of an entry removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "The request was not sent to any backend server that ran it; kind and the fields tell why."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request well. The ran field tells whether it may have run."},
 	RequestAnswered:       {zapcore.InfoLevel, "request answered", "The answer of a backend server was passed on whole."},
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -45,7 +45,8 @@
 	// Read reads the settings; it is called again when they may have changed.
 	Read func() (*clemsite.Settings, error)
 	// Store makes the client of the platform's store at an address that may change.
-	Store               func(address func() string) clementineturn.Store
+	// It calls counted for each call.
+	Store               func(address func() string, counted func()) clementineturn.Store
 	Dialect             clementineturn.Dialect
 	ConfigurationKey    string
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
@@ -135,8 +136,9 @@
 	})
 }
 
-func newStore(c Config, held *current) clementineturn.Store {
-	return c.Store(func() string { return held.Load().Store() })
+func newStore(c Config, held *current, metrics *clemmetric.Registry) clementineturn.Store {
+	calls := metrics.Counter(clemmetric.StoreCalls)
+	return c.Store(func() string { return held.Load().Store() }, func() { calls.Inc(1) })
 }
 
 func newPeers() *clemrpc.Peers {
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -151,6 +151,9 @@
 	f.metrics.OnScrape(func() {
 		f.metrics.Gauge(clemmetric.Active).Update(int64(f.router.Active()))
 		f.metrics.Gauge(clemmetric.Hosts).Update(int64(f.spread.Entries()))
+		f.metrics.Gauge(clemmetric.Servers).Update(int64(f.router.Directory.Len()))
+		f.metrics.Gauge(clemmetric.Version).Update(int64(f.router.Table.Version()))
+		f.metrics.Gauge(clemmetric.LinesLost).Update(int64(f.sink.Dropped()))
 	})
 	router := chi.NewRouter()
 	router.Method(http.MethodGet, "/metrics", f.metrics.Text())
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -15,6 +15,12 @@
 	Memory      = "memory_bytes"
 	Goroutines  = "goroutines"
 	Processor   = "cpu_seconds"
+	Attempts    = "attempts"
+	FirstTime   = "first_event_time"
+	StoreCalls  = "store_calls"
+	Servers     = "backend_servers"
+	LinesLost   = "log_lines_dropped"
+	Version     = "configuration_version"
 )
 
 // Info describes a metric.
@@ -57,6 +63,12 @@
 	{Draining, kindGauge, "", "", "1 while the process takes no new work, else 0."},
 	{Memory, kindGauge, "", "", "Memory that the process got from the operating system, in bytes."},
 	{Goroutines, kindGauge, "", "", "Goroutines of the process."},
+	{Attempts, kindCounter, "front", "service,outcome", "Requests sent to backend servers, by what came of them."},
+	{FirstTime, kindSummary, "front", "route", "Time from the start of a request to the first event of its stream, in seconds."},
+	{StoreCalls, kindCounter, "front", "", "Calls to the platform's store."},
+	{Servers, kindGauge, "front", "", "Backend servers listed."},
+	{LinesLost, kindGauge, "front", "", "Log lines dropped because the reader of standard output stood still."},
+	{Version, kindGauge, "front", "", "Version of the platform's configuration in force."},
 	{Processor, kindGauge, "", "", "Processor time that the process used, in seconds."},
 }
 
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -11,6 +11,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemconn"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemroute"
 )
@@ -168,6 +169,7 @@
 		kept: lease.Kept(), wait: lease.Wait(), source: lease.Source(), outcome: v.outcome, elapsed: elapsed, err: v.err,
 	}
 	q.trail = append(q.trail, a)
+	q.router.Metrics.Counter(clemmetric.Attempts, "service", q.service, "outcome", v.outcome.String()).Inc(1)
 	if v.sent {
 		q.sent++
 	}
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -13,6 +13,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemconn"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
 )
 
@@ -92,6 +93,7 @@
 	}
 	if q.events == 0 {
 		q.first = time.Since(q.arrived)
+		q.router.Metrics.Timer(clemmetric.FirstTime, "route", q.route.Kind().String()).Update(q.first)
 	}
 	if q.started {
 		n, err := q.writer.Write(events)
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,7 +80,12 @@
 			s.config.Events.Emit(clemevent.EntryInvalid, zap.String("entry", change.Key()), zap.Error(err))
 			continue
 		}
-		s.roster.add(r.Address, time.Now())
+		if s.roster.isSilent(r.Address, time.Now()) {
+			if err := s.config.Store.Remove(ctx, clementineturn.SectionEntries, change.Key()); err != nil {
+				return err
+			}
+			s.config.Events.Emit(clemevent.EntryRemoved, zap.String("entry", r.Address), zap.String("name", change.Key()))
+		}
 	}
 	return nil
 }
@@ -94,6 +100,8 @@
 
 // exchange calls the other entries in turn.
 func (s *Spread) exchange(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	ticker := time.NewTicker(exchangePace / 4)
 	defer ticker.Stop()
 	for {
@@ -103,7 +111,7 @@
 		case <-ticker.C:
 		}
 		for _, address := range s.roster.due(time.Now()) {
-			go s.call(ctx, address)
+			calls.Go(func() { s.call(ctx, address) })
 		}
 	}
 }
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -18,7 +18,8 @@
 	entryPace = 4 * time.Millisecond
 	// lostTime is how long after its last word an entry keeps its turn.
 	lostTime = time.Second
-	// forgetTime is how long after its last word an entry is called again.
+	// forgetTime is how long after its last word the row of an entry is
+	// removed; twice the time after it the entry is no longer called.
 	forgetTime = 5 * time.Minute
 	// calledTime is how long an entry waits for the calls of one with a lower
 	// address before it calls itself.
@@ -71,6 +72,25 @@
 	}
 }
 
+// isSilent notes an entry whose row was read, and reports whether it has not
+// answered for so long that its row may go. One that lives writes it anew when
+// it starts, and the others know it until then.
+func (r *roster) isSilent(address string, now time.Time) bool {
+	r.add(address, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[address]
+	return e != nil && now.Sub(e.last()) > forgetTime
+}
+
+// last returns when the entry last said something, or was first named.
+func (e *entry) last() time.Time {
+	if e.added.After(e.heard) {
+		return e.added
+	}
+	return e.heard
+}
+
 // heard notes what an entry said, and reports whether it was lost or new before.
 func (r *roster) heard(share *clemwire.Share, now time.Time) (isBack bool) {
 	r.add(share.GetAddress(), now)
@@ -139,11 +159,7 @@
 	defer r.mu.Unlock()
 	var due []string
 	for address, e := range r.entries {
-		last := e.heard
-		if e.added.After(last) {
-			last = e.added
-		}
-		if now.Sub(last) > forgetTime {
+		if now.Sub(e.last()) > 2*forgetTime {
 			delete(r.entries, address)
 			continue
 		}
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -55,7 +55,7 @@
 	defer s.mu.Unlock()
 	var changes []clementineturn.Change
 	for _, change := range s.sections[section] {
-		if change.Version() > after {
+		if change.Version() > after && (after > 0 || !change.Removed()) {
 			changes = append(changes, change)
 		}
 	}
@@ -106,6 +106,10 @@
 	return nil
 }
 
+func (s *fakeStore) Remove(ctx context.Context, section clementineturn.Section, key string) error {
+	return s.Write(ctx, section, key, nil)
+}
+
 // network carries calls between entries by address.
 type network struct {
 	mu      sync.Mutex
@@ -269,3 +273,17 @@
 		require.Equal(t, uint64(5), e.config.Table.Version())
 	})
 }
+
+// Hosts are replaced at any time: the rows of entries that are gone go, too.
+func TestRowsOfGoneEntriesAreRemoved(t *testing.T) {
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		store.set(clementineturn.SectionEntries, "old", `{"address":"gone"}`)
+		n.start(ctx, "a", store)
+		n.start(ctx, "b", store)
+		time.Sleep(4 * time.Minute)
+		require.False(t, store.sections[clementineturn.SectionEntries]["old"].Removed())
+		time.Sleep(4 * time.Minute)
+		require.True(t, store.sections[clementineturn.SectionEntries]["old"].Removed())
+		require.False(t, store.sections[clementineturn.SectionEntries]["b"].Removed())
+	})
+}
--- a/cmd/clementine-front/main.go
+++ b/cmd/clementine-front/main.go
@@ -36,8 +36,8 @@
 func newConfig(path string) clemfront.Config {
 	return clemfront.Config{
 		Read: func() (*clemsite.Settings, error) { return platform.ReadSettings(path) },
-		Store: func(address func() string) clementineturn.Store {
-			return platform.NewStore(platform.StoreConfig{Address: address})
+		Store: func(address func() string, counted func()) clementineturn.Store {
+			return platform.NewStore(platform.StoreConfig{Address: address, Counted: counted})
 		},
 		Dialect: platform.Dialect{}, ConfigurationKey: platform.ConfigurationKey,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeServer: platform.DecodeServer,
--- a/store.go
+++ b/store.go
@@ -76,4 +76,6 @@
 	// Write puts a row, whatever it held. Errors: KindUnavailable if it had no
 	// effect, KindUnknown if it may have.
 	Write(ctx context.Context, section Section, key string, value []byte) error
+	// Remove drops a row. Errors as for Write.
+	Remove(ctx context.Context, section Section, key string) error
 }
