--- a/clempool/health.go
+++ b/clempool/health.go
@@ -135,6 +135,9 @@
 		return false
 	}
 	servers := d.services[s.record.Service()].servers
+	if len(servers) == 0 {
+		return false
+	}
 	shares := make([]float64, len(servers))
 	for i, other := range servers {
 		shares[i], _ = other.health.share(now)
--- a/clempool/health_test.go
+++ b/clempool/health_test.go
@@ -96,3 +96,18 @@
 		last, now = out, s.health.until
 	}
 }
+
+// Found by reading: the last server of a service is removed while a request
+// still runs there, and its failure is judged among none.
+func TestFailureAtARemovedServer(t *testing.T) {
+	d := fleet(1, 1, 16)[0]
+	var leases []*Lease
+	for range 5 {
+		leases = append(leases, take(t, d, Want{Service: "pool"}, epoch))
+	}
+	d.Remove("s00")
+	for _, lease := range leases {
+		lease.Done(OutcomeFailed, nil, epoch)
+	}
+	require.Zero(t, d.Len())
+}
