--- a/clemfault/network_test.go
+++ b/clemfault/network_test.go
@@ -293,6 +293,13 @@
 	})
 }
 
+// Share implements clementineturn.Peer.
+func (l *link) Share(ctx context.Context, share *clemwire.Share) (*clemwire.Share, error) {
+	return send(ctx, l, true, func(ctx context.Context, peer clementineturn.Peer) (*clemwire.Share, error) {
+		return peer.Share(ctx, share)
+	})
+}
+
 // Fetch implements clementineturn.Peer. Each frame passes the network on its own.
 func (l *link) Fetch(ctx context.Context, fetch *clemwire.Fetch, handler func(*clemwire.Frame) error) error {
 	ctx, cancel := context.WithCancel(ctx)
