--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -132,7 +132,7 @@
 func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, r *repeats, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
 	return clemrouter.New(clemrouter.Config{
 		Dialect: c.Dialect, Table: table, Directory: directory, Repeats: r.Window,
-		Events: events, Metrics: metrics, Draw: rand.Uint64,
+		Events: events, Metrics: metrics,
 	})
 }
 
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -16,6 +16,8 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrouter"
 	"github.com/clementineturn/clementineturn/clemrpc"
 	"github.com/clementineturn/clementineturn/clemsite"
@@ -47,6 +49,8 @@
 	held    *current
 	router  *clemrouter.Router
 	spread  *clemspread.Spread
+	table   *clemroute.Table
+	servers *clempool.Directory
 	peers   *clemrpc.Peers
 	events  *clemevent.Logger
 	sink    *clemevent.Sink
@@ -56,9 +60,9 @@
 	clients atomic.Int64
 }
 
-func newFront(c Config, held *current, router *clemrouter.Router, spread *clemspread.Spread, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry) *front {
+func newFront(c Config, held *current, router *clemrouter.Router, spread *clemspread.Spread, table *clemroute.Table, servers *clempool.Directory, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry) *front {
 	return &front{
-		config: c, held: held, router: router, spread: spread, peers: peers,
+		config: c, held: held, router: router, spread: spread, table: table, servers: servers, peers: peers,
 		events: events, sink: sink, metrics: metrics,
 	}
 }
@@ -151,8 +155,8 @@
 	f.metrics.OnScrape(func() {
 		f.metrics.Gauge(clemmetric.Active).Update(int64(f.router.Active()))
 		f.metrics.Gauge(clemmetric.Hosts).Update(int64(f.spread.Entries()))
-		f.metrics.Gauge(clemmetric.Servers).Update(int64(f.router.Directory.Len()))
-		f.metrics.Gauge(clemmetric.Version).Update(int64(f.router.Table.Version()))
+		f.metrics.Gauge(clemmetric.Servers).Update(int64(f.servers.Len()))
+		f.metrics.Gauge(clemmetric.Version).Update(int64(f.table.Version()))
 		f.metrics.Gauge(clemmetric.LinesLost).Update(int64(f.sink.Dropped()))
 	})
 	router := chi.NewRouter()
--- a/clemrouter/answer.go
+++ b/clemrouter/answer.go
@@ -135,7 +135,7 @@
 		status = http.StatusBadGateway
 	}
 	header := q.writer.Header()
-	q.router.Dialect.Label(header, q.arrival.ID())
+	q.router.config.Dialect.Label(header, q.arrival.ID())
 	if isPromise(status) && err.Retry() > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(err.Retry().Seconds(), 'f', 3, 64))
 	}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -138,7 +138,7 @@
 	defer cancel()
 	var best verdict
 	for {
-		lease, err := q.router.Directory.Take(q.want(), time.Now())
+		lease, err := q.router.config.Directory.Take(q.want(), time.Now())
 		if err != nil {
 			if len(q.trail) > 0 {
 				break
@@ -169,7 +169,7 @@
 		kept: lease.Kept(), wait: lease.Wait(), source: lease.Source(), outcome: v.outcome, elapsed: elapsed, err: v.err,
 	}
 	q.trail = append(q.trail, a)
-	q.router.Metrics.Counter(clemmetric.Attempts, "service", q.service, "outcome", v.outcome.String()).Inc(1)
+	q.router.config.Metrics.Counter(clemmetric.Attempts, "service", q.service, "outcome", v.outcome.String()).Inc(1)
 	if v.sent {
 		q.sent++
 	}
@@ -177,7 +177,7 @@
 		q.runs++
 	}
 	if v.outcome != clempool.OutcomeServed && v.outcome != clempool.OutcomeAbandoned {
-		q.router.Events.Emit(clemevent.AttemptFailed, zap.String("request", q.arrival.ID()),
+		q.router.config.Events.Emit(clemevent.AttemptFailed, zap.String("request", q.arrival.ID()),
 			zap.Bool("ran", v.ran), zap.Int("attempt", len(q.trail)), zap.Inline(a))
 	}
 }
@@ -191,7 +191,7 @@
 		return false
 	}
 	// A server that was never reached costs nobody anything.
-	return !v.sent && q.sent == 0 || q.router.Repeats.Spend(q.service, time.Now())
+	return !v.sent && q.sent == 0 || q.router.config.Repeats.Spend(q.service, time.Now())
 }
 
 // giveUp returns the error of a request that no server answered well, or
@@ -229,12 +229,12 @@
 	}
 	response, err := lease.Pool().Exchange(watch.ctx, &clemconn.Request{
 		Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, Kept: kept,
-		Header: q.router.Dialect.Outgoing(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
+		Header: q.router.config.Dialect.Outgoing(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
 			Server: lease.Server(), Organisation: q.organisation, Remaining: time.Until(q.deadline),
 			Resume: q.last, Source: lease.Source(),
 		})),
 		IsOwn: func(status int, header http.Header) bool {
-			id := q.router.Dialect.Reply(status, header).ID()
+			id := q.router.config.Dialect.Reply(status, header).ID()
 			return id == "" || id == q.arrival.ID()
 		},
 	})
@@ -242,7 +242,7 @@
 		return watch.judge(ctx, q.unanswered(err))
 	}
 	defer response.Close()
-	reply := q.router.Dialect.Reply(response.StatusCode, response.Header)
+	reply := q.router.config.Dialect.Reply(response.StatusCode, response.Header)
 	var v verdict
 	switch {
 	case q.route.Kind() == clemroute.KindStream && response.StatusCode == http.StatusOK:
--- a/clemrouter/explain_test.go
+++ b/clemrouter/explain_test.go
@@ -55,7 +55,7 @@
 			w := newWorld(t, c.answers...)
 			out := &logBuffer{}
 			core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zapcore.InfoLevel)
-			w.router.Events = clemevent.New(zap.New(core)).With(zap.String("node", "front-1"))
+			w.router.config.Events = clemevent.New(zap.New(core)).With(zap.String("node", "front-1"))
 			fill(t, w, c.holds)
 			_, _, _, _ = w.ask(c.path, http.Header{"Id": {"the-request"}})
 			require.Eventually(t, func() bool { return w.router.Active() == 0 }, waitLimit, waitPace)
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -39,20 +39,18 @@
 	Repeats   *clembudget.Window
 	Events    *clemevent.Logger
 	Metrics   *clemmetric.Registry
-	// Draw returns a random number.
-	Draw func() uint64
 }
 
 // Router serves clients. It is an http.Handler.
 type Router struct {
-	Config
+	config Config
 
 	active  atomic.Int64
 	leaving atomic.Pointer[time.Time]
 }
 
 // New returns the router that the configuration describes.
-func New(c Config) *Router { return &Router{Config: c} }
+func New(c Config) *Router { return &Router{config: c} }
 
 // Active returns the number of requests that run.
 func (r *Router) Active() int { return int(r.active.Load()) }
@@ -110,12 +108,12 @@
 // serve finds out what the request needs and dispatches it.
 func (q *request) serve() error {
 	r := q.router
-	arrival, err := r.Dialect.Arrival(q.http.Header)
+	arrival, err := r.config.Dialect.Arrival(q.http.Header)
 	q.arrival = arrival
 	if err != nil {
 		return err
 	}
-	configuration := r.Table.Current()
+	configuration := r.config.Table.Current()
 	if configuration == nil {
 		return clementineturn.NewError(clementineturn.ErrorConfig{
 			Kind: clementineturn.KindUnready, NotRun: true, Retry: unreadyRetry, Message: "no configuration is in force yet",
@@ -141,7 +139,7 @@
 	if err := q.readBody(configuration.Limits().Body()); err != nil {
 		return err
 	}
-	r.Repeats.Earn(q.service, q.arrived)
+	r.config.Repeats.Earn(q.service, q.arrived)
 	return q.dispatch()
 }
 
@@ -221,8 +219,8 @@
 	if q.route != nil {
 		route = q.route.Kind().String()
 	}
-	q.router.Metrics.Counter(clemmetric.Requests, "kind", outcome, "route", route).Inc(1)
-	q.router.Metrics.Timer(clemmetric.RequestTime, "route", route).UpdateSince(q.arrived)
+	q.router.config.Metrics.Counter(clemmetric.Requests, "kind", outcome, "route", route).Inc(1)
+	q.router.config.Metrics.Timer(clemmetric.RequestTime, "route", route).UpdateSince(q.arrived)
 }
 
 func (q *request) log(event clemevent.Event, err *clementineturn.Error) {
@@ -241,5 +239,5 @@
 	if err != nil {
 		fields = append(fields, zap.Bool("ran", q.runs > 0), zap.Error(err))
 	}
-	q.router.Events.Emit(event, fields...)
+	q.router.config.Events.Emit(event, fields...)
 }
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -84,7 +84,7 @@
 func fill(t *testing.T, w *world, places int) {
 	t.Helper()
 	for range places {
-		_, err := w.router.Directory.Take(clempool.Want{Service: "pool"}, time.Now())
+		_, err := w.router.config.Directory.Take(clempool.Want{Service: "pool"}, time.Now())
 		require.NoError(t, err)
 	}
 }
@@ -246,7 +246,7 @@
 // Without a configuration a request is refused as not run, never as unknown.
 func TestNoConfiguration(t *testing.T) {
 	w := newWorld(t)
-	w.router.Table = &clemroute.Table{}
+	w.router.config.Table = &clemroute.Table{}
 	status, header, _, err := w.ask("/safe/", nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -93,7 +93,7 @@
 	}
 	if q.events == 0 {
 		q.first = time.Since(q.arrived)
-		q.router.Metrics.Timer(clemmetric.FirstTime, "route", q.route.Kind().String()).Update(q.first)
+		q.router.config.Metrics.Timer(clemmetric.FirstTime, "route", q.route.Kind().String()).Update(q.first)
 	}
 	if q.started {
 		n, err := q.writer.Write(events)
@@ -146,6 +146,6 @@
 
 // noteResumed logs that a stream goes on at another server.
 func (q *request) noteResumed(server string) {
-	q.router.Events.Emit(clemevent.RequestResumed, zap.String("request", q.arrival.ID()),
+	q.router.config.Events.Emit(clemevent.RequestResumed, zap.String("request", q.arrival.ID()),
 		zap.String("server", server), zap.String("after", q.last), zap.Int("events", q.events))
 }
