--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# make demo [STAY=1] | make test | make measure
-.PHONY: build demo test measure lint
+# make demo [STAY=1] | make demo-front | make test | make measure
+.PHONY: build demo demo-front test measure lint
 
 build:
 	go build -o bin/ ./cmd/...
@@ -7,6 +7,10 @@
 demo:
 	STAY=$(STAY) ./tools/demo
 
+# The same for fronts: entries without sidecars on a platform's store.
+demo-front:
+	./tools/demo-front
+
 # The race detector runs on one processor: its context of a synctest bubble's
 # timers is shared, and two processors that run such timers at once crash the
 # runtime (seen with go1.26.8 as SIGSEGV in unlockAndRun). Pairs of faults run
--- a/clemstandin/provider.go
+++ b/clemstandin/provider.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -101,6 +102,10 @@
 }
 
 func (p *Provider) answer(r *http.Request) (int, providerAnswer) {
+	switch r.Method {
+	case http.MethodPut, http.MethodDelete:
+		return p.operate(r)
+	}
 	switch r.URL.Path {
 	case "/-/rows-get":
 		return p.get(r)
@@ -112,6 +117,27 @@
 	return http.StatusNotFound, providerAnswer{}
 }
 
+// operate writes or drops the row of the path /TABLE/KEY, as the operator and
+// backend servers do; fronts may not.
+func (p *Provider) operate(r *http.Request) (int, providerAnswer) {
+	table, key, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if !ok {
+		return http.StatusNotFound, providerAnswer{}
+	}
+	if r.Method == http.MethodDelete {
+		p.Drop(table, key)
+		return http.StatusOK, providerAnswer{}
+	}
+	var value json.RawMessage
+	if err := json.NewDecoder(r.Body).Decode(&value); err != nil {
+		return http.StatusBadRequest, providerAnswer{}
+	}
+	if err := p.Put(table, key, value); err != nil {
+		return http.StatusBadRequest, providerAnswer{}
+	}
+	return http.StatusOK, providerAnswer{}
+}
+
 func (p *Provider) get(r *http.Request) (int, providerAnswer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -212,3 +238,17 @@
 	}
 	return 0
 }
+
+// NewServer returns a backend server without a sidecar: it answers requests
+// that are meant for its id with what it got, signed, and refuses all others.
+func NewServer(id string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Expected-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Stamp", "stamp-of-"+id)
+		_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, r.Header.Get("X-Tenant"))
+	})
+}
--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -30,15 +30,7 @@
 
 // application is a backend server that answers as the platform's do.
 func application(t *testing.T, id string) string {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("X-Expected-Instance") != id {
-			w.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		w.Header().Set("X-Response-Stamp", "stamp-of-"+id)
-		_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, r.Header.Get("X-Tenant"))
-	}))
+	server := httptest.NewServer(clemstandin.NewServer(id))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
--- a/cmd/clementine-standin/options.go
+++ b/cmd/clementine-standin/options.go
@@ -18,6 +18,8 @@
 	roleEngine   = "engine"
 	roleService  = "service"
 	roleCaller   = "caller"
+	roleProvider = "provider"
+	roleServer   = "server"
 )
 
 const exitCodes = "Exit codes: 0 after a graceful shutdown (SIGTERM or SIGINT), 1 on a failure, 2 on wrong usage."
@@ -44,7 +46,7 @@
 	p := flaggy.NewParser("clementine-standin")
 	p.Description = "Small stand-ins for the systems around the fleet, for tests and the demo."
 	p.AdditionalHelpAppend = exitCodes
-	servers := []*flaggy.Subcommand{o.platformCommand(), o.engineCommand(), o.serviceCommand()}
+	servers := []*flaggy.Subcommand{o.platformCommand(), o.engineCommand(), o.serviceCommand(), providerCommand(), o.serverCommand()}
 	for _, c := range servers {
 		c.String(&o.listen, "l", "listen", "Address to listen on; port 0 takes a free one, which the log names.")
 	}
@@ -107,10 +109,23 @@
 	return c
 }
 
+func providerCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(roleProvider)
+	c.Description = "The store of a platform on which fronts run; PUT /TABLE/KEY writes a row, DELETE drops one."
+	return c
+}
+
+func (o *options) serverCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(roleServer)
+	c.Description = "A backend server without a sidecar, as fronts meet it."
+	c.String(&o.name, "", "name", "Id that stands in the server's row.")
+	return c
+}
+
 // check reports every fault of the options.
 func (o *options) check() error {
 	if o.role == "" {
-		return errors.New("a subcommand is needed: platform, engine, service or caller")
+		return errors.New("a subcommand is needed: platform, engine, service, provider, server or caller")
 	}
 	var faults []error
 	if o.role == roleEngine && o.engine.Model == "" {
@@ -152,6 +167,10 @@
 			Weights: clemstandin.Faults{Reads: o.weights},
 			Hosts:   clemstandin.Faults{Lag: lag},
 		}})
+	case roleProvider:
+		return clemstandin.NewProvider(), nil
+	case roleServer:
+		return clemstandin.NewServer(o.name), nil
 	case roleEngine:
 		o.engine.Name = o.name
 		o.engine.Faults.Lag = lag
