Pool: few sound servers are not full

Ruled out: slots (loads were far below). Change: without a server below the bound the idlest one with room is taken, which cannot be while all take part.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -193,7 +193,8 @@
 // near returns the server that costs a request the least time: the prompts
 // that are read there before, above a calm wait, and what it must read or
 // fetch itself. Among equal ones the chat's order of preference decides, so
-// that all entries choose alike. Only servers with room under the bound count.
+// that all entries choose alike. Only servers with room under the bound count,
+// unless none has: so it may be while sick ones are left out, which hold little.
 func (d *Directory) near(group *service, c choice, w Want, now time.Time) (*server, int) {
 	chat := Digest(w.Service, w.Shared[len(w.Shared)-1].ID())
 	order := slices.Clone(c.servers)
@@ -207,11 +208,17 @@
 	if group.isBeingRead(w, now) {
 		perToken *= twiceRead
 	}
-	var best *server
+	var best, idlest *server
 	bestRank, bestCost, weighed := 0, time.Duration(0), 0
 	for rank, s := range order {
 		load := float64(s.running + s.others)
-		if load >= bound || load >= engineQueue*float64(s.record.Slots()) {
+		if load >= engineQueue*float64(s.record.Slots()) {
+			continue
+		}
+		if idlest == nil || s.running+s.others < idlest.running+idlest.others {
+			idlest = s
+		}
+		if load >= bound {
 			continue
 		}
 		kept := s.keepsOf(w.Service, w.Shared, ever(now))
@@ -227,6 +234,9 @@
 			best, bestRank, bestCost = s, rank, cost
 		}
 	}
+	if best == nil {
+		return idlest, len(order)
+	}
 	return best, bestRank
 }
 
--- a/clempool/choose_test.go
+++ b/clempool/choose_test.go
@@ -180,6 +180,22 @@
 	require.Empty(t, second.Source())
 }
 
+// Pattern: most servers sick at once. Found by khat-router inc-8445: the sound
+// servers were all above the bound, whose mean counted the idle sick ones, and
+// requests were refused with most places free.
+func TestFewSoundServersAreNotFull(t *testing.T) {
+	d := fleet(1, 12, 128)[0]
+	for id, s := range d.servers {
+		if id > "s03" {
+			s.health.until = epoch.Add(time.Minute)
+		}
+	}
+	for chat := range uint64(120) {
+		lease := take(t, d, prompt(chat, 100), epoch)
+		require.LessOrEqual(t, lease.Server(), "s03")
+	}
+}
+
 // Requests without shared parts go to the least loaded server and are refused,
 // truthfully, when all are full.
 func TestPlainRequestsFillEvenly(t *testing.T) {
