Spread: an entry that started anew does not take changes for the whole list

Found by reading: what is told to an entry rests on the view it last told; one that was killed and started within the same second of its clock could take the changes since its earlier view as its first list, and miss servers until its next whole read. Messages name the view that they rest on.

--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -91,7 +91,18 @@
 // told returns what a catalogue tells an entry with the given view.
 func told(c *catalogue, view uint64, now time.Time) *clemwire.Share {
 	own, age := c.View(now)
-	return &clemwire.Share{View: own, Age: durationpb.New(age), Rows: c.Since(view), Floor: c.Floor()}
+	return &clemwire.Share{View: own, Age: durationpb.New(age), Rows: c.Since(view), Floor: c.Floor(), Since: view}
+}
+
+// Found by reading: an entry that started anew is told what changed since the
+// view that it held before, and must not take that for the whole list.
+func TestToldRowsForAnEarlierStartAreNotTaken(t *testing.T) {
+	from, anew := newTestCatalogue(), newTestCatalogue()
+	from.Apply(batch(5, row1("a", "x", 3), row1("b", "y", 4)), true, at(0), at(0))
+	from.Apply(batch(9, row1("c", "z", 9)), false, at(100), at(100))
+	require.False(t, anew.Told(told(from, 5, at(200)), 0, at(200)))
+	require.True(t, anew.Told(told(from, 0, at(200)), 0, at(200)))
+	require.Equal(t, 3, anew.directory.Len())
 }
 
 // Heartbeats are not told again, changes are; ages count the way.
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -145,7 +145,7 @@
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
 		View: ownView, Age: durationpb.New(age), Entries: s.roster.addresses(), Leaving: s.config.Leaving(),
 		Floor: s.catalogue.Floor(), Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
-		Asks: s.mustAsk(peer, now),
+		Asks: s.mustAsk(peer, now), Since: peer.view,
 	}
 	if peer.asks && share.GetVersion() > peer.version {
 		share.Document = s.config.Table.Current().Document()
