--- a/cmd/clementine-front/main.go
+++ b/cmd/clementine-front/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -15,12 +14,7 @@
 	"github.com/clementineturn/clementineturn/platform"
 )
 
-// collectAt is the growth of the heap in per cent at which garbage is
-// collected: memory is priced higher than processor time.
-const collectAt = 20
-
 func main() {
-	debug.SetGCPercent(collectAt)
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
