--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -77,6 +77,7 @@
 func (l *Lease) Done(outcome Outcome, load *clementineturn.Load, now time.Time) {
 	d, s := l.directory, l.server
 	d.mu.Lock()
+	d.expire(now)
 	s.running--
 	s.unread -= l.unread
 	l.unread = 0
@@ -95,6 +96,7 @@
 func (d *Directory) Take(w Want, now time.Time) (*Lease, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.expire(now)
 	s := d.services[w.Service]
 	if s == nil {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server", w.Service)
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -53,8 +53,11 @@
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
-	told     map[string]told
-	news     news
+	// told is what each other entry told last. The servers' counts of others
+	// are its sums. oldest is when the first of it expires, if none is renewed.
+	told   map[string]told
+	oldest time.Time
+	news   news
 }
 
 // told is what another entry said of its requests.
@@ -112,6 +115,9 @@
 		pool: clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
 		kept: map[uint64]time.Time{},
 	}
+	for _, t := range d.told {
+		added.count(t.standings[record.ID()], 1)
+	}
 	d.servers[record.ID()] = added
 	s := d.services[record.Service()]
 	if s == nil {
@@ -164,6 +170,7 @@
 func (d *Directory) Standings(now time.Time) map[string]Standing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.expire(now)
 	standings := map[string]Standing{}
 	for id, s := range d.servers {
 		s.health.own.decay(now)
@@ -179,24 +186,14 @@
 // to be sick by it is ejected.
 func (d *Directory) Tell(entry string, standings map[string]Standing, now time.Time) {
 	d.mu.Lock()
+	d.forget(entry)
 	d.told[entry] = told{at: now, standings: standings}
-	for _, s := range d.servers {
-		s.others, s.othersUnread = 0, 0
-		s.health.others = tally{at: now}
-	}
-	for name, t := range d.told {
-		if now.Sub(t.at) > toldTime {
-			delete(d.told, name)
-			continue
-		}
-		for id, standing := range t.standings {
-			if s := d.servers[id]; s != nil {
-				s.others += standing.Running
-				s.othersUnread += standing.Unread
-				s.health.others.add(standing.Good, standing.Failed, now)
-			}
+	for id, standing := range standings {
+		if s := d.servers[id]; s != nil {
+			s.count(standing, 1)
 		}
 	}
+	d.expire(now)
 	var ejected []*server
 	for id, standing := range standings {
 		if s := d.servers[id]; s != nil && standing.Failed > 0 && d.isSick(s, now) && s.health.eject(now) {
@@ -209,6 +206,42 @@
 	}
 }
 
+// forget takes what another entry told out of the servers' counts.
+func (d *Directory) forget(entry string) {
+	for id, standing := range d.told[entry].standings {
+		if s := d.servers[id]; s != nil {
+			s.count(standing, -1)
+		}
+	}
+	delete(d.told, entry)
+}
+
+// expire forgets what is too old. It must come before any use of the counts:
+// an entry that hears nobody would keep the last ones.
+func (d *Directory) expire(now time.Time) {
+	if !now.After(d.oldest) {
+		return
+	}
+	d.oldest = now.Add(toldTime)
+	for entry, t := range d.told {
+		end := t.at.Add(toldTime)
+		switch {
+		case now.After(end):
+			d.forget(entry)
+		case end.Before(d.oldest):
+			d.oldest = end
+		}
+	}
+}
+
+// count adds what another entry has at the server, or takes it away.
+func (s *server) count(standing Standing, sign int) {
+	s.others += sign * standing.Running
+	s.othersUnread += sign * standing.Unread
+	s.health.others.good += float64(sign) * standing.Good
+	s.health.others.failed += float64(sign) * standing.Failed
+}
+
 // tellEjected passes an ejection on.
 func (d *Directory) tellEjected(s *server, outcome Outcome, now time.Time) {
 	if d.config.Ejected == nil {
--- a/clempool/health.go
+++ b/clempool/health.go
@@ -61,8 +61,8 @@
 // health is what the outcomes of requests say of a server.
 type health struct {
 	own tally
-	// others are the outcomes that other entries told, all together.
-	others tally
+	// others are the outcomes that other entries told last, all together.
+	others struct{ good, failed float64 }
 	// until is the end of an ejection. A trial follows it, which ends after
 	// some good outcomes in a row.
 	until time.Time
@@ -86,7 +86,6 @@
 // share returns the share of failures among all entries' outcomes, and the failures.
 func (h *health) share(now time.Time) (share, failed float64) {
 	h.own.decay(now)
-	h.others.decay(now)
 	failed = h.own.failed + h.others.failed
 	return failed / (h.own.good + h.others.good + failed + 1), failed
 }
