--- a/clemsoak/soak.go
+++ b/clemsoak/soak.go
@@ -35,6 +35,8 @@
 	recoverTime = 12 * time.Second
 	// afterTime is how long the soak goes on after it.
 	afterTime = 4 * time.Second
+	// networks is the number of parts of the loopback network that are tried.
+	networks = 100
 	// stallPace is the pace at which the soak measures how late it is itself.
 	stallPace = 10 * time.Millisecond
 )
@@ -200,8 +202,14 @@
 // startFronts starts the entries and the balancer that asks whether they are ready.
 func (s *Soak) startFronts(ctx context.Context) error {
 	spawner := newSpawner(ctx)
-	// Each soak has a part of the loopback network of its own.
-	net := fmt.Sprintf("127.%d.%d", 20+s.config.Seed%200, s.config.Seed/200%250)
+	net, lock, err := network(s.config.Seed)
+	if err != nil {
+		return err
+	}
+	s.task(func() {
+		<-ctx.Done()
+		_ = lock.Close()
+	})
 	var seeds []string
 	for n := range min(s.config.Fronts, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", net, n+1, controlPort))
@@ -209,7 +217,6 @@
 	for n := range s.config.Fronts {
 		ip := fmt.Sprintf("%s.%d", net, n+1)
 		f := &front{address: fmt.Sprintf("%s:%d", ip, listenPort), ready: fmt.Sprintf("%s:%d", ip, readyPort)}
-		var err error
 		if f.clients, err = newLink(f.address); err != nil {
 			return err
 		}
@@ -246,6 +253,20 @@
 	return nil
 }
 
+// network returns the first three bytes of a part of the loopback network that
+// no other soak on this machine uses, and what keeps it for this one.
+func network(seed uint64) (string, io.Closer, error) {
+	var lock net.Listener
+	var err error
+	for n := range uint64(networks) {
+		part := fmt.Sprintf("127.%d.%d", 20+(seed+n)%200, (seed+n)/200%250)
+		if lock, err = net.Listen("tcp", fmt.Sprintf("%s.254:%d", part, listenPort)); err == nil {
+			return part, lock, nil
+		}
+	}
+	return "", nil, fmt.Errorf("no part of the loopback network is free: %w", err)
+}
+
 func (f *front) write() error {
 	text, err := f.settings.Text()
 	if err != nil {
