--- a/clempool/choose_test.go
+++ b/clempool/choose_test.go
@@ -11,6 +11,9 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 )
 
+// toldTime is how long what entries tell each other is believed.
+const toldTime = 1200 * time.Millisecond
+
 var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
 // fleet returns entries that share the same servers of one service.
@@ -39,7 +42,7 @@
 			if i == j {
 				continue
 			}
-			to.Tell(fmt.Sprint(i), standings, now)
+			to.Tell(fmt.Sprint(i), standings, now, toldTime)
 			for _, k := range news {
 				to.TellKept(k.Server, []uint64{k.Part}, now)
 			}
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// toldTime is how long another entry's counts are believed: a few of the
-	// exchanges between entries.
-	toldTime = 1200 * time.Millisecond
 	// boundMargin is the part of the promised multiple of the mean that is used;
 	// the rest covers requests that other entries sent since they last told.
 	boundMargin = 0.95
@@ -62,7 +59,7 @@
 
 // told is what another entry said of its requests.
 type told struct {
-	at        time.Time
+	until     time.Time
 	standings map[string]Standing
 }
 
@@ -166,7 +163,8 @@
 // leastTold is the number of outcomes below which they are not told.
 const leastTold = 0.02
 
-// Standings returns what this entry has at the servers, the idle ones left out.
+// Standings returns what this entry has at the servers, the idle ones left
+// out. Good outcomes alone are told only of servers that fail others' requests.
 func (d *Directory) Standings(now time.Time) map[string]Standing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -175,19 +173,22 @@
 	for id, s := range d.servers {
 		s.health.own.decay(now)
 		own := s.health.own
-		if s.running > 0 || own.good > leastTold || own.failed > leastTold {
+		if s.running > 0 || own.failed > leastTold || own.good > leastTold && s.health.others.failed > leastTold {
 			standings[id] = Standing{Running: s.running, Unread: s.unread, Good: own.good, Failed: own.failed}
 		}
 	}
 	return standings
 }
 
-// Tell notes what another entry has at the servers. A server that turns out
-// to be sick by it is ejected.
-func (d *Directory) Tell(entry string, standings map[string]Standing, now time.Time) {
+// Tell notes what another entry has at the servers, which is believed for the
+// given time. A server that turns out to be sick by it is ejected.
+func (d *Directory) Tell(entry string, standings map[string]Standing, now time.Time, valid time.Duration) {
 	d.mu.Lock()
 	d.forget(entry)
-	d.told[entry] = told{at: now, standings: standings}
+	d.told[entry] = told{until: now.Add(valid), standings: standings}
+	if d.told[entry].until.Before(d.oldest) {
+		d.oldest = d.told[entry].until
+	}
 	for id, standing := range standings {
 		if s := d.servers[id]; s != nil {
 			s.count(standing, 1)
@@ -222,14 +223,13 @@
 	if !now.After(d.oldest) {
 		return
 	}
-	d.oldest = now.Add(toldTime)
+	d.oldest = now.Add(time.Hour)
 	for entry, t := range d.told {
-		end := t.at.Add(toldTime)
 		switch {
-		case now.After(end):
+		case now.After(t.until):
 			d.forget(entry)
-		case end.Before(d.oldest):
-			d.oldest = end
+		case t.until.Before(d.oldest):
+			d.oldest = t.until
 		}
 	}
 }
--- a/clempool/told_test.go
+++ b/clempool/told_test.go
@@ -19,7 +19,7 @@
 	for n := range 2 {
 		busy[newRecord(n, 4).ID()] = Standing{Running: 12, Unread: 100_000, Failed: 1}
 	}
-	d.Tell("other", busy, epoch)
+	d.Tell("other", busy, epoch, toldTime)
 	want := Want{Service: "pool", Idempotent: true}
 	_, err := d.Take(want, epoch.Add(toldTime/2))
 	require.True(t, clementineturn.IsKind(err, clementineturn.KindOverloaded), "full by what another entry told: %v", err)
@@ -55,13 +55,13 @@
 					}
 				}
 			}
-			d.Tell(strconv.Itoa(rng.IntN(5)), standings, now)
+			d.Tell(strconv.Itoa(rng.IntN(5)), standings, now, toldTime)
 		}
 		d.Standings(now)
 		for id, s := range d.servers {
 			running, unread, good, failed := 0, 0, 0.0, 0.0
 			for _, told := range d.told {
-				if now.Sub(told.at) <= toldTime {
+				if !now.After(told.until) {
 					standing := told.standings[id]
 					running, unread = running+standing.Running, unread+standing.Unread
 					good, failed = good+standing.Good, failed+standing.Failed
--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -25,6 +25,8 @@
 	linkDelay = 400 * time.Millisecond
 	// stormVersions is the number of versions in quick succession.
 	stormVersions, stormPace = 8, 60 * time.Millisecond
+	// staleEnd is how long reads stay old after the store forgot its history.
+	staleEnd = 500 * time.Millisecond
 	// sickShare is the largest share of its requests that a sick server fails.
 	sickShare = 0.6
 )
@@ -240,11 +242,16 @@
 	return both(s.world.disturbStore, nil)
 }
 
-// stale shows old rows, and makes some read the tables as a whole.
+// stale shows old rows to whole reads. Entries follow the feed meanwhile, until
+// the store forgets its history and makes them read as a whole.
 func stale(s *Soak, _ context.Context, _ *rand.Rand) func() {
 	s.world.store.Stale(true)
-	s.world.store.Compact()
-	return both(s.world.disturbStore, func() { s.world.store.Stale(false) })
+	s.note(s.world.configure())
+	return both(s.world.disturbStore, func() {
+		s.world.store.Compact()
+		time.Sleep(staleEnd)
+		s.world.store.Stale(false)
+	})
 }
 
 // seat returns a seat at which nothing happens yet, or nil.
--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -187,7 +187,7 @@
 // and reports whether it was newer.
 func (c *catalogue) Told(share *clemwire.Share, transit time.Duration, now time.Time) bool {
 	view, _ := c.View(now)
-	if share.GetView() == 0 || share.GetView() < view || view < share.GetSince() || view > 0 && view < share.GetFloor() {
+	if share.GetBare() || share.GetView() == 0 || share.GetView() < view || view < share.GetSince() || view > 0 && view < share.GetFloor() {
 		return false
 	}
 	if view == 0 {
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -26,6 +26,16 @@
 	// another entry holds, before it asks that one for it: documents are large
 	// beside the links of the smallest entries.
 	askDelay = 300 * time.Millisecond
+	// firstAsk is how long an entry that starts waits for the store before it
+	// asks others for what it lacks, and askPace the pace at which it asks one.
+	firstAsk = 50 * time.Millisecond
+	askPace  = 200 * time.Millisecond
+	// countPace is the pace at which the running requests are counted for others.
+	countPace = exchangePace / 4
+	// toldTime is how long another entry's counts are believed at least, and
+	// toldPaces the same as a number of exchanges.
+	toldTime  = 1200 * time.Millisecond
+	toldPaces = 3
 	// transitLimit is the longest way of a message whose rows are entered.
 	transitLimit = 2 * time.Second
 	// hundredths is the unit in which outcomes are told.
@@ -143,24 +153,53 @@
 	ownView, age := s.catalogue.View(now)
 	share := &clemwire.Share{
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
-		View: ownView, Age: durationpb.New(age), Entries: s.roster.addresses(), Leaving: s.config.Leaving(),
+		View: ownView, Age: durationpb.New(age), Entries: s.roster.name(address), Leaving: s.config.Leaving(),
 		Floor: s.catalogue.Floor(), Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
-		Asks: s.mustAsk(peer, now), Since: peer.view,
+		Asks: s.mustAsk(peer, now), Since: peer.view, Lacks: ownView == 0 && peer.view > 0 && s.mayAsk(&s.askedRows, now),
 	}
 	if peer.asks && share.GetVersion() > peer.version {
 		share.Document = s.config.Table.Current().Document()
 	}
-	if ownView > peer.view {
+	switch {
+	case ownView <= peer.view:
+	case peer.view > 0 || peer.lacks:
 		share.Rows = s.catalogue.Since(peer.view)
+	default:
+		share.Bare = true
 	}
+	share.Running = s.running(now)
+	share.Kept = s.news(address)
+	return share
+}
+
+// running returns what this entry has at the servers. It is made once for
+// the calls of a short time, since each goes through all servers.
+func (s *Spread) running(now time.Time) []*clemwire.Running {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.counted) < countPace && s.counts != nil {
+		return s.counts
+	}
+	s.counted, s.counts = now, []*clemwire.Running{}
 	for id, standing := range s.config.Directory.Standings(now) {
-		share.Running = append(share.Running, &clemwire.Running{
+		s.counts = append(s.counts, &clemwire.Running{
 			Server: id, Count: uint32(standing.Running), Unread: uint32(standing.Unread),
 			Good: uint32(standing.Good * hundredths), Failed: uint32(standing.Failed * hundredths),
 		})
 	}
-	share.Kept = s.news(address)
-	return share
+	return s.counts
+}
+
+// mayAsk reports whether others may be asked for something large now: one at
+// a time, since all would answer.
+func (s *Spread) mayAsk(last *time.Time, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.start) < firstAsk || now.Sub(*last) < askPace {
+		return false
+	}
+	*last = now
+	return true
 }
 
 // transit returns the longest time that the message can have been on its way,
@@ -177,7 +216,7 @@
 	if peer.version <= s.config.Table.Version() {
 		return false
 	}
-	return s.config.Table.Version() == 0 || now.Sub(peer.newer) > askDelay
+	return (s.config.Table.Version() == 0 || now.Sub(peer.newer) > askDelay) && s.mayAsk(&s.askedDocument, now)
 }
 
 // news returns the parts of prompts that the other entry has not been told of.
@@ -221,5 +260,5 @@
 	for _, k := range share.GetKept() {
 		s.config.Directory.TellKept(k.GetServer(), k.GetParts(), now)
 	}
-	s.config.Directory.Tell(share.GetName(), standings, now)
+	s.config.Directory.Tell(share.GetName(), standings, now, max(toldTime, toldPaces*s.roster.pace()))
 }
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -1,7 +1,6 @@
 package clemspread
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +33,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// joined are the addresses in the order in which they were first noted.
+	joined []string
 }
 
 // held is what an entry last said it holds.
@@ -43,8 +44,9 @@
 	newer time.Time
 	// clock is the last time of its steady clock that it told.
 	clock time.Duration
-	// asks is set if it asked for the configuration's document.
-	asks bool
+	// asks is set if it asked for the configuration's document, lacks if it
+	// asked for all rows of backend servers.
+	asks, lacks bool
 }
 
 type entry struct {
@@ -54,8 +56,10 @@
 	isCalling    bool
 	isLost       bool
 	held
-	// news is the number up to which the entry was told of kept parts.
-	news uint64
+	// news is the number up to which the entry was told of kept parts, named
+	// the number of joined entries up to which it was told of them.
+	news  uint64
+	named int
 }
 
 func newRoster(own string) *roster { return &roster{own: own, entries: map[string]*entry{}} }
@@ -69,6 +73,7 @@
 	defer r.mu.Unlock()
 	if r.entries[address] == nil {
 		r.entries[address] = &entry{added: now}
+		r.joined = append(r.joined, address)
 	}
 }
 
@@ -105,8 +110,12 @@
 	if e.version != share.GetVersion() {
 		e.newer = now
 	}
-	e.version, e.view, e.asks = share.GetVersion(), share.GetView(), share.GetAsks()
-	e.clock = share.GetClock().AsDuration()
+	clock := share.GetClock().AsDuration()
+	if clock < e.clock {
+		// It started anew and knows nobody.
+		e.named = 0
+	}
+	e.version, e.view, e.asks, e.lacks, e.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
 	return isBack
 }
 
@@ -145,7 +154,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[address]
-	if e == nil || e.isLost || e.heard.IsZero() {
+	if e == nil {
+		return false
+	}
+	e.named = 0
+	if e.isLost || e.heard.IsZero() {
 		return false
 	}
 	e.isLost = true
@@ -160,10 +173,10 @@
 	var due []string
 	for address, e := range r.entries {
 		if now.Sub(e.last()) > 2*forgetTime {
-			delete(r.entries, address)
+			r.forget(address)
 			continue
 		}
-		pace := exchangePace + time.Duration(len(r.entries))*entryPace
+		pace := r.paceOf()
 		if e.isLost {
 			pace = silentPace
 		}
@@ -177,6 +190,15 @@
 	return due
 }
 
+// forget drops an entry. Those that were told of fewer are told of all again.
+func (r *roster) forget(address string) {
+	delete(r.entries, address)
+	r.joined = slices.DeleteFunc(r.joined, func(a string) bool { return a == address })
+	for _, e := range r.entries {
+		e.named = min(e.named, len(r.joined))
+	}
+}
+
 // turn returns the number of entries before this one that took part lately.
 func (r *roster) turn(now time.Time) int {
 	r.mu.Lock()
@@ -211,8 +233,26 @@
 	return n
 }
 
-func (r *roster) addresses() []string {
+// name returns the entries that were not named to the given one yet.
+func (r *roster) name(address string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Sorted(maps.Keys(r.entries))
+	e := r.entries[address]
+	if e == nil {
+		return slices.Clone(r.joined)
+	}
+	unnamed := slices.Clone(r.joined[min(e.named, len(r.joined)):])
+	e.named = len(r.joined)
+	return unnamed
+}
+
+// pace returns the pace of calls between two entries.
+func (r *roster) pace() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paceOf()
+}
+
+func (r *roster) paceOf() time.Duration {
+	return exchangePace + time.Duration(len(r.entries))*entryPace
 }
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -13,6 +13,7 @@
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrpc"
+	"github.com/clementineturn/clementineturn/clemwire"
 )
 
 const (
@@ -67,10 +68,16 @@
 	// start is the zero of the clock that other entries are told.
 	start time.Time
 
-	// mu guards isAway and stopFeed, which ends a waiting feed.
-	mu       sync.Mutex
-	isAway   bool
+	// mu guards everything below.
+	mu     sync.Mutex
+	isAway bool
+	// stopFeed ends a waiting feed.
 	stopFeed context.CancelFunc
+	// askedDocument and askedRows are when another entry was last asked.
+	askedDocument, askedRows time.Time
+	// counts are the running requests as counted last.
+	counts  []*clemwire.Running
+	counted time.Time
 }
 
 // New returns the spread that the configuration describes.
@@ -148,12 +155,16 @@
 // After a failure the feed does not wait until a call succeeded.
 func (s *Spread) followConfiguration(ctx context.Context) {
 	var after uint64
-	var retry backoff
+	var retry, reread backoff
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		batch, err := s.readOperator(ctx, after, wait)
 		if clementineturn.IsKind(err, clementineturn.KindStale) {
 			after, wait = 0, 0
+			// Reads may be so old that the feed does not go on from them.
+			if !reread.wait(ctx) {
+				return
+			}
 			continue
 		}
 		s.note(err)
@@ -164,6 +175,9 @@
 			}
 			continue
 		}
+		if after > 0 {
+			reread = backoff{}
+		}
 		retry, wait = backoff{}, feedWait
 		for _, change := range batch.Changes() {
 			if change.Key() == s.config.Key && !change.Removed() {
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clempool"
@@ -24,6 +26,8 @@
 	calls    int
 	// isSilent makes calls wait for their contexts to end.
 	isSilent bool
+	// isForgetful makes the feed go on from no version that reads show.
+	isForgetful bool
 }
 
 func newFakeStore() *fakeStore {
@@ -86,6 +90,12 @@
 
 func (s *fakeStore) Follow(ctx context.Context, section clementineturn.Section, after uint64, wait time.Duration) (clementineturn.Batch, error) {
 	s.count()
+	s.mu.Lock()
+	isStale := s.isForgetful && after > 0
+	s.mu.Unlock()
+	if isStale {
+		return clementineturn.Batch{}, clementineturn.NewError(clementineturn.ErrorConfig{Kind: clementineturn.KindStale, Message: "history is gone"})
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	expired := time.After(wait)
@@ -126,8 +136,9 @@
 type network struct {
 	mu      sync.Mutex
 	entries map[string]*Spread
-	// documents counts the documents that were told.
-	documents int
+	// documents counts the documents that were told, rows the rows of servers
+	// and bytes the bytes of all messages.
+	documents, rows, bytes int
 }
 
 // told returns the number of documents that were told.
@@ -137,6 +148,13 @@
 	return n.documents
 }
 
+// count returns one of the counters.
+func (n *network) count(counter *int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return *counter
+}
+
 type fakePeer struct {
 	clementineturn.Peer
 	network *network
@@ -162,6 +180,8 @@
 		if len(told.GetDocument()) > 0 {
 			p.network.documents++
 		}
+		p.network.rows += len(told.GetRows())
+		p.network.bytes += proto.Size(told)
 	}
 	return answer, err
 }
@@ -193,9 +213,13 @@
 		store := newFakeStore()
 		store.set(clementineturn.SectionOperator, "config", "1")
 		store.set(clementineturn.SectionServers, "a", "10.0.0.1:80")
+		defer func() {
+			cancel()
+			// Calls on their way end.
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}()
 		test(ctx, &network{entries: map[string]*Spread{}}, store)
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -306,3 +330,66 @@
 		require.False(t, store.isRemoved(clementineturn.SectionEntries, "b"))
 	})
 }
+
+// Found by a sweep to 300 entries: when all start at once, each told all
+// others the whole list of servers, and their links were full for seconds.
+// The store answers all of them; nobody needs to be told.
+func TestEntriesThatStartAtOnceDoNotTellWholeLists(t *testing.T) {
+	const fleet, servers = 40, 200
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		for i := range servers {
+			store.set(clementineturn.SectionServers, fmt.Sprint("s", i), "10.0.0.1:80")
+		}
+		var entries []*Spread
+		for i := range fleet {
+			entries = append(entries, n.start(ctx, fmt.Sprintf("e%02d", i), store))
+		}
+		time.Sleep(3 * time.Second)
+		for _, e := range entries {
+			require.Equal(t, fleet, e.Entries())
+			require.Equal(t, servers+1, e.config.Directory.Len())
+		}
+		require.Less(t, n.count(&n.rows), fleet*servers, "less than a list for each")
+
+		// In steady state a message is small, whatever the fleet's size.
+		before, messages := n.count(&n.bytes), 0
+		time.Sleep(10 * time.Second)
+		pace := exchangePace + fleet*entryPace
+		messages = 2 * fleet * (fleet - 1) / 2 * int(10*time.Second/pace)
+		require.Less(t, n.count(&n.bytes)-before, 150*messages)
+	})
+}
+
+// The same when the store answers nobody but one: the others ask, one at a time.
+func TestEntriesWithoutStoreAskOneAtATime(t *testing.T) {
+	const fleet, servers = 20, 100
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		for i := range servers {
+			store.set(clementineturn.SectionServers, fmt.Sprint("s", i), "10.0.0.1:80")
+		}
+		n.start(ctx, "e00", store)
+		away := newFakeStore()
+		away.silence(true)
+		var entries []*Spread
+		for i := range fleet {
+			entries = append(entries, n.start(ctx, fmt.Sprintf("e%02d", i+1), away, "e00"))
+		}
+		time.Sleep(4 * time.Second)
+		for _, e := range entries {
+			require.True(t, e.IsReady())
+			require.Equal(t, servers+1, e.config.Directory.Len())
+		}
+		require.Less(t, n.count(&n.rows), 6*fleet*servers)
+	})
+}
+
+// Found by the soak: while reads are older than the history that the store
+// still has, the feed goes on from none of them; the loop of both was unpaced.
+func TestOldReadsOfAForgetfulStoreArePaced(t *testing.T) {
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		store.isForgetful = true
+		n.start(ctx, "a", store)
+		time.Sleep(5 * time.Second)
+		require.Less(t, store.counted(), 100)
+	})
+}
--- a/clemstandin/provider.go
+++ b/clemstandin/provider.go
@@ -75,7 +75,8 @@
 	p.wake()
 }
 
-// Stale makes reads show the rows of this moment until it is ended; writes go on.
+// Stale makes whole reads show the rows of this moment until it is ended;
+// writes and feeds go on.
 func (p *Provider) Stale(isStale bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -207,15 +208,14 @@
 func (p *Provider) since(table string, after uint64) (int, providerAnswer, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rows, ver := p.shown()
-	answer := providerAnswer{Rows: []ProviderRow{}, Ver: ver}
+	answer := providerAnswer{Rows: []ProviderRow{}, Ver: p.ver}
 	if p.status != 0 {
 		return p.status, answer, p.changed
 	}
 	if after < p.floor {
 		return http.StatusGone, answer, p.changed
 	}
-	for _, row := range rows {
+	for _, row := range p.rows {
 		if row.Table == table && row.Ver > after {
 			answer.Rows = append(answer.Rows, row)
 		}
