--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -35,6 +35,8 @@
 	// settingsPoll is the pace at which the settings file is read again: it
 	// may change without a signal.
 	settingsPoll = time.Second
+	// readyPoll is the pace at which a front that starts looks whether it is ready.
+	readyPoll = 20 * time.Millisecond
 	// headerTimeout and idleTimeout bound clients' connections. They lie above
 	// what configurations set, whose clients keep to their own limits.
 	headerTimeout = 15 * time.Second
@@ -55,7 +57,8 @@
 	events  *clemevent.Logger
 	sink    *clemevent.Sink
 	metrics *clemmetric.Registry
-	ready   atomic.Bool
+	// ready is set once the front was ready.
+	ready bool
 	// clients counts the open connections of clients.
 	clients atomic.Int64
 }
@@ -178,9 +181,10 @@
 // wait returns when the process is asked to stop or a listener failed.
 // Meanwhile it reads changed settings and looks at the clocks.
 func (f *front) wait(ctx context.Context, failed <-chan error) error {
-	ticker := time.NewTicker(settingsPoll)
+	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	last := time.Now()
+	began := time.Now()
+	last, settingsRead := began, began
 	for {
 		select {
 		case err := <-failed:
@@ -191,12 +195,20 @@
 		case <-ctx.Done():
 			return nil
 		case <-f.config.Reload:
+			settingsRead = time.Time{}
 		case <-ticker.C:
 		}
-		f.reload()
-		last = f.lookAtClocks(last)
-		if f.isReady() && !f.ready.Swap(true) {
-			f.events.Emit(clemevent.ProcessReady)
+		if !f.ready && f.isReady() {
+			f.ready = true
+			passed := time.Since(began)
+			f.metrics.Float(clemmetric.ReadyTime).Update(passed.Seconds())
+			f.events.Emit(clemevent.ProcessReady, zap.Duration("elapsed", passed))
+			ticker.Reset(settingsPoll)
+		}
+		if time.Since(settingsRead) >= settingsPoll {
+			settingsRead = time.Now()
+			f.reload()
+			last = f.lookAtClocks(last)
 		}
 	}
 }
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -21,6 +21,8 @@
 	Servers     = "backend_servers"
 	LinesLost   = "log_lines_dropped"
 	Version     = "configuration_version"
+	AddedTime   = "added_time"
+	ReadyTime   = "ready_seconds"
 )
 
 // Info describes a metric.
@@ -51,7 +53,7 @@
 func Catalogue() []Info { return append([]Info(nil), catalogue...) }
 
 var catalogue = []Info{
-	{Requests, kindCounter, "entry", "kind", "Callers' requests that ended, by ok or the error kind that the caller was told."},
+	{Requests, kindCounter, "entry", "kind", "Callers' requests that ended, by ok or the error kind that the caller was told. Fronts add route, the kind of route, and class, the rank of the organisation."},
 	{RequestTime, kindSummary, "entry", "", "Time from the start of a caller's request to its end, in seconds."},
 	{Active, kindGauge, "entry", "", "Callers' requests in progress."},
 	{Running, kindGauge, "sidecar", "", "Requests that run on the backend server."},
@@ -63,7 +65,9 @@
 	{Draining, kindGauge, "", "", "1 while the process takes no new work, else 0."},
 	{Memory, kindGauge, "", "", "Memory that the process got from the operating system, in bytes."},
 	{Goroutines, kindGauge, "", "", "Goroutines of the process."},
-	{Attempts, kindCounter, "front", "service,outcome", "Requests sent to backend servers, by what came of them."},
+	{Attempts, kindCounter, "front", "service,server,outcome", "Requests sent to backend servers, by what came of them. Servers beyond the first 256 count as other."},
+	{AddedTime, kindSummary, "front", "", "Time from the head of a request to its first sending to a backend server, in seconds."},
+	{ReadyTime, kindGauge, "front", "", "Time from the start of the process to its readiness, in seconds."},
 	{FirstTime, kindSummary, "front", "route", "Time from the start of a request to the first event of its stream, in seconds."},
 	{StoreCalls, kindCounter, "front", "", "Calls to the platform's store."},
 	{Servers, kindGauge, "front", "", "Backend servers listed."},
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -146,6 +146,9 @@
 			return err
 		}
 		began := time.Now()
+		if len(q.trail) == 0 {
+			q.router.config.Metrics.Timer(clemmetric.AddedTime).Update(began.Sub(q.arrived))
+		}
 		v := q.attempt(ctx, lease)
 		lease.Done(v.outcome, v.load, time.Now())
 		q.note(lease, v, time.Since(began))
@@ -169,7 +172,8 @@
 		kept: lease.Kept(), wait: lease.Wait(), source: lease.Source(), outcome: v.outcome, elapsed: elapsed, err: v.err,
 	}
 	q.trail = append(q.trail, a)
-	q.router.config.Metrics.Counter(clemmetric.Attempts, "service", q.service, "outcome", v.outcome.String()).Inc(1)
+	q.router.config.Metrics.Counter(clemmetric.Attempts, "service", q.service,
+		"server", q.router.servers.Of(lease.Server()), "outcome", v.outcome.String()).Inc(1)
 	if v.sent {
 		q.sent++
 	}
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,9 @@
 	leavingRetry = 20 * time.Millisecond
 	// defaultBody bounds bodies if the configuration does not.
 	defaultBody = 8 << 20
+	// mostServers and mostClasses bound the values of the metrics' labels.
+	mostServers = 256
+	mostClasses = 16
 	// defaultPatience bounds requests that state no deadline on routes without a timeout.
 	defaultPatience = 60 * time.Second
 )
@@ -44,13 +48,17 @@
 // Router serves clients. It is an http.Handler.
 type Router struct {
 	config Config
+	// servers and classes bound the values of the metrics' labels.
+	servers, classes *clemmetric.Label
 
 	active  atomic.Int64
 	leaving atomic.Pointer[time.Time]
 }
 
 // New returns the router that the configuration describes.
-func New(c Config) *Router { return &Router{config: c} }
+func New(c Config) *Router {
+	return &Router{config: c, servers: clemmetric.NewLabel(mostServers), classes: clemmetric.NewLabel(mostClasses)}
+}
 
 // Active returns the number of requests that run.
 func (r *Router) Active() int { return int(r.active.Load()) }
@@ -85,10 +93,12 @@
 	version      uint64
 	route        *clemroute.Route
 	organisation string
-	service      string
-	deadline     time.Time
-	body         []byte
-	target       string
+	// class is the rank of the organisation, "" if it has none of its own.
+	class    string
+	service  string
+	deadline time.Time
+	body     []byte
+	target   string
 
 	// tried are the servers that were tried, and trail what came of it.
 	tried []string
@@ -130,6 +140,9 @@
 	}
 	if organisation != nil {
 		q.organisation = organisation.Name()
+		if organisation.Ranked() {
+			q.class = strconv.Itoa(organisation.Priority())
+		}
 	}
 	q.service = q.route.Target(xxhash.Sum64String(arrival.ID()))
 	q.deadline = q.arrived.Add(patience(arrival.Patience(), q.route.Timeout()))
@@ -219,7 +232,7 @@
 	if q.route != nil {
 		route = q.route.Kind().String()
 	}
-	q.router.config.Metrics.Counter(clemmetric.Requests, "kind", outcome, "route", route).Inc(1)
+	q.router.config.Metrics.Counter(clemmetric.Requests, "kind", outcome, "route", route, "class", q.router.classes.Of(q.class)).Inc(1)
 	q.router.config.Metrics.Timer(clemmetric.RequestTime, "route", route).UpdateSince(q.arrived)
 }
 
