--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -128,7 +128,7 @@
 	lease.kept, lease.wait = chosen.keepsOf(w.Service, w.Shared, ever(now)), chosen.wait()
 	lease.unread = max(w.Input-lease.kept, 0)
 	chosen.unread += lease.unread
-	d.note(chosen, w, now)
+	d.note(chosen, rank, w, now)
 	chosen.running++
 	return lease, nil
 }
--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -9,8 +9,16 @@
 
 const (
 	// mostKept bounds the parts that are known of one server. An engine keeps
-	// about as many prompts of some hundred tokens.
-	mostKept = 4096
+	// about as many prompts of some hundred tokens. allKept bounds those of all
+	// servers, each of which takes some 60 bytes, and leastKept what a server
+	// may have of it in any case.
+	mostKept  = 4096
+	allKept   = 1 << 17
+	leastKept = 64
+	// crowd is the number of other entries from which on only parts are told
+	// that went to another server than the first in their chat's order: the
+	// others find that one by themselves, and what is told grows with the fleet.
+	crowd = 32
 	// mostNews bounds the news that other entries have not heard yet.
 	mostNews = 4096
 	// leastFetch is the number of tokens below which reading them again takes
@@ -49,11 +57,11 @@
 
 // keep notes that the server will have read the part at the time, and reports
 // whether that is new.
-func (s *server) keep(part uint64, read time.Time) bool {
+func (d *Directory) keep(s *server, part uint64, read time.Time) bool {
 	if _, known := s.kept[part]; known {
 		return false
 	}
-	if len(s.kept) >= mostKept {
+	if len(s.kept) >= max(leastKept, min(mostKept, allKept/len(d.servers))) {
 		clear(s.kept)
 	}
 	s.kept[part] = read
@@ -103,12 +111,14 @@
 // ever returns a time by which all that waits is read.
 func ever(now time.Time) time.Time { return now.Add(time.Hour) }
 
-// note records that the chosen server reads the shared parts.
-func (d *Directory) note(chosen *server, w Want, now time.Time) {
+// note records that the chosen server, which has the rank in the chat's order,
+// reads the shared parts.
+func (d *Directory) note(chosen *server, rank int, w Want, now time.Time) {
+	isTold := rank > 0 || len(d.told) < crowd
 	read := now.Add(chosen.wait() + firstToken)
 	for _, part := range w.Shared {
 		digest := Digest(w.Service, part.ID())
-		if chosen.keep(digest, read) {
+		if d.keep(chosen, digest, read) && isTold {
 			d.news.add(Kept{Server: chosen.record.ID(), Part: digest})
 		}
 	}
@@ -129,7 +139,7 @@
 	if s := d.servers[server]; s != nil {
 		read := now.Add(s.wait() + firstToken)
 		for _, part := range parts {
-			s.keep(part, read)
+			d.keep(s, part, read)
 		}
 	}
 }
--- a/clempool/told_test.go
+++ b/clempool/told_test.go
@@ -74,3 +74,39 @@
 		}
 	}
 }
+
+// In a large fleet only what others cannot find by the chat's order is told.
+func TestCrowdTellsOnlyWhatIsNotAtHome(t *testing.T) {
+	d := fleet(1, 100, 128)[0]
+	for n := range crowd {
+		d.Tell(strconv.Itoa(n), nil, epoch, toldTime)
+	}
+	atHome := 0
+	for chat := range uint64(200) {
+		before, _ := d.News(0)
+		lease, err := d.Take(prompt(chat, 500), epoch)
+		require.NoError(t, err)
+		after, _ := d.News(0)
+		if lease.Rank() == 0 {
+			atHome++
+			require.Len(t, after, len(before))
+		}
+	}
+	require.Positive(t, atHome)
+}
+
+// What is known of all servers' prompts is bounded, whatever their number.
+func TestKeptPartsAreBounded(t *testing.T) {
+	const servers = 2000
+	d := fleet(1, servers, 128)[0]
+	for n := range servers {
+		for part := range uint64(200) {
+			d.TellKept(newRecord(n, 128).ID(), []uint64{part}, epoch)
+		}
+	}
+	all := 0
+	for _, s := range d.servers {
+		all += len(s.kept)
+	}
+	require.LessOrEqual(t, all, allKept)
+}
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -28,8 +28,8 @@
 	askDelay = 300 * time.Millisecond
 	// firstAsk is how long an entry that starts waits for the store before it
 	// asks others for what it lacks, and askPace the pace at which it asks one.
-	firstAsk = 50 * time.Millisecond
-	askPace  = 200 * time.Millisecond
+	firstAsk = 150 * time.Millisecond
+	askPace  = 100 * time.Millisecond
 	// countPace is the pace at which the running requests are counted for others.
 	countPace = exchangePace / 4
 	// toldTime is how long another entry's counts are believed at least, and
@@ -128,16 +128,28 @@
 
 func (s *Spread) call(ctx context.Context, address string) {
 	defer s.roster.called(address)
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	answer, err := s.config.Peers.Peer(address).Share(ctx, s.share(address))
+	answer, err := s.callOnce(ctx, address)
 	if err != nil {
 		if s.roster.lost(address) {
 			s.config.Events.Emit(clemevent.EntryLost, zap.String("entry", address), zap.Error(err))
 		}
 		return
 	}
-	s.take(answer)
+	if answer.GetLacks() || s.isBehind(address) {
+		// A second call at once carries the rows that one of the two lacks. If
+		// it fails the next exchange makes up for it.
+		_, _ = s.callOnce(ctx, address)
+	}
+}
+
+func (s *Spread) callOnce(ctx context.Context, address string) (*clemwire.Share, error) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	answer, err := s.config.Peers.Peer(address).Share(ctx, s.share(address))
+	if err == nil {
+		s.take(answer)
+	}
+	return answer, err
 }
 
 // Share answers another entry's call.
@@ -146,6 +158,16 @@
 	return s.share(share.GetAddress()), nil
 }
 
+// isBehind reports whether the other entry has a newer list of backend
+// servers that may be asked for now.
+func (s *Spread) isBehind(address string) bool {
+	now := time.Now()
+	view, _ := s.catalogue.View(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.held(address).view > view && s.mayAsk(s.askedRows, now)
+}
+
 // share returns what this entry tells another one.
 func (s *Spread) share(address string) *clemwire.Share {
 	now := time.Now()
@@ -155,23 +177,42 @@
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
 		View: ownView, Age: durationpb.New(age), Entries: s.roster.name(address), Leaving: s.config.Leaving(),
 		Floor: s.catalogue.Floor(), Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
-		Asks: s.mustAsk(peer, now), Since: peer.view, Lacks: ownView == 0 && peer.view > 0 && s.mayAsk(&s.askedRows, now),
+		Since: peer.view,
 	}
+	s.ask(share, peer, now)
 	if peer.asks && share.GetVersion() > peer.version {
 		share.Document = s.config.Table.Current().Document()
 	}
-	switch {
-	case ownView <= peer.view:
-	case peer.view > 0 || peer.lacks:
-		share.Rows = s.catalogue.Since(peer.view)
-	default:
-		share.Bare = true
+	if ownView > peer.view {
+		if share.Bare = !peer.lacks; peer.lacks {
+			share.Rows = s.catalogue.Since(peer.view)
+		}
 	}
 	share.Running = s.running(now)
 	share.Kept = s.news(address)
 	return share
 }
 
+// ask asks for what the peer has and this entry lacks. A configuration is
+// left to the store for the time in which it usually brings it.
+func (s *Spread) ask(share *clemwire.Share, peer held, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if peer.view > share.GetView() && s.mayAsk(s.askedRows, now) {
+		share.Lacks, s.askedRows = true, now
+	}
+	version := s.config.Table.Version()
+	if peer.version > version && (version == 0 || now.Sub(peer.newer) > askDelay) && s.mayAsk(s.askedDocument, now) {
+		share.Asks, s.askedDocument = true, now
+	}
+}
+
+// mayAsk reports whether others may be asked for something large now: one at
+// a time, since all would answer. The caller holds the lock.
+func (s *Spread) mayAsk(last, now time.Time) bool {
+	return now.Sub(s.start) > firstAsk && now.Sub(last) > askPace
+}
+
 // running returns what this entry has at the servers. It is made once for
 // the calls of a short time, since each goes through all servers.
 func (s *Spread) running(now time.Time) []*clemwire.Running {
@@ -190,18 +231,6 @@
 	return s.counts
 }
 
-// mayAsk reports whether others may be asked for something large now: one at
-// a time, since all would answer.
-func (s *Spread) mayAsk(last *time.Time, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.start) < firstAsk || now.Sub(*last) < askPace {
-		return false
-	}
-	*last = now
-	return true
-}
-
 // transit returns the longest time that the message can have been on its way,
 // and false if it is not known or too long for what it tells to be of use.
 func (s *Spread) transit(share *clemwire.Share, now time.Time) (time.Duration, bool) {
@@ -210,15 +239,6 @@
 	return passed, echo > 0 && passed >= 0 && passed < transitLimit
 }
 
-// mustAsk reports whether the peer holds a newer configuration that has not
-// come from the store in the time in which it usually does.
-func (s *Spread) mustAsk(peer held, now time.Time) bool {
-	if peer.version <= s.config.Table.Version() {
-		return false
-	}
-	return (s.config.Table.Version() == 0 || now.Sub(peer.newer) > askDelay) && s.mayAsk(&s.askedDocument, now)
-}
-
 // news returns the parts of prompts that the other entry has not been told of.
 func (s *Spread) news(address string) []*clemwire.Kept {
 	news, end := s.config.Directory.News(s.roster.told(address))
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -13,8 +13,10 @@
 	// that takes part: longer than a restart, since it may serve all the while.
 	silentTime = 10 * time.Second
 	// entryPace is added to the pace for each entry, so that the bytes of an
-	// entry's link grow less than the fleet.
+	// entry's link grow less than the fleet. crowdPace bounds an entry's
+	// exchanges with a large fleet.
 	entryPace = 4 * time.Millisecond
+	crowdPace = 8 * time.Millisecond
 	// lostTime is how long after its last word an entry keeps its turn.
 	lostTime = time.Second
 	// forgetTime is how long after its last word the row of an entry is
@@ -254,5 +256,6 @@
 }
 
 func (r *roster) paceOf() time.Duration {
-	return exchangePace + time.Duration(len(r.entries))*entryPace
+	n := time.Duration(len(r.entries))
+	return max(exchangePace+n*entryPace, n*crowdPace)
 }
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -352,11 +352,18 @@
 		require.Less(t, n.count(&n.rows), fleet*servers, "less than a list for each")
 
 		// In steady state a message is small, whatever the fleet's size.
-		before, messages := n.count(&n.bytes), 0
+		before := n.count(&n.bytes)
 		time.Sleep(10 * time.Second)
-		pace := exchangePace + fleet*entryPace
-		messages = 2 * fleet * (fleet - 1) / 2 * int(10*time.Second/pace)
+		messages := fleet * (fleet - 1) * int(10*time.Second/entries[0].roster.pace())
 		require.Less(t, n.count(&n.bytes)-before, 150*messages)
+
+		// A change goes to each entry about once, not once from each other.
+		rows := n.count(&n.rows)
+		for i := range servers / 10 {
+			store.set(clementineturn.SectionServers, fmt.Sprint("s", i), "10.0.0.2:80")
+		}
+		time.Sleep(4 * time.Second)
+		require.Less(t, n.count(&n.rows)-rows, 2*fleet*servers/10)
 	})
 }
 
