--- a/clemsoak/client.go
+++ b/clemsoak/client.go
@@ -177,7 +177,7 @@
 	}
 	w := p.soak.witness
 	isDue := p.isDue(acknowledged)
-	status, incarnation := p.ask(ctx, probeTenant, version)
+	status, incarnation := p.ask(ctx, probeOrganisation, version)
 	if incarnation != p.incarnation {
 		return
 	}
@@ -189,6 +189,9 @@
 			w.check(PromisePrompt, version == newest, "%s serves version %d %s after %d was acknowledged", p.front.name, version, time.Since(acknowledged), newest)
 		}
 	case http.StatusNotFound:
+		if after, _ := p.soak.world.current(); version == p.highest && version == after {
+			w.check(PromiseForward, false, "%s has no version %d any more, the newest", p.front.name, version)
+		}
 		if isDue && version == newest {
 			w.check(PromisePrompt, false, "%s has no version %d %s after it was acknowledged", p.front.name, version, time.Since(acknowledged))
 		}
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -23,8 +23,8 @@
 	// objectiveMS and timeoutMS hold for all routes.
 	objectiveMS, timeoutMS = 600, 4000
 	// organisations is the number of organisations whose keys stay.
-	organisations = 4
-	probeTenant   = "probe"
+	organisations     = 4
+	probeOrganisation = "probe"
 	// leaveTime is how long a server stays listed as leaving, reuseTime how long
 	// the address of one that is gone is free.
 	leaveTime = 5 * time.Second
@@ -78,7 +78,7 @@
 
 func newWorld(c Config, w *witness, isCalm func(time.Duration) bool, stall func() time.Duration) (*world, error) {
 	o := &world{
-		config: c, witness: w, isCalm: isCalm, stall: stall, store: clemstandin.NewProvider(), keys: map[string]string{probeTenant: "key-" + probeTenant},
+		config: c, witness: w, isCalm: isCalm, stall: stall, store: clemstandin.NewProvider(), keys: map[string]string{probeOrganisation: "key-" + probeOrganisation},
 		revoked: map[string]int{}, leaving: map[string]time.Time{},
 	}
 	for n := range organisations {
@@ -219,7 +219,7 @@
 func (o *world) configure() error {
 	o.mu.Lock()
 	o.version++
-	m := clemstandin.Manifest{
+	m := clemstandin.ProviderConfiguration{
 		Version: o.version, Host: host, Services: []string{serviceApp, serviceChat}, Keys: maps.Clone(o.keys),
 		TimeoutMS: timeoutMS, ObjectiveMS: objectiveMS,
 	}
--- a/clemstandin/provider_operator.go
+++ b/clemstandin/provider_operator.go
@@ -15,8 +15,8 @@
 	Resumable, Affinity   bool
 }
 
-// Manifest is the operator's configuration.
-type Manifest struct {
+// ProviderConfiguration is the configuration that the operator writes.
+type ProviderConfiguration struct {
 	Version  int
 	Host     string
 	Routes   []Route
@@ -28,7 +28,7 @@
 }
 
 // Configure writes the configuration as the operator does.
-func (p *Provider) Configure(m Manifest) error {
+func (p *Provider) Configure(m ProviderConfiguration) error {
 	var routes, services, tenants []map[string]any
 	for _, r := range m.Routes {
 		routes = append(routes, map[string]any{
