--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -235,7 +235,7 @@
 		Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, Kept: kept,
 		Header: q.router.config.Dialect.Outgoing(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
 			Server: lease.Server(), Organisation: q.organisation, Remaining: time.Until(q.deadline),
-			Resume: q.last, Source: lease.Source(),
+			Resume: q.last, Source: lease.Source(), Rank: q.rank,
 		})),
 		IsOwn: func(status int, header http.Header) bool {
 			id := q.router.config.Dialect.Reply(status, header).ID()
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -93,6 +93,8 @@
 	version      uint64
 	route        *clemroute.Route
 	organisation string
+	// rank is the organisation's or the route's, 0 the most urgent.
+	rank int
 	// class is the rank of the organisation, "" if it has none of its own.
 	class    string
 	service  string
@@ -138,10 +140,12 @@
 	if err != nil {
 		return err
 	}
+	q.rank = q.route.Priority()
 	if organisation != nil {
 		q.organisation = organisation.Name()
 		if organisation.Ranked() {
-			q.class = strconv.Itoa(organisation.Priority())
+			q.rank = organisation.Priority()
+			q.class = strconv.Itoa(q.rank)
 		}
 	}
 	q.service = q.route.Target(xxhash.Sum64String(arrival.ID()))
--- a/dialect.go
+++ b/dialect.go
@@ -82,6 +82,8 @@
 	Resume string
 	// the address of a backend server that keeps more of the prompt, or ""
 	Source string
+	// the rank of the request, 0 the most urgent
+	Rank int
 }
 
 // Dispatch is what the system tells a backend server with a request.
@@ -96,6 +98,9 @@
 // Organisation returns the organisation's name, or "" for a public route.
 func (d Dispatch) Organisation() string { return d.config.Organisation }
 
+// Rank returns the rank of the request, 0 the most urgent.
+func (d Dispatch) Rank() int { return d.config.Rank }
+
 // Remaining returns how long the client will still wait.
 func (d Dispatch) Remaining() time.Duration { return d.config.Remaining }
 
