--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -21,6 +21,8 @@
 	Input int
 	// Idempotent is set if the request may be repeated.
 	Idempotent bool
+	// Organisation is whom the request is served for, or "".
+	Organisation string
 	// Tried are the ids of servers that were tried for the request.
 	Tried []string
 }
@@ -29,15 +31,18 @@
 type Lease struct {
 	directory *Directory
 	server    *server
-	pool      *clemconn.Pool
-	id        string
-	source    string
-	unread    int
-	kept      int
-	wait      time.Duration
-	load      int
-	mean      float64
-	rank      int
+	group     *service
+	// organisation is whom the request is served for.
+	organisation string
+	pool         *clemconn.Pool
+	id           string
+	source       string
+	unread       int
+	kept         int
+	wait         time.Duration
+	load         int
+	mean         float64
+	rank         int
 }
 
 // Pool returns the connections to the server.
@@ -79,6 +84,7 @@
 	d.mu.Lock()
 	d.expire(now)
 	s.running--
+	l.group.leave(l.organisation)
 	s.unread -= l.unread
 	l.unread = 0
 	if load != nil {
@@ -105,6 +111,12 @@
 	if len(choice.servers) == 0 {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server left to try", w.Service)
 	}
+	if s.isSurge(choice, w, now) {
+		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
+			Kind: clementineturn.KindOverloaded, NotRun: true, Retry: surgeRetry,
+			Message: "service " + w.Service + " is busy and organisation " + w.Organisation + " has more than its share of it",
+		})
+	}
 	var chosen *server
 	rank := 0
 	if len(w.Shared) > 0 {
@@ -119,7 +131,7 @@
 		})
 	}
 	lease := &Lease{
-		directory: d, server: chosen, pool: chosen.pool, id: chosen.record.ID(),
+		directory: d, server: chosen, group: s, organisation: w.Organisation, pool: chosen.pool, id: chosen.record.ID(),
 		load: chosen.running + chosen.others, mean: choice.mean, rank: rank,
 	}
 	if source := d.source(s, chosen, w, now); source != nil {
@@ -130,6 +142,7 @@
 	chosen.unread += lease.unread
 	d.note(chosen, rank, w, now)
 	chosen.running++
+	s.enter(w.Organisation)
 	return lease, nil
 }
 
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -84,6 +84,11 @@
 
 type service struct {
 	servers []*server
+	// shares are what organisations have at this entry, running their sum.
+	// pruned is when those that are gone were last dropped.
+	shares  map[string]*share
+	running int
+	pruned  time.Time
 }
 
 // New returns an empty directory.
@@ -118,7 +123,7 @@
 	d.servers[record.ID()] = added
 	s := d.services[record.Service()]
 	if s == nil {
-		s = &service{}
+		s = &service{shares: map[string]*share{}}
 		d.services[record.Service()] = s
 	}
 	s.servers = append(s.servers, added)
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -125,7 +125,7 @@
 
 // want returns what a server is chosen by.
 func (q *request) want() clempool.Want {
-	want := clempool.Want{Service: q.service, Tried: q.tried, Idempotent: q.route.IsIdempotent()}
+	want := clempool.Want{Service: q.service, Organisation: q.organisation, Tried: q.tried, Idempotent: q.route.IsIdempotent()}
 	if parts := q.arrival.Parts(); q.route.Affinity() && len(parts) > 0 {
 		want.Shared, want.Input = parts[:max(len(parts)-1, 1)], q.arrival.Input()
 	}
