--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,11 @@
 
 measure:
 	go run ./cmd/clementine-measure
+
+# Fresh seeds: make soak SEED=100 SEEDS=20
+.PHONY: soak
+SEED ?= 1
+SEEDS ?= 5
+soak:
+	go build -o bin/ ./cmd/clementine-front ./cmd/clementine-soak
+	bin/clementine-soak -s $(SEED) -n $(SEEDS) -j 5
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -74,7 +74,7 @@
 		func() Config { return c },
 		func() *current { held := &current{}; held.Store(settings); return held },
 		func() *clemevent.Sink { return clemevent.NewSink(c.Out) },
-		newEvents, clemmetric.New, newTable, newDirectory, newRepeats, newRouter, newStore, newPeers, newSpread, newFront,
+		newEvents, clemmetric.New, newTable, newDirectory, newFleet, newRepeats, newRouter, newStore, newPeers, newSpread, newFront,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			return clementineturn.Errorf(clementineturn.KindInternal, "assembling: %w", dig.RootCause(err))
@@ -107,32 +107,41 @@
 	})
 }
 
-// repeats is the budget of repeats with its share among the entries.
-type repeats struct {
-	*clembudget.Window
-	entries atomic.Pointer[func() int]
+// fleet is what is known of the other entries. What tells it is assembled
+// after those who ask.
+type fleet struct {
+	spread atomic.Pointer[clemspread.Spread]
 }
 
-func newRepeats(held *current) *repeats {
-	r := &repeats{}
-	r.Window = clembudget.NewWindow(clembudget.WindowConfig{
+// entries returns the number of entries that take part.
+func (f *fleet) entries() int {
+	if spread := f.spread.Load(); spread != nil {
+		return spread.Entries()
+	}
+	return 1
+}
+
+// isAlone reports whether no other entry is known to hold a configuration.
+func (f *fleet) isAlone() bool {
+	spread := f.spread.Load()
+	return spread == nil || spread.IsAlone()
+}
+
+func newFleet() *fleet { return &fleet{} }
+
+// newRepeats returns the budget of repeats with its share among the entries.
+func newRepeats(held *current, f *fleet) *clembudget.Window {
+	return clembudget.NewWindow(clembudget.WindowConfig{
 		Span:  func() time.Duration { return held.Load().Bounds().RetryWindow() },
 		Share: func() float64 { return held.Load().Bounds().RetryShare() },
-		Slack: func() float64 {
-			entries := 1
-			if count := r.entries.Load(); count != nil {
-				entries = (*count)()
-			}
-			return repeatShare * held.Load().Bounds().RetrySlack() / float64(entries)
-		},
+		Slack: func() float64 { return repeatShare * held.Load().Bounds().RetrySlack() / float64(f.entries()) },
 	})
-	return r
 }
 
-func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, r *repeats, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
+func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, repeats *clembudget.Window, f *fleet, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
 	return clemrouter.New(clemrouter.Config{
-		Dialect: c.Dialect, Table: table, Directory: directory, Repeats: r.Window,
-		Events: events, Metrics: metrics,
+		Dialect: c.Dialect, Table: table, Directory: directory, Repeats: repeats,
+		Events: events, Metrics: metrics, IsAlone: f.isAlone,
 	})
 }
 
@@ -145,14 +154,13 @@
 	return clemrpc.NewPeers(clemrpc.ClientConfig{Key: peerKey, Dial: clemconn.Dial})
 }
 
-func newSpread(c Config, held *current, store clementineturn.Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, router *clemrouter.Router, r *repeats, events *clemevent.Logger) *clemspread.Spread {
+func newSpread(c Config, held *current, store clementineturn.Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, router *clemrouter.Router, f *fleet, events *clemevent.Logger) *clemspread.Spread {
 	spread := clemspread.New(clemspread.Config{
 		Name: held.Load().Name(), Address: held.Load().Control(), Seeds: func() []string { return held.Load().Seeds() },
 		Store: store, Peers: peers, Table: table, Directory: directory, Events: events,
 		Key: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		Leaving: router.IsLeaving,
 	})
-	entries := spread.Entries
-	r.entries.Store(&entries)
+	f.spread.Store(spread)
 	return spread
 }
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -22,8 +22,11 @@
 
 const (
 	// unreadyRetry is when a client may try again at an entry that has no
-	// configuration: another entry takes it.
+	// configuration: another entry takes it. aloneRetry is the same if no other
+	// entry is known to have one: about the time that a store needs that is back
+	// soon. Clients wait no longer than a part of the time that they have.
 	unreadyRetry = 100 * time.Millisecond
+	aloneRetry   = time.Second
 	// leavingRetry is the same at an entry that leaves.
 	leavingRetry = 20 * time.Millisecond
 	// defaultBody bounds bodies if the configuration does not.
@@ -43,6 +46,9 @@
 	Repeats   *clembudget.Window
 	Events    *clemevent.Logger
 	Metrics   *clemmetric.Registry
+	// IsAlone reports whether no other entry is known to hold a configuration;
+	// nil means that some do.
+	IsAlone func() bool
 }
 
 // Router serves clients. It is an http.Handler.
@@ -127,8 +133,12 @@
 	}
 	configuration := r.config.Table.Current()
 	if configuration == nil {
+		retry := unreadyRetry
+		if r.config.IsAlone != nil && r.config.IsAlone() {
+			retry = aloneRetry
+		}
 		return clementineturn.NewError(clementineturn.ErrorConfig{
-			Kind: clementineturn.KindUnready, NotRun: true, Retry: unreadyRetry, Message: "no configuration is in force yet",
+			Kind: clementineturn.KindUnready, NotRun: true, Retry: retry, Message: "no configuration is in force yet",
 		})
 	}
 	q.version = configuration.Version()
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -250,7 +250,13 @@
 	status, header, _, err := w.ask("/safe/", nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
-	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Equal(t, "0.100", header.Get("Retry-After"), "another entry takes it")
+
+	// After all entries lost power while the store is down nobody has one.
+	w.router.config.IsAlone = func() bool { return true }
+	_, header, _, err = w.ask("/safe/", nil)
+	require.NoError(t, err)
+	require.Equal(t, "1.000", header.Get("Retry-After"))
 }
 
 // Bodies above the limit are refused.
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -67,7 +67,7 @@
 		}
 		s.note(err)
 		if err != nil {
-			if !retry.wait(ctx) {
+			if !s.awaitStore(ctx, &retry) {
 				return
 			}
 			continue
@@ -168,6 +168,9 @@
 	return s.roster.held(address).view > view && s.mayAsk(s.askedRows, now)
 }
 
+// IsAlone reports whether no other entry is known to hold a configuration.
+func (s *Spread) IsAlone() bool { return !s.roster.isConfigured(time.Now()) }
+
 // share returns what this entry tells another one.
 func (s *Spread) share(address string) *clemwire.Share {
 	now := time.Now()
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -235,6 +235,18 @@
 	return n
 }
 
+// isConfigured reports whether an entry that took part lately holds a configuration.
+func (r *roster) isConfigured(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if e.version > 0 && now.Sub(e.heard) < lostTime {
+			return true
+		}
+	}
+	return false
+}
+
 // name returns the entries that were not named to the given one yet.
 func (r *roster) name(address string) []string {
 	r.mu.Lock()
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -36,6 +36,9 @@
 	// firstBackoff and lastBackoff pace calls to a store that fails.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
+	// awayPace is the pace of calls to a store that is away, for all but the
+	// one that looks whether it is back.
+	awayPace = 2 * time.Second
 )
 
 // Config describes a Spread to construct.
@@ -69,8 +72,9 @@
 	start time.Time
 
 	// mu guards everything below.
-	mu     sync.Mutex
-	isAway bool
+	mu sync.Mutex
+	// back is closed when the store answers again, nil unless it is away.
+	back chan struct{}
 	// stopFeed ends a waiting feed.
 	stopFeed context.CancelFunc
 	// askedDocument and askedRows are when another entry was last asked.
@@ -111,22 +115,51 @@
 // note records the outcome of a call to the store and logs its loss and return.
 func (s *Spread) note(err error) {
 	s.mu.Lock()
-	changed := s.isAway != (err != nil)
-	s.isAway = err != nil
+	isLost, isBack := err != nil && s.back == nil, err == nil && s.back != nil
+	if isLost {
+		s.back = make(chan struct{})
+	}
+	if isBack {
+		close(s.back)
+		s.back = nil
+	}
 	if err != nil && s.stopFeed != nil {
 		// A store that fails may never answer the feed that waits.
 		s.stopFeed()
 	}
 	s.mu.Unlock()
 	switch {
-	case !changed:
-	case err != nil:
+	case isLost:
 		s.config.Events.Emit(clemevent.StoreLost, zap.Error(err))
-	default:
+	case isBack:
 		s.config.Events.Emit(clemevent.StoreBack)
 	}
 }
 
+// awaitStore waits before a call is repeated: until the configuration's feed
+// found the store back, or for the pace of a store that is away. It returns
+// false when the context ends.
+func (s *Spread) awaitStore(ctx context.Context, retry *backoff) bool {
+	if !retry.wait(ctx) {
+		return false
+	}
+	s.mu.Lock()
+	back := s.back
+	s.mu.Unlock()
+	if back == nil {
+		return true
+	}
+	timer := time.NewTimer(awayPace)
+	defer timer.Stop()
+	select {
+	case <-back:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // backoff is the pace of repeated calls to a store that fails.
 type backoff struct{ next time.Duration }
 
@@ -243,7 +276,7 @@
 		}
 		s.note(err)
 		if err != nil {
-			if !retry.wait(ctx) {
+			if !s.awaitStore(ctx, &retry) {
 				return
 			}
 			continue
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -26,6 +26,8 @@
 	calls    int
 	// isSilent makes calls wait for their contexts to end.
 	isSilent bool
+	// isRefusing makes calls fail at once.
+	isRefusing bool
 	// isForgetful makes the feed go on from no version that reads show.
 	isForgetful bool
 }
@@ -54,6 +56,13 @@
 	s.isSilent = isSilent
 }
 
+// refuse makes calls fail at once, those that wait, too.
+func (s *fakeStore) refuse(isRefusing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isRefusing = isRefusing
+}
+
 func (s *fakeStore) since(section clementineturn.Section, after uint64) (clementineturn.Batch, chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,8 +100,11 @@
 func (s *fakeStore) Follow(ctx context.Context, section clementineturn.Section, after uint64, wait time.Duration) (clementineturn.Batch, error) {
 	s.count()
 	s.mu.Lock()
-	isStale := s.isForgetful && after > 0
+	isStale, isRefusing := s.isForgetful && after > 0, s.isRefusing
 	s.mu.Unlock()
+	if isRefusing {
+		return clementineturn.Batch{}, clementineturn.Refuse(clementineturn.KindUnavailable, "refused")
+	}
 	if isStale {
 		return clementineturn.Batch{}, clementineturn.NewError(clementineturn.ErrorConfig{Kind: clementineturn.KindStale, Message: "history is gone"})
 	}
@@ -120,6 +132,12 @@
 
 func (s *fakeStore) Write(ctx context.Context, section clementineturn.Section, key string, value []byte) error {
 	s.count()
+	s.mu.Lock()
+	isRefusing := s.isRefusing
+	s.mu.Unlock()
+	if isRefusing {
+		return clementineturn.Refuse(clementineturn.KindUnavailable, "refused")
+	}
 	if _, _, isSilent := s.since(section, 0); isSilent {
 		<-ctx.Done()
 		return clementineturn.Errorf(clementineturn.KindUnknown, "store: %w", ctx.Err())
@@ -400,3 +418,26 @@
 		require.Less(t, store.counted(), 100)
 	})
 }
+
+// The pattern "the store is down for seconds" (platform_down): one call at a
+// time looks whether it is back, and all goes on at once when it is.
+func TestStoreThatIsAwayIsAskedSeldom(t *testing.T) {
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		store.refuse(true)
+		e := n.start(ctx, "a", store)
+		require.True(t, e.IsAlone())
+		time.Sleep(5 * time.Second)
+		require.Less(t, store.counted(), 20, "three loops that retry each on their own call 40 times")
+		store.refuse(false)
+		time.Sleep(time.Second)
+		require.True(t, e.IsReady())
+		store.refuse(true)
+		time.Sleep(3 * time.Second)
+		store.set(clementineturn.SectionServers, "a", "")
+		store.refuse(false)
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, 1, e.config.Directory.Len(), "rows that lapsed in an outage have time to come back")
+		time.Sleep(2 * time.Second)
+		require.Zero(t, e.config.Directory.Len())
+	})
+}
