--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -17,6 +17,9 @@
 	// exchanges with a large fleet.
 	entryPace = 4 * time.Millisecond
 	crowdPace = 8 * time.Millisecond
+	// retoldEntries is the number of other entries from which on one that starts
+	// anew is not told what servers keep: each has some 40 kB of it.
+	retoldEntries = 32
 	// lostTime is how long after its last word an entry keeps its turn.
 	lostTime = time.Second
 	// forgetTime is how long after its last word the row of an entry is
@@ -114,8 +117,12 @@
 	}
 	clock := share.GetClock().AsDuration()
 	if clock < e.clock {
-		// It started anew and knows nobody.
+		// It started anew and knows neither entries nor what servers keep. In a
+		// large fleet all that the others know of the latter would be too much.
 		e.named = 0
+		if len(r.entries) < retoldEntries {
+			e.news = 0
+		}
 	}
 	e.version, e.view, e.asks, e.lacks, e.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
 	return isBack
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -441,3 +441,25 @@
 		require.Zero(t, e.config.Directory.Len())
 	})
 }
+
+// The pattern "entries are restarted in turn" (roll_term, node_kill): one that
+// started anew is told what the others sent to servers before.
+func TestEntryThatStartsAnewLearnsWhatServersKeep(t *testing.T) {
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		a := n.start(ctx, "a", store)
+		first, stop := context.WithCancel(ctx)
+		n.start(first, "b", store)
+		time.Sleep(2 * time.Second)
+		shared := []clementineturn.Part{clementineturn.NewPart(clementineturn.PartConfig{ID: 7, Tokens: 900})}
+		lease, err := a.config.Directory.Take(clempool.Want{Service: "pool", Shared: shared, Input: 900}, time.Now())
+		require.NoError(t, err)
+		lease.Done(clempool.OutcomeServed, nil, time.Now())
+		time.Sleep(time.Second)
+		stop()
+		b := n.start(ctx, "b", store)
+		time.Sleep(2 * time.Second)
+		lease, err = b.config.Directory.Take(clempool.Want{Service: "pool", Shared: shared, Input: 900}, time.Now())
+		require.NoError(t, err)
+		require.Equal(t, 900, lease.Kept())
+	})
+}
