--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -19,6 +19,8 @@
 	SettingsApplied       Event = 912
 	SettingsRejected      Event = 913
 	EntryRemoved          Event = 914
+	KeptLearnt            Event = 915
+	KeptUnknown           Event = 916
 	RequestRefused        Event = 920
 	AttemptFailed         Event = 921
 	RequestAnswered       Event = 922
@@ -45,6 +47,8 @@
 	ClockJumped:           {zapcore.WarnLevel, "clock jumped or process stood still", "The time of day and the steady clock went apart. Timers use the steady clock only."},
 	SettingsApplied:       {zapcore.InfoLevel, "settings read again", "The settings file changed."},
 	SettingsRejected:      {zapcore.ErrorLevel, "settings rejected", "The changed settings file is not valid; the field is named. The settings before stay in force."},
+	KeptLearnt:            {zapcore.InfoLevel, "engine told what it keeps", "All entries started anew; each asks some engines and tells the others."},
+	KeptUnknown:           {zapcore.WarnLevel, "engine did not tell what it keeps", "Prompts that it keeps may be read again elsewhere."},
 	EntryRemoved:          {zapcore.InfoLevel, "row of an entry removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "The request was not sent to any backend server that ran it; kind and the fields tell why."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request well. The ran field tells whether it may have run."},
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -40,13 +40,19 @@
 	peerKey = "clementine-front"
 )
 
+// Store is the platform's store, and asks servers what they keep.
+type Store interface {
+	clementineturn.Store
+	clementineturn.Inventory
+}
+
 // Config describes a front to run.
 type Config struct {
 	// Read reads the settings; it is called again when they may have changed.
 	Read func() (*clemsite.Settings, error)
 	// Store makes the client of the platform's store at an address that may change.
 	// It calls counted for each call.
-	Store               func(address func() string, counted func()) clementineturn.Store
+	Store               func(address func() string, counted func()) Store
 	Dialect             clementineturn.Dialect
 	ConfigurationKey    string
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
@@ -145,7 +151,7 @@
 	})
 }
 
-func newStore(c Config, held *current, metrics *clemmetric.Registry) clementineturn.Store {
+func newStore(c Config, held *current, metrics *clemmetric.Registry) Store {
 	calls := metrics.Counter(clemmetric.StoreCalls)
 	return c.Store(func() string { return held.Load().Store() }, func() { calls.Inc(1) })
 }
@@ -154,10 +160,10 @@
 	return clemrpc.NewPeers(clemrpc.ClientConfig{Key: peerKey, Dial: clemconn.Dial})
 }
 
-func newSpread(c Config, held *current, store clementineturn.Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, router *clemrouter.Router, f *fleet, events *clemevent.Logger) *clemspread.Spread {
+func newSpread(c Config, held *current, store Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, router *clemrouter.Router, f *fleet, events *clemevent.Logger) *clemspread.Spread {
 	spread := clemspread.New(clemspread.Config{
 		Name: held.Load().Name(), Address: held.Load().Control(), Seeds: func() []string { return held.Load().Seeds() },
-		Store: store, Peers: peers, Table: table, Directory: directory, Events: events,
+		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Events: events,
 		Key: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		Leaving: router.IsLeaving,
 	})
--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -19,8 +19,9 @@
 	// that went to another server than the first in their chat's order: the
 	// others find that one by themselves, and what is told grows with the fleet.
 	crowd = 32
-	// mostNews bounds the news that other entries have not heard yet.
-	mostNews = 4096
+	// mostNews bounds the news that other entries have not heard yet: what the
+	// engines keep that one entry asks after all have started anew.
+	mostNews = 8192
 	// leastFetch is the number of tokens below which reading them again takes
 	// less time than setting up a transfer between engines.
 	leastFetch = 64
@@ -143,3 +144,30 @@
 		}
 	}
 }
+
+// Learn notes what a server says that it keeps, for the other entries, too.
+func (d *Directory) Learn(id string, parts []uint64, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	for _, part := range parts {
+		digest := Digest(s.record.Service(), part)
+		if d.keep(s, digest, now) {
+			d.news.add(Kept{Server: id, Part: digest})
+		}
+	}
+}
+
+// Records returns what the servers say of themselves.
+func (d *Directory) Records() []Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	records := make([]Record, 0, len(d.servers))
+	for _, s := range d.servers {
+		records = append(records, s.record)
+	}
+	return records
+}
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -56,6 +56,8 @@
 	Key                 string
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
 	DecodeServer        func(id string, value []byte) (clempool.Record, error)
+	// Inventory tells what engines keep; nil asks none.
+	Inventory clementineturn.Inventory
 	// Leaving reports whether this entry leaves.
 	Leaving func() bool
 }
@@ -102,7 +104,7 @@
 func (s *Spread) Start(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){s.followConfiguration, s.followServers, s.register, s.exchange} {
+	for _, loop := range []func(context.Context){s.followConfiguration, s.followServers, s.register, s.exchange, s.learn} {
 		running.Go(func() { loop(ctx) })
 	}
 	go func() {
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -157,6 +159,8 @@
 	// documents counts the documents that were told, rows the rows of servers
 	// and bytes the bytes of all messages.
 	documents, rows, bytes int
+	// asked counts the calls to engines by their address.
+	asked map[string]int
 }
 
 // told returns the number of documents that were told.
@@ -179,6 +183,16 @@
 	address string
 }
 
+// Kept says that an engine keeps the part whose id is its port.
+func (n *network) Kept(_ context.Context, address string) ([]uint64, error) {
+	_, port, _ := net.SplitHostPort(address)
+	part, err := strconv.ParseUint(port, 10, 64)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asked[address]++
+	return []uint64{part}, err
+}
+
 func (n *network) Peer(address string) clementineturn.Peer {
 	return &fakePeer{network: n, address: address}
 }
@@ -206,7 +220,11 @@
 
 // decodeVersion takes the document's first byte, less '0', as the version.
 func decodeVersion(document []byte) (*clemroute.Configuration, error) {
-	return clemroute.New(clemroute.Config{Version: uint64(document[0] - '0'), Document: document})
+	engine := clemroute.NewEngine(clemroute.EngineConfig{Slots: 128, Memory: 1000})
+	return clemroute.New(clemroute.Config{
+		Version: uint64(document[0] - '0'), Document: document,
+		Services: []clemroute.ServiceConfig{{Name: "pool", Engine: &engine}},
+	})
 }
 
 // start runs an entry on the store until the context ends.
@@ -215,7 +233,7 @@
 		Name: name, Address: name, Seeds: func() []string { return seeds }, Store: store, Peers: n,
 		Table:     &clemroute.Table{},
 		Directory: clempool.New(clempool.Config{Multiple: func() float64 { return 2 }, Draw: func() uint64 { return 0 }}),
-		Key:       "config", DecodeConfiguration: decodeVersion, DecodeServer: decode, Leaving: func() bool { return false },
+		Inventory: n, Key: "config", DecodeConfiguration: decodeVersion, DecodeServer: decode, Leaving: func() bool { return false },
 	})
 	n.mu.Lock()
 	n.entries[name] = spread
@@ -237,7 +255,7 @@
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}()
-		test(ctx, &network{entries: map[string]*Spread{}}, store)
+		test(ctx, &network{entries: map[string]*Spread{}, asked: map[string]int{}}, store)
 	})
 }
 
@@ -463,3 +481,35 @@
 		require.Equal(t, 900, lease.Kept())
 	})
 }
+
+// The pattern "all entries lose power" (herd_kill, closing): the engines still
+// keep prompts that no entry knows of. Each is asked once, by one entry, and
+// all know; an entry that starts beside others that run asks none.
+func TestEntriesThatStartAtOnceAskEachEngineOnce(t *testing.T) {
+	in(t, func(ctx context.Context, n *network, store *fakeStore) {
+		for port := range 20 {
+			store.set(clementineturn.SectionServers, fmt.Sprint("s", port), fmt.Sprintf("10.0.0.1:%d", 100+port))
+		}
+		entries := []*Spread{n.start(ctx, "a", store), n.start(ctx, "b", store), n.start(ctx, "c", store)}
+		time.Sleep(2 * time.Second)
+		require.Len(t, n.asked, 21)
+		for address, times := range n.asked {
+			require.Equal(t, 1, times, address)
+		}
+		for _, e := range entries {
+			for port := range 20 {
+				shared := []clementineturn.Part{clementineturn.NewPart(clementineturn.PartConfig{ID: uint64(100 + port), Tokens: 900})}
+				lease, err := e.config.Directory.Take(clempool.Want{Service: "pool", Shared: shared, Input: 900}, time.Now())
+				require.NoError(t, err)
+				require.Equal(t, fmt.Sprint("s", port), lease.Server())
+				lease.Done(clempool.OutcomeServed, nil, time.Now())
+			}
+		}
+		time.Sleep(10 * time.Second)
+		n.start(ctx, "d", store)
+		time.Sleep(2 * time.Second)
+		for address, times := range n.asked {
+			require.Equal(t, 1, times, address)
+		}
+	})
+}
--- a/cmd/clementine-front/main.go
+++ b/cmd/clementine-front/main.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"syscall"
 
-	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemfront"
 	"github.com/clementineturn/clementineturn/clemsite"
 	"github.com/clementineturn/clementineturn/platform"
@@ -30,7 +29,7 @@
 func newConfig(path string) clemfront.Config {
 	return clemfront.Config{
 		Read: func() (*clemsite.Settings, error) { return platform.ReadSettings(path) },
-		Store: func(address func() string, counted func()) clementineturn.Store {
+		Store: func(address func() string, counted func()) clemfront.Store {
 			return platform.NewStore(platform.StoreConfig{Address: address, Counted: counted})
 		},
 		Dialect: platform.Dialect{}, ConfigurationKey: platform.ConfigurationKey,
--- a/store.go
+++ b/store.go
@@ -79,3 +79,10 @@
 	// Remove drops a row. Errors as for Write.
 	Remove(ctx context.Context, section Section, key string) error
 }
+
+// Inventory asks backend servers what they keep.
+type Inventory interface {
+	// Kept returns the parts of prompts that the server at the address keeps.
+	// Errors: KindUnavailable.
+	Kept(ctx context.Context, address string) ([]uint64, error)
+}
