--- a/clempool/choose_test.go
+++ b/clempool/choose_test.go
@@ -229,8 +229,17 @@
 // soak: the server that keeps the prompts of a few busy chats ran at the bound,
 // and requests that other entries had just sent took it over.
 func TestHotChatsLeaveTheirServerBelowTheBound(t *testing.T) {
-	const bunch, chats = 4, 2
+	const bunch = 4
 	directories := fleet(3, 4, 32)
+	// Three chats that have one server as their home.
+	var chats []uint64
+	for chat := uint64(0); len(chats) < 3; chat++ {
+		lease, err := fleet(1, 4, 32)[0].Take(prompt(chat, 300), epoch)
+		require.NoError(t, err)
+		if lease.Server() == newRecord(0, 32).ID() {
+			chats = append(chats, chat)
+		}
+	}
 	type running struct {
 		lease *Lease
 		until time.Time
@@ -253,7 +262,7 @@
 			continue
 		}
 		for range bunch {
-			lease, err := directories[rng.IntN(3)].Take(prompt(uint64(rng.IntN(chats)), 300), now)
+			lease, err := directories[rng.IntN(3)].Take(prompt(chats[rng.IntN(len(chats))], 300), now)
 			require.NoError(t, err)
 			lease.Started()
 			runs = append(runs, running{lease, now.Add(160 * time.Millisecond)})
