--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -38,7 +38,7 @@
 	weight int
 	// isPlanned is set for the operator's own work, which comes in calm times, too.
 	isPlanned bool
-	begin     func(s *Soak, ctx context.Context, rng *rand.Rand) func()
+	begin     func(ctx context.Context, s *Soak, rng *rand.Rand) func()
 }
 
 // faults are the kinds of faults.
@@ -102,7 +102,7 @@
 		s.faults.add(f.name)
 		fmt.Fprintf(s.config.Out, "%s seed %d: %s for %s\n", time.Now().Format("15:04:05.000"), s.config.Seed, f.name, span.Round(time.Millisecond))
 		running.Go(func() {
-			if restore := f.begin(s, ctx, rng); restore != nil {
+			if restore := f.begin(ctx, s, rng); restore != nil {
 				sleep(ctx, span)
 				restore()
 			}
@@ -122,14 +122,14 @@
 
 func (s *Soak) entry(rng *rand.Rand) *front { return s.fronts[rng.IntN(len(s.fronts))] }
 
-func killEntry(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func killEntry(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	f := s.entry(rng)
 	f.disturb()
 	f.kill()
 	return f.disturb
 }
 
-func killAll(s *Soak, _ context.Context, _ *rand.Rand) func() {
+func killAll(_ context.Context, s *Soak, _ *rand.Rand) func() {
 	for _, f := range s.fronts {
 		f.disturb()
 		f.kill()
@@ -141,14 +141,14 @@
 	}
 }
 
-func pauseEntry(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func pauseEntry(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	f := s.entry(rng)
 	return f.during(f.pause())
 }
 
 // stopEntry asks an entry to stop, sometimes twice, and ends it if it is still
 // there after its grace time.
-func stopEntry(s *Soak, ctx context.Context, rng *rand.Rand) func() {
+func stopEntry(ctx context.Context, s *Soak, rng *rand.Rand) func() {
 	f := s.entry(rng)
 	f.left.Store(time.Now().UnixNano())
 	ended := f.ask(syscall.SIGTERM)
@@ -173,7 +173,7 @@
 	return nil
 }
 
-func changeSettings(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func changeSettings(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	f := s.entry(rng)
 	f.settings.Comment = fmt.Sprint(rng.Uint32())
 	s.note(f.write())
@@ -182,24 +182,24 @@
 }
 
 // onClients disturbs the link between an entry and its clients.
-func onClients(begin func(*link, *rand.Rand) func()) func(*Soak, context.Context, *rand.Rand) func() {
-	return func(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func onClients(begin func(*link, *rand.Rand) func()) func(context.Context, *Soak, *rand.Rand) func() {
+	return func(_ context.Context, s *Soak, rng *rand.Rand) func() {
 		f := s.entry(rng)
 		return f.during(begin(f.clients, rng))
 	}
 }
 
 // onStore disturbs the link between an entry and the store.
-func onStore(begin func(*link, *rand.Rand) func()) func(*Soak, context.Context, *rand.Rand) func() {
-	return func(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func onStore(begin func(*link, *rand.Rand) func()) func(context.Context, *Soak, *rand.Rand) func() {
+	return func(_ context.Context, s *Soak, rng *rand.Rand) func() {
 		f := s.entry(rng)
 		return f.during(begin(f.store, rng))
 	}
 }
 
 // onSeat disturbs the link between the entries and a backend server.
-func onSeat(begin func(*link, *rand.Rand) func()) func(*Soak, context.Context, *rand.Rand) func() {
-	return func(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func onSeat(begin func(*link, *rand.Rand) func()) func(context.Context, *Soak, *rand.Rand) func() {
+	return func(_ context.Context, s *Soak, rng *rand.Rand) func() {
 		seat := s.world.seats[rng.IntN(len(s.world.seats))]
 		return s.world.serversCalm.during(begin(seat.link, rng))
 	}
@@ -216,19 +216,19 @@
 	return nil
 }
 
-func storeDown(s *Soak, _ context.Context, _ *rand.Rand) func() {
+func storeDown(_ context.Context, s *Soak, _ *rand.Rand) func() {
 	s.world.store.Fail(http.StatusServiceUnavailable)
 	return s.world.storeCalm.during(func() { s.world.store.Fail(0) })
 }
 
-func compact(s *Soak, _ context.Context, _ *rand.Rand) func() {
+func compact(_ context.Context, s *Soak, _ *rand.Rand) func() {
 	s.world.store.Compact()
 	return s.world.storeCalm.during(nil)
 }
 
 // stale shows old rows to whole reads. Entries follow the feed meanwhile, until
 // the store forgets its history and makes them read as a whole.
-func stale(s *Soak, _ context.Context, _ *rand.Rand) func() {
+func stale(_ context.Context, s *Soak, _ *rand.Rand) func() {
 	s.world.store.Stale(true)
 	s.note(s.world.configure())
 	return s.world.storeCalm.during(func() {
@@ -248,7 +248,7 @@
 	return nil
 }
 
-func crashServer(s *Soak, ctx context.Context, rng *rand.Rand) func() {
+func crashServer(ctx context.Context, s *Soak, rng *rand.Rand) func() {
 	if seat := s.seat(rng); seat != nil {
 		s.world.crash(seat)
 		s.note(s.world.restart(ctx, seat))
@@ -259,7 +259,7 @@
 
 // replaceServer replaces a server. Those of a service are replaced one after
 // the other: with most of them leaving the rest could not stay below the bound.
-func replaceServer(s *Soak, ctx context.Context, rng *rand.Rand) func() {
+func replaceServer(ctx context.Context, s *Soak, rng *rand.Rand) func() {
 	if seat := s.seat(rng); seat != nil {
 		turn := s.world.turn(seat.service)
 		turn.Lock()
@@ -270,7 +270,7 @@
 	return nil
 }
 
-func sickServer(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func sickServer(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	seat := s.world.seats[rng.IntN(len(s.world.seats))]
 	share := sickShare * rng.Float64()
 	server := s.world.backend(seat)
@@ -280,12 +280,12 @@
 	return s.world.serversCalm.during(func() { server.Inject(clemstandin.BackendFaults{}) })
 }
 
-func changeConfiguration(s *Soak, _ context.Context, _ *rand.Rand) func() {
+func changeConfiguration(_ context.Context, s *Soak, _ *rand.Rand) func() {
 	s.note(s.world.configure())
 	return nil
 }
 
-func storm(s *Soak, ctx context.Context, _ *rand.Rand) func() {
+func storm(ctx context.Context, s *Soak, _ *rand.Rand) func() {
 	for range stormVersions {
 		s.note(s.world.configure())
 		sleep(ctx, stormPace)
@@ -294,7 +294,7 @@
 }
 
 // takeKey gives an organisation a key and takes it away again.
-func takeKey(s *Soak, _ context.Context, rng *rand.Rand) func() {
+func takeKey(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	name := fmt.Sprintf("guest-%d", rng.Uint32())
 	s.note(s.world.admit(name))
 	return func() { s.note(s.world.revoke(name)) }
--- a/clemsoak/soak_test.go
+++ b/clemsoak/soak_test.go
@@ -37,7 +37,7 @@
 		return clemstandin.Answer{Status: 200, ID: id, Stamp: "s-" + id + server, Body: "whole"}
 	}
 	for promise, breaks := range map[Promise]func(w *witness, a *asked){
-		PromiseOnce: func(w *witness, a *asked) {
+		PromiseOnce: func(w *witness, _ *asked) {
 			w.began(run("r", "a"))
 			w.began(run("r", "b"))
 		},
@@ -58,12 +58,12 @@
 			answer.Body = "id: 1\ndata: r 1\n\nid: 3\ndata: r 3\n\n"
 			w.answered(a, answer)
 		},
-		PromiseAsked: func(w *witness, a *asked) {
+		PromiseAsked: func(w *witness, _ *asked) {
 			stranger := run("r", "a")
 			stranger.Organisation = "another"
 			w.began(stranger)
 		},
-		PromiseBudget: func(w *witness, a *asked) {
+		PromiseBudget: func(w *witness, _ *asked) {
 			for range 100 {
 				w.arrival("r", serviceApp)
 			}
@@ -78,7 +78,7 @@
 				w.sent(&asked{visit: clemstandin.Visit{ID: string(rune(n))}, organisation: []string{"rich", "poor"}[n%2], served: n%2 == 0})
 			}
 		},
-		PromiseRecovery: func(w *witness, a *asked) { a.at = time.Now().Add(time.Hour) },
+		PromiseRecovery: func(_ *witness, a *asked) { a.at = time.Now().Add(time.Hour) },
 	} {
 		t.Run(string(promise), func(t *testing.T) {
 			w := newWitness()
