--- a/clemspread/load_test.go
+++ b/clemspread/load_test.go
@@ -137,8 +137,8 @@
 		}
 		entries := []*Spread{n.start(ctx, "a", store), n.start(ctx, "b", store), n.start(ctx, "c", store)}
 		time.Sleep(2 * time.Second)
-		require.Len(t, n.asked, 21)
-		for address, times := range n.asked {
+		require.Len(t, n.engines(), 21)
+		for address, times := range n.engines() {
 			require.Equal(t, 1, times, address)
 		}
 		for _, e := range entries {
@@ -153,7 +153,7 @@
 		time.Sleep(10 * time.Second)
 		n.start(ctx, "d", store)
 		time.Sleep(2 * time.Second)
-		for address, times := range n.asked {
+		for address, times := range n.engines() {
 			require.Equal(t, 1, times, address)
 		}
 	})
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -182,6 +183,13 @@
 	address string
 }
 
+// engines returns the calls to engines by their address.
+func (n *network) engines() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.asked)
+}
+
 // Kept says that an engine keeps the part whose id is its port.
 func (n *network) Kept(_ context.Context, address string) ([]uint64, error) {
 	_, port, _ := net.SplitHostPort(address)
