--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -175,8 +175,7 @@
 
 func changeSettings(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	f := s.entry(rng)
-	f.settings.Comment = fmt.Sprint(rng.Uint32())
-	s.note(f.write())
+	s.note(f.write(fmt.Sprint(rng.Uint32())))
 	f.reload()
 	return nil
 }
--- a/clemsoak/soak.go
+++ b/clemsoak/soak.go
@@ -195,7 +195,7 @@
 // startFronts starts the entries and the balancer that asks whether they are ready.
 func (s *Soak) startFronts(ctx context.Context) error {
 	spawner := newSpawner(ctx)
-	net, lock, err := network(s.config.Seed)
+	part, lock, err := network(s.config.Seed)
 	if err != nil {
 		return err
 	}
@@ -205,10 +205,10 @@
 	})
 	var seeds []string
 	for n := range min(s.config.Fronts, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", net, n+1, controlPort))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", part, n+1, controlPort))
 	}
 	for n := range s.config.Fronts {
-		ip := fmt.Sprintf("%s.%d", net, n+1)
+		ip := fmt.Sprintf("%s.%d", part, n+1)
 		f := &front{address: fmt.Sprintf("%s:%d", ip, listenPort), ready: fmt.Sprintf("%s:%d", ip, readyPort)}
 		if f.clients, err = newLink(f.address); err != nil {
 			return err
@@ -222,7 +222,7 @@
 			Store: f.store.address(), Seeds: seeds, Promises: promises,
 		}
 		f.path = filepath.Join(s.config.Directory, name+".json")
-		if err := f.write(); err != nil {
+		if err := f.write(""); err != nil {
 			return err
 		}
 		log, err := os.Create(filepath.Join(s.config.Directory, name+".log"))
@@ -260,8 +260,11 @@
 	return "", nil, fmt.Errorf("no part of the loopback network is free: %w", err)
 }
 
-func (f *front) write() error {
-	text, err := f.settings.Text()
+// write writes the settings file with a comment, which changes nothing.
+func (f *front) write(comment string) error {
+	settings := f.settings
+	settings.Comment = comment
+	text, err := settings.Text()
 	if err != nil {
 		return err
 	}
--- a/clemsoak/witness.go
+++ b/clemsoak/witness.go
@@ -62,7 +62,7 @@
 	visit        clemstandin.Visit
 	organisation string
 	kind         kind
-	// at is when it was sent; a revoked key is marked.
+	// at is when it was sent.
 	at time.Time
 	// status is what the client got, 0 for none.
 	status int
