--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -51,10 +51,10 @@
 	servers  map[string]*server
 	services map[string]*service
 	// told is what each other entry told last. The servers' counts of others
-	// are its sums. oldest is when the first of it expires, if none is renewed.
-	told   map[string]told
-	oldest time.Time
-	news   news
+	// are its sums. expires is when the first of it does, if none is renewed.
+	told    map[string]told
+	expires time.Time
+	news    news
 }
 
 // told is what another entry said of its requests.
@@ -191,8 +191,8 @@
 	d.mu.Lock()
 	d.forget(entry)
 	d.told[entry] = told{until: now.Add(valid), standings: standings}
-	if d.told[entry].until.Before(d.oldest) {
-		d.oldest = d.told[entry].until
+	if d.told[entry].until.Before(d.expires) {
+		d.expires = d.told[entry].until
 	}
 	for id, standing := range standings {
 		if s := d.servers[id]; s != nil {
@@ -225,16 +225,16 @@
 // expire forgets what is too old. It must come before any use of the counts:
 // an entry that hears nobody would keep the last ones.
 func (d *Directory) expire(now time.Time) {
-	if !now.After(d.oldest) {
+	if !now.After(d.expires) {
 		return
 	}
-	d.oldest = now.Add(time.Hour)
+	d.expires = now.Add(time.Hour)
 	for entry, t := range d.told {
 		switch {
 		case now.After(t.until):
 			d.forget(entry)
-		case t.until.Before(d.oldest):
-			d.oldest = t.until
+		case t.until.Before(d.expires):
+			d.expires = t.until
 		}
 	}
 }
