--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -58,6 +58,9 @@
 	DecodeServer        func(id string, value []byte) (clempool.Record, error)
 	// Inventory tells what engines keep; nil asks none.
 	Inventory clementineturn.Inventory
+	// Draw returns a random number from 0 to 1, for the jitter of repeated
+	// calls; nil takes math/rand's.
+	Draw func() float64
 	// Leaving reports whether this entry leaves.
 	Leaving func() bool
 }
@@ -88,6 +91,9 @@
 
 // New returns the spread that the configuration describes.
 func New(c Config) *Spread {
+	if c.Draw == nil {
+		c.Draw = rand.Float64
+	}
 	return &Spread{config: c, catalogue: newCatalogue(c), roster: newRoster(c.Address), start: time.Now()}
 }
 
@@ -142,7 +148,7 @@
 // found the store back, or for the pace of a store that is away. It returns
 // false when the context ends.
 func (s *Spread) awaitStore(ctx context.Context, retry *backoff) bool {
-	if !retry.wait(ctx) {
+	if !retry.wait(ctx, s.config.Draw) {
 		return false
 	}
 	s.mu.Lock()
@@ -165,12 +171,13 @@
 // backoff is the pace of repeated calls to a store that fails.
 type backoff struct{ next time.Duration }
 
-// wait waits longer after each failure, with jitter, and returns false when the context ends.
-func (b *backoff) wait(ctx context.Context) bool {
+// wait waits longer after each failure, with jitter by a draw between 0 and 1,
+// and returns false when the context ends.
+func (b *backoff) wait(ctx context.Context, draw func() float64) bool {
 	if b.next == 0 {
 		b.next = firstBackoff
 	}
-	wait := b.next/2 + rand.N(b.next)
+	wait := b.next/2 + time.Duration(draw()*float64(b.next))
 	b.next = min(2*b.next, lastBackoff)
 	return sleep(ctx, wait)
 }
@@ -197,7 +204,7 @@
 		if clementineturn.IsKind(err, clementineturn.KindStale) {
 			after, wait = 0, 0
 			// Reads may be so old that the feed does not go on from them.
-			if !reread.wait(ctx) {
+			if !reread.wait(ctx, s.config.Draw) {
 				return
 			}
 			continue
@@ -205,7 +212,7 @@
 		s.note(err)
 		if err != nil {
 			wait = 0
-			if !retry.wait(ctx) {
+			if !retry.wait(ctx, s.config.Draw) {
 				return
 			}
 			continue
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -240,7 +240,7 @@
 		Name: name, Address: name, Seeds: func() []string { return seeds }, Store: store, Peers: n,
 		Table:     &clemroute.Table{},
 		Directory: clempool.New(clempool.Config{Multiple: func() float64 { return 2 }, Draw: func() uint64 { return 0 }}),
-		Inventory: n, Key: "config", DecodeConfiguration: decodeVersion, DecodeServer: decode, Leaving: func() bool { return false },
+		Draw:      func() float64 { return 0.5 }, Inventory: n, Key: "config", DecodeConfiguration: decodeVersion, DecodeServer: decode, Leaving: func() bool { return false },
 	})
 	n.mu.Lock()
 	n.entries[name] = spread
