--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -15,10 +15,12 @@
 	mostKept  = 4096
 	allKept   = 1 << 17
 	leastKept = 64
-	// crowd is the number of other entries from which on only parts are told
-	// that went to another server than the first in their chat's order: the
-	// others find that one by themselves, and what is told grows with the fleet.
-	crowd = 32
+	// Crowd is the number of other entries from which on a fleet is large. Only
+	// parts are told there that went to another server than the first in their
+	// chat's order, which the others find by themselves, and an entry that
+	// starts anew is not told what servers keep: each of the others has some
+	// 40 kB of it, so that what is told grows with the fleet.
+	Crowd = 32
 	// mostNews bounds the news that other entries have not heard yet: what the
 	// engines keep that one entry asks after all have started anew.
 	mostNews = 8192
@@ -115,7 +117,7 @@
 // note records that the chosen server, which has the rank in the chat's order,
 // reads the shared parts.
 func (d *Directory) note(chosen *server, rank int, w Want, now time.Time) {
-	isTold := rank > 0 || len(d.told) < crowd
+	isTold := rank > 0 || len(d.told) < Crowd
 	read := now.Add(chosen.wait() + firstToken)
 	for _, part := range w.Shared {
 		digest := Digest(w.Service, part.ID())
--- a/clempool/told_test.go
+++ b/clempool/told_test.go
@@ -78,7 +78,7 @@
 // In a large fleet only what others cannot find by the chat's order is told.
 func TestCrowdTellsOnlyWhatIsNotAtHome(t *testing.T) {
 	d := fleet(1, 100, 128)[0]
-	for n := range crowd {
+	for n := range Crowd {
 		d.Tell(strconv.Itoa(n), nil, epoch, toldTime)
 	}
 	atHome := 0
--- a/clemspread/learn.go
+++ b/clemspread/learn.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clempool"
 )
 
 const (
@@ -66,7 +67,7 @@
 			return false
 		}
 	}
-	return len(r.entries) < retoldEntries
+	return len(r.entries) < clempool.Crowd
 }
 
 // isFirst reports whether this entry is the first of all in the order that
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -17,9 +18,6 @@
 	// exchanges with a large fleet.
 	entryPace = 4 * time.Millisecond
 	crowdPace = 8 * time.Millisecond
-	// retoldEntries is the number of other entries from which on one that starts
-	// anew is not told what servers keep: each has some 40 kB of it.
-	retoldEntries = 32
 	// lostTime is how long after its last word an entry keeps its turn.
 	lostTime = time.Second
 	// forgetTime is how long after its last word the row of an entry is
@@ -50,7 +48,7 @@
 	// clock is the last time of its steady clock that it told.
 	clock time.Duration
 	// asks is set if it asked for the configuration's document, lacks if it
-	// asked for all rows of backend servers.
+	// asked for the rows of backend servers that changed after its view.
 	asks, lacks bool
 }
 
@@ -120,7 +118,7 @@
 		// It started anew and knows neither entries nor what servers keep. In a
 		// large fleet all that the others know of the latter would be too much.
 		e.named = 0
-		if len(r.entries) < retoldEntries {
+		if len(r.entries) < clempool.Crowd {
 			e.news = 0
 		}
 	}
@@ -199,12 +197,19 @@
 	return due
 }
 
-// forget drops an entry. Those that were told of fewer are told of all again.
+// forget drops an entry. The others were told of one joined entry less if it
+// was among those that they were told of.
 func (r *roster) forget(address string) {
 	delete(r.entries, address)
-	r.joined = slices.DeleteFunc(r.joined, func(a string) bool { return a == address })
+	at := slices.Index(r.joined, address)
+	if at < 0 {
+		return
+	}
+	r.joined = slices.Delete(r.joined, at, at+1)
 	for _, e := range r.entries {
-		e.named = min(e.named, len(r.joined))
+		if at < e.named {
+			e.named--
+		}
 	}
 }
 
@@ -262,7 +267,7 @@
 	if e == nil {
 		return slices.Clone(r.joined)
 	}
-	unnamed := slices.Clone(r.joined[min(e.named, len(r.joined)):])
+	unnamed := slices.Clone(r.joined[e.named:])
 	e.named = len(r.joined)
 	return unnamed
 }
