--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -65,6 +65,13 @@
 	s.isRefusing = isRefusing
 }
 
+// forget makes feeds go on from no version that was shown before.
+func (s *fakeStore) forget(isForgetful bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isForgetful = isForgetful
+}
+
 func (s *fakeStore) since(section clementineturn.Section, after uint64) (clementineturn.Batch, chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
