clemrouter: log the shared prompt parts of failed attempts

The logs could not distinguish requests that crash servers from overload or a disturbance from outside: a failed attempt named its server, not what its prompt has in common with other failed attempts. Attempts that fail, and requests that are refused or fail, now name the shared parts of their prompts. No change of behaviour; tests of clemrouter, clemevent and clemdoc pass.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -51,7 +51,7 @@
 	CacheInventoryFailed:  {zapcore.WarnLevel, "engine cache inventory failed", "Prompts that the engine has cached may be prefilled again on other servers."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
-	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run."},
+	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run, the parts field the shared parts of its prompt: if the attempts of many servers have one in common, it may crash them."},
 	RequestAnswered:       {zapcore.InfoLevel, "request answered", "The response of a backend server was forwarded completely."},
 	RequestFailed:         {zapcore.WarnLevel, "request failed", "The client received an error after the request may have run; the error field gives the reason."},
 	ResponseAborted:       {zapcore.WarnLevel, "answer cut", "The client's connection was closed in the middle of a response, so that the response does not look complete."},
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -92,6 +93,17 @@
 	return nil
 }
 
+// partLog encodes prompt parts for a log line.
+type partLog []clementineturn.PromptPart
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (l partLog) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
+	for _, part := range l {
+		encoder.AppendString(strconv.FormatUint(part.ID(), 16))
+	}
+	return nil
+}
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	outcome clempool.Outcome
@@ -121,6 +133,13 @@
 	return generationStartTime + time.Duration(newTokens)*prefillTokenTime + time.Duration(typicalOutputShare*float64(q.requestInfo.MaxOutputTokens()))*decodeTokenTime
 }
 
+// sharedParts returns the parts of the prompt that other requests may contain: all
+// but the last one.
+func (q *request) sharedParts() []clementineturn.PromptPart {
+	parts := q.requestInfo.Parts()
+	return parts[:max(len(parts)-1, 0)]
+}
+
 // selection returns the criteria by which a server is chosen.
 func (q *request) selection() clempool.Request {
 	criteria := clempool.Request{Service: q.service, Organisation: q.organisation, Tried: q.triedServers, Idempotent: q.route.IsIdempotent(), Target: q.shortestTarget, Rank: q.rank}
@@ -203,7 +222,7 @@
 	}
 	if result.outcome != clempool.OutcomeServed && result.outcome != clempool.OutcomeAbandoned {
 		q.router.config.Events.Emit(clemevent.AttemptFailed, zap.String("request", q.requestInfo.RequestID()),
-			zap.Bool("ran", result.mayHaveRun), zap.Int("attempt", len(q.attempts)), zap.Inline(record))
+			zap.Bool("ran", result.mayHaveRun), zap.Int("attempt", len(q.attempts)), zap.Array("parts", partLog(q.sharedParts())), zap.Inline(record))
 	}
 }
 
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -281,7 +281,7 @@
 		fields = append(fields, zap.Int("events", q.eventCount), zap.Duration("first", q.firstEventTime))
 	}
 	if err != nil {
-		fields = append(fields, zap.Bool("ran", q.runCount > 0), zap.Error(err))
+		fields = append(fields, zap.Bool("ran", q.runCount > 0), zap.Array("parts", partLog(q.sharedParts())), zap.Error(err))
 	}
 	q.router.config.Events.Emit(event, fields...)
 }
