--- /dev/null
+++ b/clemfront/cluster_test.go
@@ -0,0 +1,379 @@
+package clemfront
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clembudget"
+	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemroute"
+	"github.com/clementineturn/clementineturn/clemrouter"
+	"github.com/clementineturn/clementineturn/clemspread"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// Times of the emulated engines and their registration.
+const (
+	prefillTime    = 80 * time.Millisecond
+	eventInterval  = 20 * time.Millisecond
+	restartTime    = 3400 * time.Millisecond
+	rowLapseTime   = 2500 * time.Millisecond
+	eventsPerReply = 6
+)
+
+// wordDialect is a Dialect with headers of one word each.
+type wordDialect struct{}
+
+func (wordDialect) DecodeRequest(header http.Header) (clementineturn.RequestInfo, error) {
+	c := clementineturn.RequestInfoConfig{RequestID: header.Get("Id"), Timeout: 4 * time.Second, MaxOutputTokens: 24}
+	for id := range strings.SplitSeq(header.Get("Parts"), ",") {
+		part, err := strconv.ParseUint(id, 16, 64)
+		if err != nil {
+			return clementineturn.NewRequestInfo(c), clementineturn.Invalid("Parts", "%q is no number", id)
+		}
+		c.Parts = append(c.Parts, clementineturn.NewPromptPart(clementineturn.PromptPartConfig{ID: part, Tokens: 100}))
+	}
+	c.PromptTokens = 100 * len(c.Parts)
+	return clementineturn.NewRequestInfo(c), nil
+}
+
+func (wordDialect) EncodeRequest(header http.Header, d clementineturn.Dispatch) http.Header {
+	return http.Header{"Id": header["Id"], "Parts": header["Parts"], "Server": {d.Server()}}
+}
+
+func (wordDialect) DecodeResponse(status int, header http.Header) clementineturn.ResponseInfo {
+	c := clementineturn.ResponseInfoConfig{
+		RequestID: header.Get("Id"), Signed: header.Get("Signed") != "",
+		NotRun: header.Get("Unrun") != "", Misdirected: status == http.StatusMisdirectedRequest,
+	}
+	return clementineturn.NewResponseInfo(c)
+}
+
+func (wordDialect) SetRequestID(header http.Header, id string) { header.Set("Id", id) }
+
+// rowStore is a store in memory.
+type rowStore struct {
+	mu       sync.Mutex
+	sections map[clementineturn.Section]map[string]clementineturn.Change
+	version  uint64
+	changed  chan struct{}
+}
+
+func newRowStore() *rowStore {
+	return &rowStore{sections: map[clementineturn.Section]map[string]clementineturn.Change{}, changed: make(chan struct{})}
+}
+
+func (s *rowStore) Read(ctx context.Context, section clementineturn.Section) (clementineturn.Batch, error) {
+	return s.Follow(ctx, section, 0, 0)
+}
+
+func (s *rowStore) Follow(ctx context.Context, section clementineturn.Section, after uint64, wait time.Duration) (clementineturn.Batch, error) {
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		version, changed := s.version, s.changed
+		changes := slices.DeleteFunc(slices.Collect(maps.Values(s.sections[section])), func(c clementineturn.Change) bool {
+			return c.Version() <= after || after == 0 && c.Removed()
+		})
+		s.mu.Unlock()
+		if len(changes) > 0 || wait == 0 {
+			return clementineturn.NewBatch(changes, version), nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return clementineturn.NewBatch(nil, version), nil
+		case <-ctx.Done():
+			return clementineturn.Batch{}, clementineturn.Errorf(clementineturn.KindUnavailable, "store: %w", ctx.Err())
+		}
+	}
+}
+
+func (s *rowStore) Write(_ context.Context, section clementineturn.Section, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	if s.sections[section] == nil {
+		s.sections[section] = map[string]clementineturn.Change{}
+	}
+	s.sections[section][key] = clementineturn.NewChange(clementineturn.ChangeConfig{Key: key, Value: value, Version: s.version, Removed: value == nil})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func (s *rowStore) Remove(ctx context.Context, section clementineturn.Section, key string) error {
+	return s.Write(ctx, section, key, nil)
+}
+
+// engine is an emulated engine at an address. A prompt with the lethal part ends it
+// when its response begins.
+type engine struct {
+	cluster *cluster
+	address string
+
+	mu    sync.Mutex
+	id    string
+	conns map[net.Conn]bool
+}
+
+// serve handles the requests of a connection.
+func (e *engine) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		e.mu.Lock()
+		id := e.id
+		e.mu.Unlock()
+		if request.Header.Get("Server") != id {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Wrong\r\nId: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+			continue
+		}
+		parts := strings.Split(request.Header.Get("Parts"), ",")
+		isLethal := slices.Contains(parts[:len(parts)-1], strconv.FormatUint(e.cluster.lethal.Load(), 16))
+		e.cluster.recordArrival(isLethal)
+		time.Sleep(prefillTime)
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id")); err != nil {
+			return
+		}
+		if isLethal {
+			time.Sleep(eventInterval)
+			e.crash(id)
+			return
+		}
+		for n := range eventsPerReply {
+			time.Sleep(eventInterval)
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", n+1)
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return
+			}
+		}
+		if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+			return
+		}
+	}
+}
+
+// crash ends the engine, which returns under a new id.
+func (e *engine) crash(id string) {
+	e.mu.Lock()
+	if e.id != id {
+		e.mu.Unlock()
+		return
+	}
+	e.id = ""
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+	clear(e.conns)
+	e.mu.Unlock()
+	e.cluster.recordCrash()
+	e.cluster.running.Go(func() {
+		time.Sleep(rowLapseTime)
+		_ = e.cluster.store.Remove(context.Background(), clementineturn.SectionServers, id)
+		time.Sleep(restartTime - rowLapseTime)
+		e.start()
+	})
+}
+
+// start starts the engine and registers it under a new id.
+func (e *engine) start() {
+	id := fmt.Sprintf("s%d", e.cluster.serverCount.Add(1))
+	e.mu.Lock()
+	e.id = id
+	e.mu.Unlock()
+	_ = e.cluster.store.Write(context.Background(), clementineturn.SectionServers, id, []byte(e.address))
+}
+
+// entry is an entry of the cluster.
+type entry struct {
+	router *clemrouter.Router
+	syncer *clemspread.Syncer
+	stop   context.CancelFunc
+	ended  <-chan error
+}
+
+// cluster is some entries before some engines, all in one process and in virtual
+// time.
+type cluster struct {
+	t       *testing.T
+	store   *rowStore
+	engines map[string]*engine
+	running sync.WaitGroup
+	counters
+
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+func newCluster(t *testing.T, entries, engines int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: newRowStore(), engines: map[string]*engine{}, entries: map[string]*entry{}}
+	require.NoError(t, c.store.Write(t.Context(), clementineturn.SectionOperator, "config", []byte("1")))
+	for n := range engines {
+		e := &engine{cluster: c, address: fmt.Sprintf("10.1.0.%d:80", n+1), conns: map[net.Conn]bool{}}
+		c.engines[e.address] = e
+		e.start()
+	}
+	for n := range entries {
+		c.startEntry(entryName(n))
+	}
+	time.Sleep(time.Second)
+	return c
+}
+
+func entryName(n int) string { return fmt.Sprintf("10.0.0.%d:80", n+1) }
+
+// dial connects to an engine.
+func (c *cluster) dial(_ context.Context, _, address string) (net.Conn, error) {
+	e := c.engines[address]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.id == "" {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	near, far := net.Pipe()
+	e.conns[far] = true
+	c.running.Go(func() { e.serve(far) })
+	return near, nil
+}
+
+// Peer implements clementineturn.Peers.
+func (c *cluster) Peer(address string) clementineturn.Peer {
+	return &clusterPeer{cluster: c, address: address}
+}
+
+// clusterPeer carries the calls to an entry.
+type clusterPeer struct {
+	clementineturn.Peer
+	cluster *cluster
+	address string
+}
+
+func (p *clusterPeer) Share(ctx context.Context, share *clemwire.Share) (*clemwire.Share, error) {
+	to := p.cluster.entry(p.address)
+	if to == nil {
+		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "no connection")
+	}
+	time.Sleep(time.Millisecond)
+	return to.syncer.Share(ctx, share)
+}
+
+func (c *cluster) entry(name string) *entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[name]
+}
+
+func decodeClusterServer(id string, value []byte) (clempool.Record, error) {
+	return clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: string(value), Slots: 128}), nil
+}
+
+func decodeClusterConfiguration(document []byte) (*clemroute.Configuration, error) {
+	engine := clemroute.NewEngine(clemroute.EngineConfig{Slots: 128, KVTokens: 400_000})
+	return clemroute.New(clemroute.Config{
+		Version: 1, Document: document,
+		Routes: []clemroute.RouteConfig{{
+			Name: "chat", Host: "test", Prefix: "/", Kind: clemroute.KindStream, MaxAttempts: 2, Resumable: true, Affinity: true, Public: true,
+			Timeout: 4 * time.Second, LatencyTarget: 600 * time.Millisecond, EventGapTarget: 400 * time.Millisecond,
+			Targets: []clemroute.Target{clemroute.NewTarget("pool", 1)},
+		}},
+		Services: []clemroute.ServiceConfig{{Name: "pool", Engine: &engine}},
+	})
+}
+
+// startEntry starts an entry without any state.
+func (c *cluster) startEntry(name string) {
+	table := &clemroute.Table{}
+	directory := clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }, Dial: c.dial})
+	e := &entry{}
+	e.router = clemrouter.New(clemrouter.Config{
+		Dialect: wordDialect{}, Table: table, Directory: directory,
+		RetryBudget: clembudget.NewRetryWindow(clembudget.RetryWindowConfig{
+			Length: func() time.Duration { return 10 * time.Second }, Ratio: func() float64 { return 0.2 }, Slack: func() float64 { return 10 },
+		}),
+	})
+	e.syncer = clemspread.New(clemspread.Config{
+		Name: name, Address: name, Seeds: func() []string { return []string{entryName(0)} }, Store: c.store, Peers: c, Table: table, Directory: directory,
+		Rand: func() float64 { return 0.5 }, ConfigurationKey: "config", DecodeConfiguration: decodeClusterConfiguration, DecodeServer: decodeClusterServer,
+		IsDraining: func() bool { return false },
+	})
+	var ctx context.Context
+	ctx, e.stop = context.WithCancel(context.Background())
+	e.ended = e.syncer.Start(ctx)
+	c.mu.Lock()
+	c.entries[name] = e
+	c.mu.Unlock()
+}
+
+// stopEntry ends an entry at once.
+func (c *cluster) stopEntry(name string) {
+	c.mu.Lock()
+	e := c.entries[name]
+	delete(c.entries, name)
+	c.mu.Unlock()
+	e.stop()
+	<-e.ended
+}
+
+// stopAll ends all entries and waits until nothing runs any more.
+func (c *cluster) stopAll() {
+	time.Sleep(2 * restartTime)
+	c.mu.Lock()
+	names := slices.Collect(maps.Keys(c.entries))
+	c.mu.Unlock()
+	for _, name := range names {
+		c.stopEntry(name)
+	}
+	for _, e := range c.engines {
+		e.mu.Lock()
+		for conn := range e.conns {
+			_ = conn.Close()
+		}
+		e.mu.Unlock()
+	}
+	c.running.Wait()
+}
+
+// send sends a request to the entry and returns whether it was served.
+func (c *cluster) send(name string, parts ...uint64) (isServed bool) {
+	e := c.entry(name)
+	if e == nil || !e.syncer.IsReady() {
+		return false
+	}
+	defer func() {
+		if recover() != nil {
+			isServed = false
+		}
+	}()
+	texts := make([]string, len(parts))
+	for i, part := range parts {
+		texts[i] = strconv.FormatUint(part, 16)
+	}
+	request := httptest.NewRequest(http.MethodPost, "http://test/chat", nil)
+	request.Header = http.Header{"Id": {fmt.Sprint(c.requestCount.Add(1))}, "Parts": {strings.Join(texts, ",")}}
+	recorder := httptest.NewRecorder()
+	e.router.ServeHTTP(recorder, request)
+	return recorder.Code == http.StatusOK
+}
