clemquarantine: refuse prompts with parts that crash backend servers

Cause: an entry judged servers by their outcomes, never requests. A request whose server ended was sent to the next server, and other requests with the same prompt part followed, from every entry. Class: query of death; each entry saw a part of the evidence, none of it was summed up.

Change: a server that breaks off a response and refuses connections has ended, which also ejects it at once. Entries exchange which shared prompt parts were at it and whether their response had begun, and which suspect parts were answered since. A part that no server ever answered and that was present in three crashes is convicted; requests with it are refused as not run, also repeats, and those on their way are cancelled. A part present in fewer of the crashes, or answered before, needs more. Verdicts go to peers and into a row of the store, which a starting entry reads before it is ready. They end five minutes after the last request with the part, when a response with it succeeds, or by an operator's row. A stream without length or chunks that ends before its first event counts as broken off.

--- a/clemconn/pool.go
+++ b/clemconn/pool.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -14,6 +17,10 @@
 // It is above the usual number of concurrent requests of one entry to a server.
 const maxIdleConns = 32
 
+// checkTimeout bounds the check of whether a server refuses connections: some round
+// trips between data centres, since a request waits for it.
+const checkTimeout = 100 * time.Millisecond
+
 // Config describes a Pool to construct.
 type Config struct {
 	// Address is the address of the backend server.
@@ -73,8 +80,36 @@
 	if err != nil {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "backend server %s: %w", p.address, err)
 	}
+	return newConn(opened), nil
+}
+
+func newConn(opened net.Conn) *conn {
 	limit := &readLimit{from: opened}
-	return &conn{Conn: opened, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}, nil
+	return &conn{Conn: opened, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
+}
+
+// RefusesConnections reports whether the server's address refuses connections, as it
+// does after its process ended. A connection that is accepted is kept for a request.
+func (p *Pool) RefusesConnections(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	opened, err := p.dial(ctx, "tcp", p.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.release(newConn(opened))
+	return false
+}
+
+// IsBroken reports whether the error is that of a connection which the other side
+// closed or reset.
+func IsBroken(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, io.ErrClosedPipe} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -21,6 +21,9 @@
 	EntryRemoved          Event = 914
 	CacheInventoryRead    Event = 915
 	CacheInventoryFailed  Event = 916
+	ServerEnded           Event = 917
+	PartQuarantined       Event = 918
+	PartReleased          Event = 919
 	RequestRefused        Event = 920
 	AttemptFailed         Event = 921
 	RequestAnswered       Event = 922
@@ -30,6 +33,7 @@
 	RequestResumed        Event = 926
 	LogLinesRateLimited   Event = 930
 	HTTPServerMessage     Event = 931
+	QuarantineInvalid     Event = 932
 )
 
 var routerEvents = map[Event]Info{
@@ -49,6 +53,10 @@
 	SettingsRejected:      {zapcore.ErrorLevel, "settings rejected", "The changed settings file is not valid; the error names the field. The previous settings stay in force."},
 	CacheInventoryRead:    {zapcore.InfoLevel, "engine cache inventory read", "All entries restarted; each queries some engines for their cached prompt parts and reports them to its peers."},
 	CacheInventoryFailed:  {zapcore.WarnLevel, "engine cache inventory failed", "Prompts that the engine has cached may be prefilled again on other servers."},
+	ServerEnded:           {zapcore.WarnLevel, "backend server ended with requests", "The process of a backend server ended unplanned while it had requests. The parts field names the shared parts of one of their prompts."},
+	PartQuarantined:       {zapcore.ErrorLevel, "prompt part quarantined", "Several backend servers ended while they had requests with this part of a prompt, and none has answered one in between. Requests with it are refused. Find out what the part contains; docs/OPERATIONS.md tells how to lift the quarantine."},
+	PartReleased:          {zapcore.WarnLevel, "prompt part released", "No request had the part for some minutes, new evidence speaks for it, or an operator lifted the quarantine."},
+	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run, the parts field the shared parts of its prompt: if the attempts of many servers have one in common, it may crash them."},
--- a/clemfront/cluster_test.go
+++ b/clemfront/cluster_test.go
@@ -22,6 +22,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clembudget"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrouter"
 	"github.com/clementineturn/clementineturn/clemspread"
@@ -208,10 +209,11 @@
 
 // entry is an entry of the cluster.
 type entry struct {
-	router *clemrouter.Router
-	syncer *clemspread.Syncer
-	stop   context.CancelFunc
-	ended  <-chan error
+	router     *clemrouter.Router
+	syncer     *clemspread.Syncer
+	quarantine *clemquarantine.Tracker
+	stop       context.CancelFunc
+	ended      <-chan error
 }
 
 // cluster is some entries before some engines, all in one process and in virtual
@@ -307,15 +309,16 @@
 func (c *cluster) startEntry(name string) {
 	table := &clemroute.Table{}
 	directory := clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }, Dial: c.dial})
-	e := &entry{}
+	quarantine := clemquarantine.New(clemquarantine.Config{})
+	e := &entry{quarantine: quarantine}
 	e.router = clemrouter.New(clemrouter.Config{
-		Dialect: wordDialect{}, Table: table, Directory: directory,
+		Dialect: wordDialect{}, Table: table, Directory: directory, Quarantine: quarantine,
 		RetryBudget: clembudget.NewRetryWindow(clembudget.RetryWindowConfig{
 			Length: func() time.Duration { return 10 * time.Second }, Ratio: func() float64 { return 0.2 }, Slack: func() float64 { return 10 },
 		}),
 	})
 	e.syncer = clemspread.New(clemspread.Config{
-		Name: name, Address: name, Seeds: func() []string { return []string{entryName(0)} }, Store: c.store, Peers: c, Table: table, Directory: directory,
+		Name: name, Address: name, Seeds: func() []string { return []string{entryName(0)} }, Store: c.store, Peers: c, Table: table, Directory: directory, Quarantine: quarantine,
 		Rand: func() float64 { return 0.5 }, ConfigurationKey: "config", DecodeConfiguration: decodeClusterConfiguration, DecodeServer: decodeClusterServer,
 		IsDraining: func() bool { return false },
 	})
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrouter"
 	"github.com/clementineturn/clementineturn/clemrpc"
@@ -84,7 +86,7 @@
 		func() Config { return c },
 		func() *activeSettings { active := &activeSettings{}; active.Store(settings); return active },
 		func() *clemevent.Sink { return clemevent.NewSink(c.LogOutput) },
-		newEventLogger, clemmetric.New, newTable, newDirectory, newPeerView, newRetryBudget, newRouter, newStore, newPeers, newSyncer, newFront,
+		newEventLogger, clemmetric.New, newTable, newDirectory, newQuarantine, newPeerView, newRetryBudget, newRouter, newStore, newPeers, newSyncer, newFront,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			return clementineturn.Errorf(clementineturn.KindInternal, "assembling: %w", dig.RootCause(err))
@@ -117,6 +119,26 @@
 	})
 }
 
+func newQuarantine(events *clemevent.Logger) *clemquarantine.Tracker {
+	verdictFields := func(v clemquarantine.Verdict) []zap.Field {
+		return []zap.Field{
+			zap.String("service", v.Service), zap.String("part", strconv.FormatUint(v.ID, 16)), zap.Int("crashes", v.Crashes),
+			zap.Duration("age", time.Since(v.At)), zap.Duration("idle", time.Since(v.LastSeen)),
+		}
+	}
+	return clemquarantine.New(clemquarantine.Config{
+		OnCrash: func(server, service string, parts []uint64) {
+			texts := make([]string, len(parts))
+			for i, part := range parts {
+				texts[i] = strconv.FormatUint(part, 16)
+			}
+			events.Emit(clemevent.ServerEnded, zap.String("server", server), zap.String("service", service), zap.Strings("parts", texts))
+		},
+		OnConvicted: func(v clemquarantine.Verdict) { events.Emit(clemevent.PartQuarantined, verdictFields(v)...) },
+		OnReleased:  func(v clemquarantine.Verdict) { events.Emit(clemevent.PartReleased, verdictFields(v)...) },
+	})
+}
+
 // peerView gives access to what is known of the peers. Its syncer is set once it
 // is assembled, which is after the parts that use the view.
 type peerView struct {
@@ -148,9 +170,9 @@
 	})
 }
 
-func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, retryBudget *clembudget.RetryWindow, v *peerView, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
+func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, retryBudget *clembudget.RetryWindow, quarantine *clemquarantine.Tracker, v *peerView, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
 	return clemrouter.New(clemrouter.Config{
-		Dialect: c.Dialect, Table: table, Directory: directory, RetryBudget: retryBudget,
+		Dialect: c.Dialect, Table: table, Directory: directory, RetryBudget: retryBudget, Quarantine: quarantine,
 		Events: events, Metrics: metrics, NoPeerConfigured: v.noPeerConfigured,
 	})
 }
@@ -164,10 +186,10 @@
 	return clemrpc.NewPeers(clemrpc.ClientConfig{Key: peerAuthKey, Dial: clemconn.Dial})
 }
 
-func newSyncer(c Config, active *activeSettings, store Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, router *clemrouter.Router, v *peerView, events *clemevent.Logger) *clemspread.Syncer {
+func newSyncer(c Config, active *activeSettings, store Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, quarantine *clemquarantine.Tracker, router *clemrouter.Router, v *peerView, events *clemevent.Logger) *clemspread.Syncer {
 	syncer := clemspread.New(clemspread.Config{
 		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Seeds: func() []string { return active.Load().Seeds() },
-		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Events: events,
+		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Quarantine: quarantine, Events: events,
 		ConfigurationKey: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		IsDraining: router.IsDraining,
 	})
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -17,6 +17,7 @@
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrouter"
 	"github.com/clementineturn/clementineturn/clemrpc"
@@ -57,19 +58,21 @@
 	syncer   *clemspread.Syncer
 	table    *clemroute.Table
 	servers  *clempool.Directory
-	peers    *clemrpc.Peers
-	events   *clemevent.Logger
-	sink     *clemevent.Sink
-	metrics  *clemmetric.Registry
+	// quarantine holds the prompt parts that crash servers.
+	quarantine *clemquarantine.Tracker
+	peers      *clemrpc.Peers
+	events     *clemevent.Logger
+	sink       *clemevent.Sink
+	metrics    *clemmetric.Registry
 	// wasReady is set once the front has been ready.
 	wasReady bool
 	// clientConns counts the open connections of clients.
 	clientConns atomic.Int64
 }
 
-func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry) *front {
+func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry) *front {
 	return &front{
-		config: c, settings: settings, router: router, syncer: syncer, table: table, servers: servers, peers: peers,
+		config: c, settings: settings, router: router, syncer: syncer, table: table, servers: servers, quarantine: quarantine, peers: peers,
 		events: events, sink: sink, metrics: metrics,
 	}
 }
@@ -163,6 +166,7 @@
 		f.metrics.Gauge(clemmetric.Active).Update(int64(f.router.ActiveRequests()))
 		f.metrics.Gauge(clemmetric.Hosts).Update(int64(f.syncer.EntryCount()))
 		f.metrics.Gauge(clemmetric.BackendServers).Update(int64(f.servers.Len()))
+		f.metrics.Gauge(clemmetric.Quarantines).Update(int64(len(f.quarantine.Verdicts(time.Now()))))
 		f.metrics.Gauge(clemmetric.ConfigurationVersion).Update(int64(f.table.Version()))
 		f.metrics.Gauge(clemmetric.LogLinesDropped).Update(int64(f.sink.Dropped()))
 	})
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -23,6 +23,7 @@
 	ConfigurationVersion = "configuration_version"
 	AddedTime            = "added_time"
 	ReadySeconds         = "ready_seconds"
+	Quarantines          = "quarantines"
 )
 
 // Info describes a metric.
@@ -67,6 +68,7 @@
 	{Goroutines, kindGauge, "", "", "Goroutines of the process."},
 	{Attempts, kindCounter, "front", "service,server,outcome", "Requests sent to backend servers, by what came of them. Servers beyond the first 256 count as other."},
 	{AddedTime, kindSummary, "front", "", "Time from the head of a request to its first sending to a backend server, in seconds."},
+	{Quarantines, kindGauge, "front", "", "Prompt parts that are quarantined because they crash backend servers."},
 	{ReadySeconds, kindGauge, "front", "", "Time from the start of the process to its readiness, in seconds."},
 	{FirstEventTime, kindSummary, "front", "route", "Time from the start of a request to the first event of its stream, in seconds."},
 	{StoreCalls, kindCounter, "front", "", "Calls to the platform's store."},
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -1,6 +1,7 @@
 package clempool
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -45,6 +46,7 @@
 	organisation string
 	pool         *clemconn.Pool
 	id           string
+	incarnation  int64
 	acquiredAt   time.Time
 	// slowAfter is the time from which on a request without a prefix counts as slow,
 	// and minLimit the lowest limit of this entry's requests to the service.
@@ -65,6 +67,27 @@
 // Server returns the id of the server.
 func (l *Lease) Server() string { return l.id }
 
+// Incarnation returns a number that distinguishes two starts of the server under one
+// id.
+func (l *Lease) Incarnation() int64 { return l.incarnation }
+
+// ServerHasEnded reports whether the process of a server that broke off a response has
+// ended unplanned: the server is listed and not draining, and refuses connections. If
+// it accepts one, the connection is kept for another request.
+func (l *Lease) ServerHasEnded(ctx context.Context) bool {
+	d := l.directory
+	d.mu.Lock()
+	isExpected, hasEnded := d.servers[l.id] == l.server && !l.server.record.IsDraining(), l.server.hasEnded
+	d.mu.Unlock()
+	if !isExpected || hasEnded || !l.pool.RefusesConnections(ctx) {
+		return isExpected && hasEnded
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.server.hasEnded = true
+	return true
+}
+
 // CacheSource returns the address of a server from which the chosen one can
 // fetch cached parts of the prompt that it lacks, or "".
 func (l *Lease) CacheSource() string { return l.cacheSource }
@@ -114,6 +137,9 @@
 	if load != nil {
 		s.load = *load
 	}
+	if outcome == OutcomeServed {
+		s.hasEnded = false
+	}
 	ejected := s.health.record(outcome, now) || outcome == OutcomeFailed && d.isOutlier(s, now) && s.health.eject(now)
 	d.mu.Unlock()
 	if ejected {
@@ -159,7 +185,7 @@
 		})
 	}
 	lease := &Lease{
-		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), acquiredAt: now,
+		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), acquiredAt: now,
 		load: chosen.running + chosen.peerRunning, meanLoad: candidates.meanLoad, rank: rank,
 	}
 	if source := d.cacheSource(svc, chosen, r, now); source != nil {
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -84,6 +84,8 @@
 	pendingTokens, peerPendingTokens int
 	load                             clementineturn.Load
 	health                           health
+	// hasEnded is set once the server was found to have ended.
+	hasEnded bool
 	// cached holds the prompt parts that the server has read or will have read,
 	// by digest, with the time at which each becomes available.
 	cached map[uint64]time.Time
--- a/clempool/health.go
+++ b/clempool/health.go
@@ -113,7 +113,7 @@
 	case OutcomeMisdirected:
 		h.ejectedUntil = now.Add(misdirectedEjectionTime)
 		return true
-	case OutcomeUnreached:
+	case OutcomeUnreached, OutcomeCrashed:
 		h.isUnreachable = true
 		h.own.add(0, 1, now)
 		return h.eject(now)
--- a/clempool/record.go
+++ b/clempool/record.go
@@ -67,9 +67,11 @@
 	// OutcomeAbandoned is a request whose client disconnected; it says nothing
 	// about the server.
 	OutcomeAbandoned
+	// OutcomeCrashed is a broken response of a server that has ended.
+	OutcomeCrashed
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "unreached", "refused", "misdirected", "abandoned"}[o]
+	return [...]string{"served", "failed", "unreached", "refused", "misdirected", "abandoned", "crashed"}[o]
 }
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
 )
 
@@ -114,6 +115,9 @@
 	// mayHaveRun is set if the server may have run the request, sent if the request
 	// was written to a connection, wholly or in part.
 	mayHaveRun, sent bool
+	// isUndelimited is set if the response ends with its connection, so that the end of
+	// the server looks like that of the response.
+	isUndelimited bool
 	// errorResponse is a server's failure, forwarded if no later attempt succeeds.
 	errorResponse *bufferedResponse
 	err           error
@@ -155,7 +159,7 @@
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
 	var best attemptResult
-	lease, err := q.router.config.Directory.Acquire(q.selection(), time.Now())
+	lease, err := q.acquire(q.selection(), time.Now())
 	if err != nil {
 		return err
 	}
@@ -196,13 +200,21 @@
 	if !q.mayRetry(ctx, result) {
 		return nil
 	}
-	lease, err := q.router.config.Directory.Acquire(q.selection(), time.Now())
+	lease, err := q.acquire(q.selection(), time.Now())
 	if err != nil {
 		return nil
 	}
 	return lease
 }
 
+// acquire takes a place at a server, unless a part of the prompt is quarantined.
+func (q *request) acquire(criteria clempool.Request, now time.Time) (*clempool.Lease, error) {
+	if err := q.router.config.Quarantine.Check(q.service, q.sharedParts(), now); err != nil {
+		return nil, err
+	}
+	return q.router.config.Directory.Acquire(criteria, now)
+}
+
 // recordAttempt updates the request's counters and the metrics after an attempt,
 // and emits an event if it neither succeeded nor was abandoned.
 func (q *request) recordAttempt(lease *clempool.Lease, result attemptResult, elapsed time.Duration) {
@@ -231,7 +243,7 @@
 	if ctx.Err() != nil || time.Until(q.deadline) < minRetryTime || len(q.triedServers) >= maxServersTried {
 		return false
 	}
-	if q.runCount > 0 && (!q.route.IsIdempotent() || q.runCount >= q.route.MaxAttempts()) {
+	if q.runCount > 0 && (!q.route.IsIdempotent() || q.runCount >= q.route.MaxAttempts() || q.isSuspect()) {
 		return false
 	}
 	// A retry needs no budget as long as no server got the request, since it adds
@@ -239,6 +251,11 @@
 	return !result.sent && q.sentCount == 0 || q.router.config.RetryBudget.TryWithdraw(q.service, time.Now())
 }
 
+// isSuspect reports whether a part of the prompt may crash servers.
+func (q *request) isSuspect() bool {
+	return q.router.config.Quarantine.IsSuspect(q.service, q.sharedParts())
+}
+
 // fail ends a request for which every attempt failed: it forwards a server's
 // error response, or returns the error for the client.
 func (q *request) fail(ctx context.Context, best attemptResult) error {
@@ -267,8 +284,12 @@
 // trySend sends the request to one server and forwards a successful response.
 func (q *request) trySend(ctx context.Context, lease *clempool.Lease) attemptResult {
 	stall := q.newStallTimer(ctx, lease)
-	result := q.exchange(stall, lease)
+	watch := q.router.config.Quarantine.Start(clemquarantine.AttemptConfig{
+		Service: q.service, Parts: q.sharedParts(), Server: lease.Server(), Incarnation: lease.Incarnation(), Cancel: stall.cancel,
+	})
+	result := q.exchange(stall, watch, lease)
 	result.next = stall.end()
+	q.endWatch(ctx, watch, lease, &result)
 	if result.next != nil && result.outcome == clempool.OutcomeFailed {
 		// The delay does not count against the server: while it reads many uncached
 		// prompts, it is no sign of a fault.
@@ -277,9 +298,25 @@
 	return result
 }
 
+// endWatch records what the attempt says about the prompt, and corrects the outcome if
+// the server has ended or a part was convicted meanwhile.
+func (q *request) endWatch(ctx context.Context, watch *clemquarantine.Attempt, lease *clempool.Lease, result *attemptResult) {
+	ended := clemquarantine.ResultOther
+	switch {
+	case watch.IsCancelled():
+		result.outcome = clempool.OutcomeAbandoned
+		result.err = clementineturn.Errorf(clementineturn.KindUnknown, "a part of the prompt was found to crash servers while the request was at one")
+	case result.outcome == clempool.OutcomeServed && !result.isUndelimited:
+		ended = clemquarantine.ResultServed
+	case result.outcome == clempool.OutcomeFailed && clemconn.IsBroken(result.err) && lease.ServerHasEnded(ctx):
+		result.outcome, ended = clempool.OutcomeCrashed, clemquarantine.ResultCrashed
+	}
+	watch.End(ended, time.Now())
+}
+
 // exchange sends the request to the server of the lease and forwards a successful
 // response, until the stall timer ends the attempt.
-func (q *request) exchange(stall *stallTimer, lease *clempool.Lease) attemptResult {
+func (q *request) exchange(stall *stallTimer, watch *clemquarantine.Attempt, lease *clempool.Lease) attemptResult {
 	maxIdle := idempotentMaxIdle
 	if !q.route.IsIdempotent() {
 		maxIdle = nonIdempotentMaxIdle
@@ -299,6 +336,7 @@
 		return q.exchangeFailed(err)
 	}
 	defer response.Close()
+	watch.Begin(time.Now())
 	responseInfo := q.router.config.Dialect.DecodeResponse(response.StatusCode, response.Header)
 	var result attemptResult
 	switch {
@@ -306,7 +344,11 @@
 		if q.isStarted {
 			q.logResumed(lease.Server())
 		}
-		result = q.forwardStream(response, responseInfo, func() { lease.ResponseStarted(); stall.progress() })
+		result = q.forwardStream(response, responseInfo, func() {
+			lease.ResponseStarted()
+			stall.progress()
+			watch.Progress(time.Now())
+		})
 	case q.isStarted && !responseInfo.NotRun():
 		// The client already has the head of another response.
 		result = attemptResult{outcome: clempool.OutcomeFailed, mayHaveRun: true, err: clementineturn.Errorf(clementineturn.KindCut, "status %d in place of a stream's rest", response.StatusCode)}
@@ -315,6 +357,7 @@
 		result = q.forwardResponse(response, responseInfo)
 	}
 	result.sent, result.load = true, responseInfo.Load()
+	result.isUndelimited = isUndelimited(response)
 	return result
 }
 
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -17,6 +17,7 @@
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
 )
 
@@ -45,8 +46,11 @@
 	Table       *clemroute.Table
 	Directory   *clempool.Directory
 	RetryBudget *clembudget.RetryWindow
-	Events      *clemevent.Logger
-	Metrics     *clemmetric.Registry
+	// Quarantine holds the prompt parts that crash servers. If it is nil the router
+	// keeps one of its own.
+	Quarantine *clemquarantine.Tracker
+	Events     *clemevent.Logger
+	Metrics    *clemmetric.Registry
 	// NoPeerConfigured reports whether no other entry is known to have a
 	// configuration; nil means that some do.
 	NoPeerConfigured func() bool
@@ -68,6 +72,9 @@
 
 // New returns the router that the configuration describes.
 func New(c Config) *Router {
+	if c.Quarantine == nil {
+		c.Quarantine = clemquarantine.New(clemquarantine.Config{})
+	}
 	return &Router{config: c, stalls: clembudget.NewStallTracker(), patience: newPatienceTracker(), serverLabels: clemmetric.NewLabelLimiter(maxServerLabels), classLabels: clemmetric.NewLabelLimiter(maxClassLabels)}
 }
 
--- a/clemrouter/stall.go
+++ b/clemrouter/stall.go
@@ -150,7 +150,10 @@
 	}
 	criteria := q.selection()
 	criteria.Tried = append(criteria.Tried[:len(criteria.Tried):len(criteria.Tried)], lease.Server())
-	next, err := q.router.config.Directory.Acquire(criteria, now)
+	if q.isSuspect() {
+		return nil
+	}
+	next, err := q.acquire(criteria, now)
 	if err != nil {
 		return nil
 	}
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -61,6 +61,9 @@
 			pending = append(pending[:0], pending[at+len(eventEnd):]...)
 		}
 		switch {
+		case err == io.EOF && q.eventCount == 0 && isUndelimited(response):
+			// The server may have ended before the first event.
+			err = io.ErrUnexpectedEOF
 		case err == io.EOF && len(pending) == 0:
 			if !q.isStarted {
 				result.isFinal, result.err = true, q.startStream(response, nil)
@@ -77,6 +80,11 @@
 	}
 }
 
+// isUndelimited reports whether the end of the response is that of its connection.
+func isUndelimited(response *clemconn.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // streamFailed returns the result of a stream that broke off.
 func (q *request) streamFailed(result attemptResult, err error) attemptResult {
 	if !time.Now().Before(q.deadline) {
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -65,8 +65,8 @@
 	for ctx.Err() == nil {
 		// The row is written before those of peers are read, so that of two entries
 		// that start at once at least one sees the other.
-		var err error
-		if !isWritten {
+		err := s.readQuarantines(ctx)
+		if err == nil && !isWritten {
 			err = s.writeEntry(ctx)
 			isWritten = err == nil
 		}
@@ -216,6 +216,7 @@
 	}
 	share.Running = s.runningCounts(now)
 	share.Kept = s.takeCacheUpdates(address)
+	s.addQuarantine(share, peer, now)
 	return share
 }
 
@@ -308,6 +309,7 @@
 			Successes: float64(r.GetGood()) / outcomeScale, Failures: float64(r.GetFailed()) / outcomeScale,
 		}
 	}
+	s.applyQuarantine(share, now)
 	for _, k := range share.GetKept() {
 		s.config.Directory.AddPeerCacheUpdates(k.GetServer(), k.GetParts(), now)
 	}
--- /dev/null
+++ b/clemspread/quarantine.go
@@ -0,0 +1,205 @@
+package clemspread
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	// quarantineWriteInterval is the interval at which an entry checks whether the store
+	// lacks a verdict, and how much later than the entry before it in the order each
+	// entry writes one.
+	quarantineWriteInterval = 250 * time.Millisecond
+	// quarantineRowTime is how long after the last request with the part the row of a
+	// verdict is removed from the store.
+	quarantineRowTime = 4 * clemquarantine.DefaultTerm
+	partBase          = 16
+)
+
+// quarantineRow is the row of a verdict in the store. An operator ends the verdict by
+// setting lifted to the time of day in milliseconds since 1970.
+type quarantineRow struct {
+	Service string `json:"service"`
+	Part    string `json:"part"`
+	Crashes int    `json:"crashes"`
+	At      int64  `json:"at"`
+	Seen    int64  `json:"seen"`
+	Lifted  int64  `json:"lifted,omitempty"`
+}
+
+// quarantineKey returns the key of the row of a verdict.
+func quarantineKey(p clemquarantine.Part) string {
+	return fmt.Sprintf("%s/%016x", p.Service, p.ID)
+}
+
+// decodeQuarantine decodes a row and returns when it was lifted, or zero. Errors:
+// KindInvalid, which names the field.
+func decodeQuarantine(value []byte) (clemquarantine.Verdict, time.Time, error) {
+	var row quarantineRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return clemquarantine.Verdict{}, time.Time{}, clementineturn.Invalid("value", "%v", err)
+	}
+	part, err := strconv.ParseUint(row.Part, partBase, 64)
+	if err != nil {
+		return clemquarantine.Verdict{}, time.Time{}, clementineturn.Invalid("part", "%q is no hexadecimal number", row.Part)
+	}
+	if row.Service == "" {
+		return clemquarantine.Verdict{}, time.Time{}, clementineturn.Invalid("service", "it is missing")
+	}
+	var lifted time.Time
+	if row.Lifted > 0 {
+		lifted = time.UnixMilli(row.Lifted)
+	}
+	seen := time.UnixMilli(row.Seen)
+	return clemquarantine.Verdict{
+		Part: clemquarantine.Part{Service: row.Service, ID: part}, Crashes: row.Crashes, At: time.UnixMilli(row.At), LastSeen: seen, StoredSeen: seen,
+	}, lifted, nil
+}
+
+// readQuarantines applies the verdicts in the store.
+func (s *Syncer) readQuarantines(ctx context.Context) error {
+	batch, err := s.config.Store.Read(ctx, clementineturn.SectionQuarantines)
+	if err != nil {
+		return err
+	}
+	for _, change := range batch.Changes() {
+		v, lifted, err := decodeQuarantine(change.Value())
+		now := time.Now()
+		switch {
+		case err != nil:
+			s.config.Events.Emit(clemevent.QuarantineInvalid, zap.String("key", change.Key()), zap.Error(err))
+		case now.Sub(v.LastSeen) > quarantineRowTime:
+			if err := s.config.Store.Remove(ctx, clementineturn.SectionQuarantines, change.Key()); err != nil {
+				return err
+			}
+		case !lifted.IsZero():
+			s.config.Quarantine.Lift(v.Part, lifted, now)
+		default:
+			s.config.Quarantine.Adopt(onMonotonicClock(v, now), now)
+		}
+	}
+	s.knowsQuarantines.Store(true)
+	return nil
+}
+
+// onMonotonicClock returns the verdict with times that later changes of the time of day
+// do not affect, none of them in the future.
+func onMonotonicClock(v clemquarantine.Verdict, now time.Time) clemquarantine.Verdict {
+	for _, at := range []*time.Time{&v.At, &v.LastSeen, &v.StoredSeen} {
+		*at = now.Add(-max(now.Sub(*at), 0))
+	}
+	return v
+}
+
+// storeQuarantines writes verdicts to the store, so that they outlast a restart of all
+// entries. Entries write in the order in which they read the list of servers, and the
+// others learn that it is done.
+func (s *Syncer) storeQuarantines(ctx context.Context) {
+	lacking := map[clemquarantine.Part]time.Time{}
+	for sleep(ctx, quarantineWriteInterval) {
+		now := time.Now()
+		verdicts := s.config.Quarantine.Unstored(now)
+		if len(verdicts) == 0 {
+			clear(lacking)
+			continue
+		}
+		delay := time.Duration(s.peers.readPosition(now)) * quarantineWriteInterval
+		for _, v := range verdicts {
+			since, known := lacking[v.Part]
+			if !known {
+				since = now
+				lacking[v.Part] = now
+			}
+			if now.Sub(since) < delay {
+				continue
+			}
+			err := s.writeQuarantine(ctx, v)
+			s.recordStoreResult(err)
+			if err != nil {
+				var retry backoff
+				if !s.waitForStore(ctx, &retry) {
+					return
+				}
+				break
+			}
+			s.config.Quarantine.SetStored(v.Part, v.LastSeen)
+			delete(lacking, v.Part)
+		}
+	}
+}
+
+func (s *Syncer) writeQuarantine(ctx context.Context, v clemquarantine.Verdict) error {
+	value, err := json.Marshal(quarantineRow{
+		Service: v.Service, Part: strconv.FormatUint(v.ID, partBase), Crashes: v.Crashes, At: v.At.UnixMilli(), Seen: v.LastSeen.UnixMilli(),
+	})
+	if err != nil {
+		return clementineturn.Errorf(clementineturn.KindInternal, "encoding a verdict: %w", err)
+	}
+	return s.config.Store.Write(ctx, clementineturn.SectionQuarantines, quarantineKey(v.Part), value)
+}
+
+// addQuarantine adds to a message what the peer lacks of this entry's findings, and the
+// verdicts in force.
+func (s *Syncer) addQuarantine(share *clemwire.Share, peer peerState, now time.Time) {
+	findings, last := s.config.Quarantine.Findings(peer.findingsSeen)
+	share.Last, share.Seen = last, peer.findingsApplied
+	for _, f := range findings {
+		share.Findings = append(share.Findings, &clemwire.Finding{
+			Service: f.Service, Parts: f.Parts, Age: durationpb.New(now.Sub(f.At)), Server: f.Server, Born: f.Incarnation, Begun: f.HasBegun,
+		})
+	}
+	for _, v := range s.config.Quarantine.Verdicts(now) {
+		quarantine := &clemwire.Quarantine{
+			Service: v.Service, Part: v.ID, Crashes: uint32(v.Crashes), Age: durationpb.New(now.Sub(v.At)), Idle: durationpb.New(now.Sub(v.LastSeen)),
+		}
+		if !v.StoredSeen.IsZero() {
+			quarantine.Stored = durationpb.New(now.Sub(v.StoredSeen))
+		}
+		share.Quarantines = append(share.Quarantines, quarantine)
+	}
+}
+
+// applyQuarantine applies a peer's findings and verdicts.
+func (s *Syncer) applyQuarantine(share *clemwire.Share, now time.Time) {
+	findings := make([]clemquarantine.Finding, len(share.GetFindings()))
+	for i, f := range share.GetFindings() {
+		findings[i] = clemquarantine.Finding{
+			Service: f.GetService(), Parts: f.GetParts(), At: now.Add(-f.GetAge().AsDuration()), IsServed: f.GetServer() == "",
+			Server: f.GetServer(), Incarnation: f.GetBorn(), HasBegun: f.GetBegun(),
+		}
+	}
+	s.config.Quarantine.AddPeerFindings(findings, now)
+	s.peers.setFindingsApplied(share.GetAddress(), share.GetLast())
+	for _, q := range share.GetQuarantines() {
+		v := clemquarantine.Verdict{
+			Part: clemquarantine.Part{Service: q.GetService(), ID: q.GetPart()}, Crashes: int(q.GetCrashes()),
+			At: now.Add(-q.GetAge().AsDuration()), LastSeen: now.Add(-q.GetIdle().AsDuration()),
+		}
+		if q.GetStored() != nil {
+			v.StoredSeen = now.Add(-q.GetStored().AsDuration())
+		}
+		s.config.Quarantine.Adopt(v, now)
+	}
+	s.knowsQuarantines.Store(true)
+}
+
+// setFindingsApplied records the number up to which the findings of the peer were
+// applied.
+func (t *peerTable) setFindingsApplied(address string, number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.byAddress[address]; p != nil {
+		p.findingsApplied = max(p.findingsApplied, number)
+	}
+}
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -56,6 +56,9 @@
 	// sendsChanges is set if the peer can send the changes of the list since this
 	// entry's version, and not only the whole list.
 	sendsChanges bool
+	// findingsSeen is the number of the last finding of this entry that the peer has,
+	// findingsApplied that of the last one of the peer that this entry has.
+	findingsSeen, findingsApplied uint64
 }
 
 // peer is another entry.
@@ -127,13 +130,13 @@
 	if clock < p.clock {
 		// The peer restarted and knows neither addresses nor cached parts. In a
 		// large fleet sending it all cached parts would take too much traffic.
-		p.addressesSent = 0
+		p.addressesSent, p.findingsApplied = 0, 0
 		if len(t.byAddress) < clempool.LargeFleetSize {
 			p.cacheUpdatesSent = 0
 		}
 	}
 	p.version, p.storeVersion, p.wantsDocument, p.wantsRows, p.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
-	p.sendsChanges = share.GetSince() > 0
+	p.sendsChanges, p.findingsSeen = share.GetSince() > 0, share.GetSeen()
 	return isNewlyReachable
 }
 
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrpc"
 	"github.com/clementineturn/clementineturn/clemwire"
@@ -53,7 +55,10 @@
 	Peers     clementineturn.Peers
 	Table     *clemroute.Table
 	Directory *clempool.Directory
-	Events    *clemevent.Logger
+	// Quarantine holds the prompt parts that crash servers. If it is nil the syncer
+	// keeps one of its own.
+	Quarantine *clemquarantine.Tracker
+	Events     *clemevent.Logger
 	// ConfigurationKey is the key of the configuration's row in the store.
 	ConfigurationKey    string
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
@@ -89,6 +94,9 @@
 	// documentRequestedAt and rowsRequestedAt are the times of the last requests
 	// to any peer.
 	documentRequestedAt, rowsRequestedAt time.Time
+	// knowsQuarantines is set once the verdicts in the store or those of a peer were
+	// read.
+	knowsQuarantines atomic.Bool
 	// counts are the running requests as of countedAt.
 	counts    []*clemwire.Running
 	countedAt time.Time
@@ -99,14 +107,17 @@
 	if c.Rand == nil {
 		c.Rand = rand.Float64
 	}
+	if c.Quarantine == nil {
+		c.Quarantine = clemquarantine.New(clemquarantine.Config{})
+	}
 	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address), start: time.Now()}
 }
 
-// IsReady reports whether this entry has a configuration and a list of backend
-// servers.
+// IsReady reports whether this entry has a configuration, a list of backend servers
+// and the verdicts on prompt parts.
 func (s *Syncer) IsReady() bool {
 	version, _ := s.servers.StoreVersion(time.Now())
-	return s.config.Table.Current() != nil && version > 0
+	return s.config.Table.Current() != nil && version > 0 && s.knowsQuarantines.Load()
 }
 
 // EntryCount returns the number of live entries, including this one.
@@ -117,7 +128,7 @@
 func (s *Syncer) Start(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){s.followConfiguration, s.followServers, s.registerAndDiscover, s.exchange, s.learnCachedParts} {
+	for _, loop := range []func(context.Context){s.followConfiguration, s.followServers, s.registerAndDiscover, s.exchange, s.learnCachedParts, s.storeQuarantines} {
 		running.Go(func() { loop(ctx) })
 	}
 	go func() {
--- a/kind.go
+++ b/kind.go
@@ -77,6 +77,9 @@
 	// KindSlow is queued work that a backend server returns because it is
 	// slower than its pool.
 	KindSlow
+	// KindQuarantined is a request with a prompt part that crashes backend
+	// servers.
+	KindQuarantined
 	kindCount
 )
 
@@ -146,6 +149,7 @@
 	KindUnready:         {"unready", http.StatusServiceUnavailable, typeServer, time.Second, true, "The process holds no configuration yet."},
 	KindCancelled:       {"cancelled", 499, typeInvalidRequest, 0, false, "The caller went away."},
 	KindSlow:            {"slow", http.StatusServiceUnavailable, typeServer, time.Second, true, "The backend server is slower than its pool and hands waiting work back."},
+	KindQuarantined:     {"quarantined", http.StatusServiceUnavailable, typeServer, 0, false, "A part of the prompt crashed several backend servers; the message names it. The same request will be refused again."},
 }
 
 // Info returns the kind's description. A value outside the list is treated as
--- a/store.go
+++ b/store.go
@@ -17,6 +17,9 @@
 	SectionServers
 	// SectionEntries holds a row for each entry, which the entry itself writes.
 	SectionEntries
+	// SectionQuarantines holds a row for each prompt part that crashes backend
+	// servers, which entries write.
+	SectionQuarantines
 )
 
 // ChangeConfig describes a Change to construct.
