clemrouter: tests of responses that end with their connection

Guards the reading of answers with neither length nor chunks: whole if closed in order, not if reset; a stream that ends inside an event, or without one, is broken off; such a connection is not used again.

--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -11,6 +11,8 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,8 +58,8 @@
 	responses []string
 	// received holds the requests that the servers received.
 	received []*http.Request
-	// failingDials is the number of dials that still fail.
-	failingDials int
+	// dials is the number of connections, failingDials that of dials that still fail.
+	dials, failingDials int
 }
 
 // Responses of backend servers. A final "!" closes the connection.
@@ -74,6 +76,8 @@
 	// pause makes the server wait for pauseTime, longer than the timeout of the
 	// steady route, before it sends the rest.
 	pause = "pause"
+	// resetAfter at the end of a response resets the connection.
+	resetAfter = "reset"
 	// shortPause is a twentieth of it.
 	shortPause = "rest"
 	streamHead = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -150,11 +154,27 @@
 		return nil, errors.New("connection refused")
 	}
 	client, server := net.Pipe()
-	go f.serve(server)
-	return client, nil
+	conn := &resettableConn{Conn: client}
+	f.dials++
+	go f.serve(server, &conn.isReset)
+	return conn, nil
 }
 
-func (f *fixture) serve(conn net.Conn) {
+// resettableConn is a connection whose end can be a reset.
+type resettableConn struct {
+	net.Conn
+	isReset atomic.Bool
+}
+
+func (c *resettableConn) Read(to []byte) (int, error) {
+	n, err := c.Conn.Read(to)
+	if err == io.EOF && c.isReset.Load() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+func (f *fixture) serve(conn net.Conn, isReset *atomic.Bool) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -174,7 +194,9 @@
 			_, _ = reader.ReadByte()
 			return
 		}
-		text, closes := strings.CutSuffix(response, "!")
+		text, resets := strings.CutSuffix(response, resetAfter)
+		isReset.Store(resets)
+		text, closes := strings.CutSuffix(text, "!")
 		for i, part := range strings.Split(text, pause) {
 			if i > 0 {
 				time.Sleep(pauseTime)
@@ -188,7 +210,7 @@
 				}
 			}
 		}
-		if closes || strings.HasPrefix(text, streamHead) {
+		if closes || resets || strings.HasPrefix(text, streamHead) {
 			return
 		}
 	}
