--- a/clemfront/cluster_test.go
+++ b/clemfront/cluster_test.go
@@ -63,6 +63,9 @@
 		RequestID: header.Get("Id"), Signed: header.Get("Signed") != "",
 		NotRun: header.Get("Unrun") != "", Misdirected: status == http.StatusMisdirectedRequest,
 	}
+	if limit, err := strconv.ParseFloat(header.Get("Limit"), 64); err == nil {
+		c.RateLimit = &limit
+	}
 	return clementineturn.NewResponseInfo(c)
 }
 
@@ -132,6 +135,10 @@
 	mu    sync.Mutex
 	id    string
 	conns map[net.Conn]bool
+	// limit is the limit that the engine states, or "".
+	limit string
+	// arrivals are the times at which requests reached the engine.
+	arrivals []time.Time
 }
 
 // serve handles the requests of a connection.
@@ -145,7 +152,11 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		e.mu.Lock()
-		id := e.id
+		id, limit := e.id, ""
+		if e.limit != "" {
+			limit = "Limit: " + e.limit + "\r\n"
+		}
+		e.arrivals = append(e.arrivals, time.Now())
 		e.mu.Unlock()
 		if request.Header.Get("Server") != id {
 			fmt.Fprintf(conn, "HTTP/1.1 421 Wrong\r\nId: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
@@ -155,7 +166,7 @@
 		isLethal := slices.Contains(parts[:len(parts)-1], strconv.FormatUint(e.cluster.lethal.Load(), 16))
 		e.cluster.recordArrival(isLethal)
 		time.Sleep(prefillTime)
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id")); err != nil {
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: s\r\n%sTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"), limit); err != nil {
 			return
 		}
 		if isLethal {
