clempool: keep to the limits that backend servers state, over all entries

Cause: nothing read the field, so rank and load decided alone. Class: a limit of the whole fleet that no part of it keeps.

Change: each entry keeps a leaky bucket for each limited server. Entries report the last statement of the server, how many requests they have sent it, and the demand for it; reported requests are debits on the bucket. Requests that others sent since their last report are allowed for by a probability from the demand and the age of reports, so that neither the traffic of one entry is starved nor many entries use the same room. Every sending counts, also retries. Where a limit has no room the next cheapest server is taken; if none has room the request is refused at once, not run, with the time at which there is room. Less urgent requests leave room.

--- a/clemfront/cluster_test.go
+++ b/clemfront/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -238,6 +239,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// seed is the number of entries started so far.
+	seed uint64
 }
 
 func newCluster(t *testing.T, entries, engines int) *cluster {
@@ -318,8 +321,12 @@
 
 // startEntry starts an entry without any state.
 func (c *cluster) startEntry(name string) {
+	c.mu.Lock()
+	c.seed++
+	seed := c.seed
+	c.mu.Unlock()
 	table := &clemroute.Table{}
-	directory := clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }, Dial: c.dial})
+	directory := clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: rand.New(rand.NewPCG(5, seed)).Uint64, Dial: c.dial})
 	quarantine := clemquarantine.New(clemquarantine.Config{})
 	e := &entry{quarantine: quarantine}
 	e.router = clemrouter.New(clemrouter.Config{
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -95,8 +95,8 @@
 	d.mu.Lock()
 	isChanged := l.server.limit.record(limit, l.acquiredAt, now)
 	d.mu.Unlock()
-	if isChanged && d.config.OnLimited != nil {
-		d.config.OnLimited(l.id, limit)
+	if isChanged {
+		d.notifyLimited(l.server)
 	}
 }
 
@@ -186,14 +186,14 @@
 	case len(r.Prefix) > 0:
 		found = d.cheapest(svc, candidates, r, now)
 	case svc.limit.allows(svc.running, r.Rank):
-		found.server = d.leastLoaded(candidates)
+		found = d.leastLoaded(candidates, r, now)
 	}
 	chosen, rank := found.server, found.rank
 	if chosen == nil {
 		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
 			Kind: clementineturn.KindOverloaded, NotRun: true,
-			RetryAfter: svc.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait()), now),
-			Message:    "every backend server of service " + r.Service + " is full",
+			RetryAfter: svc.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
+			Message:    "every backend server of service " + r.Service + " is full or at its limit",
 		})
 	}
 	lease := &Lease{
@@ -208,6 +208,7 @@
 	chosen.pendingTokens += lease.pendingTokens
 	d.recordPrefix(chosen, rank, r, now)
 	chosen.running++
+	chosen.limit.countSent(now)
 	svc.addRunning(r.Organisation)
 	if len(r.Prefix) == 0 {
 		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(len(d.peers)+1)
@@ -219,8 +220,8 @@
 // candidateSet is the set of servers that a request can be sent to.
 type candidateSet struct {
 	servers []*server
-	// meanLoad is the mean load of all servers of the service, including
-	// draining ones.
+	// meanLoad is the mean load of all servers of the service, including draining
+	// ones, without those that state a limit unless all do.
 	meanLoad float64
 	// utilisation is the load of all servers of the service as a share of the slots
 	// of those that are neither draining nor ejected.
@@ -233,9 +234,14 @@
 // included while the healthy ones lack capacity without them.
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
 	var untried, reachable, healthy []*server
-	totalLoad, slots := 0, 0
+	totalLoad, slots, unlimited, unlimitedLoad := 0, 0, 0, 0
 	for _, server := range svc.servers {
-		totalLoad += server.running + server.peerRunning
+		load := server.running + server.peerRunning
+		totalLoad += load
+		if !server.isLimited() {
+			unlimited++
+			unlimitedLoad += load
+		}
 		if server.record.IsDraining() {
 			continue
 		}
@@ -258,6 +264,9 @@
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
 		utilisation: float64(totalLoad) / float64(max(slots, 1)), slots: slots,
 	}
+	if unlimited > 0 {
+		c.meanLoad = float64(unlimitedLoad) / float64(unlimited)
+	}
 	if len(healthy) == 0 || c.utilisation > maxHealthyUtilisation {
 		c.servers = reachable
 	}
@@ -320,8 +329,28 @@
 	// shortestWait is the shortest expected wait at the servers that were left out
 	// because of it, or 0 if there were none.
 	shortestWait time.Duration
+	// limitWait is the time until the first server that was left out because of its
+	// limit may get a request, or 0 if there was none.
+	limitWait time.Duration
+}
+
+// passes reports whether the server's limit admits the request. It records in the
+// choice that the server was left out otherwise.
+func (d *Directory) passes(s *server, r Request, now time.Time, result *choice) bool {
+	if !s.isLimited() || s.limit.admits(r.Rank, d.reportLag, float64(d.config.Rand()%randomSteps)/randomSteps, now) {
+		return true
+	}
+	// A server with room was left out by chance, and may admit the next request.
+	wait := max(s.limit.wait(now), d.reportLag, time.Millisecond)
+	if result.limitWait == 0 || wait < result.limitWait {
+		result.limitWait = wait
+	}
+	return false
 }
 
+// randomSteps is the number of different random numbers from 0 to 1.
+const randomSteps = 1 << 16
+
 // cheapest returns the server with the lowest estimated cost for the request, in
 // time. The cost is the expected wait at the server, beyond the tolerated wait for
 // the prompts queued there, and the penalties above. Ties go to the earlier server
@@ -349,13 +378,15 @@
 	}
 	var best choice
 	var leastLoaded *server
-	bestCost, considered := time.Duration(0), 0
+	var priced []pricedServer
+	considered := 0
 	for rank, s := range order {
 		load := float64(s.running + s.peerRunning)
 		if load >= engineRequestsPerSlot*float64(s.record.Slots()) {
 			continue
 		}
-		if leastLoaded == nil || s.running+s.peerRunning < leastLoaded.running+leastLoaded.peerRunning {
+		isLimited := s.isLimited()
+		if !isLimited && (leastLoaded == nil || s.running+s.peerRunning < leastLoaded.running+leastLoaded.peerRunning) {
 			leastLoaded = s
 		}
 		if load >= bound {
@@ -365,7 +396,9 @@
 		if considered >= preferredServers && cached == 0 {
 			continue
 		}
-		considered++
+		if !isLimited {
+			considered++
+		}
 		queueWait := svc.queueWait(s)
 		missing := time.Duration(r.PromptTokens - cached)
 		if wait := s.prefillWait() + queueWait + missing*prefillTimePerToken; maxWait > 0 && wait > maxWait {
@@ -379,9 +412,19 @@
 			cost += time.Duration(rank) * rankPenalty
 		}
 		cost += time.Duration(max(load-c.meanLoad-1, 0) * float64(excessLoadPenalty))
-		if best.server == nil || cost < bestCost {
-			best.server, best.rank, bestCost = s, rank, cost
+		priced = append(priced, pricedServer{s, rank, cost})
+	}
+	for len(priced) > 0 && best.server == nil {
+		cheapest := 0
+		for i, p := range priced {
+			if p.cost < priced[cheapest].cost {
+				cheapest = i
+			}
 		}
+		if p := priced[cheapest]; d.passes(p.server, r, now, &best) {
+			best.server, best.rank = p.server, p.rank
+		}
+		priced = slices.Delete(priced, cheapest, cheapest+1)
 	}
 	if best.server == nil && best.shortestWait == 0 {
 		best.server, best.rank = leastLoaded, len(order)
@@ -389,15 +432,41 @@
 	return best
 }
 
+// pricedServer is a server with its position in the chat's rendezvous order and its cost
+// for a request.
+type pricedServer struct {
+	server *server
+	rank   int
+	cost   time.Duration
+}
+
 // leastLoaded returns the server with the least load for its speed, preferring
-// the entry's own data centre among equals, or nil if all are full. Requests of
+// the entry's own data centre among equals, or none if all are full or at their limit. Requests of
 // peers only decide whether a server is full: they have often ended by the time
 // their counts arrive, and entries that followed those counts would all choose
 // the same server.
-func (d *Directory) leastLoaded(c candidateSet) *server {
+func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
+	var result choice
+	servers := slices.Clone(c.servers)
+	for len(servers) > 0 {
+		best := d.leastLoadedOf(servers)
+		if best == nil {
+			break
+		}
+		if d.passes(best, r, now, &result) {
+			result.server = best
+			break
+		}
+		servers = slices.DeleteFunc(servers, func(s *server) bool { return s == best })
+	}
+	return result
+}
+
+// leastLoadedOf returns the one of the servers, or nil, without regard to limits.
+func (d *Directory) leastLoadedOf(servers []*server) *server {
 	var best *server
 	var bestLoad, bestTie float64
-	for _, s := range c.servers {
+	for _, s := range servers {
 		if float64(s.running+s.peerRunning) >= plainRequestsPerSlot*float64(s.record.Slots()) {
 			continue
 		}
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -27,6 +27,9 @@
 	// engineRequestsPerSlot is the same for engines, whose batch slows down as
 	// it fills.
 	engineRequestsPerSlot = 1.25
+	// maxReportLag bounds the time that a report of a peer counts as old: reports that
+	// come later have expired before.
+	maxReportLag = 5 * time.Second
 	// runTimeWeight is the weight of a request in the smoothed run time.
 	runTimeWeight = 1.0 / 32
 	// fullRetryDelay is the delay before a retry that is suggested to a client
@@ -67,6 +70,10 @@
 	peers      map[string]peerStats
 	nextExpiry time.Time
 	cacheLog   cacheLog
+	// reportedAt is when each peer last reported, reportLag the smoothed time between
+	// reports.
+	reportedAt map[string]time.Time
+	reportLag  time.Duration
 }
 
 // peerStats is the latest report of a peer.
@@ -145,7 +152,7 @@
 // New returns an empty directory.
 func New(c Config) *Directory {
 	return &Directory{
-		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{},
+		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{},
 	}
 }
 
@@ -215,6 +222,17 @@
 	// first event yet.
 	PendingTokens       int
 	Successes, Failures float64
+	// LimitStatedAt is when the server last stated a limit to the entry, or that it has
+	// none any more. It is zero if it never did.
+	LimitStatedAt time.Time
+	IsLimited     bool
+	Limit         float64
+	// IsCounted is set if the entry knows of the limit. Then Sent is the number of
+	// requests that it has sent to the server, and Demand the rate of those for which
+	// the server would have been chosen.
+	IsCounted bool
+	Sent      uint64
+	Demand    float64
 }
 
 // minReportedOutcomes is the decayed number of outcomes below which they are
@@ -232,8 +250,10 @@
 	for id, s := range d.servers {
 		s.health.own.decay(now)
 		own := s.health.own
-		if s.running > 0 || own.failures > minReportedOutcomes || own.successes > minReportedOutcomes && s.health.peers.failures > minReportedOutcomes {
-			stats[id] = ServerStats{Running: s.running, PendingTokens: s.pendingTokens, Successes: own.successes, Failures: own.failures}
+		reported := ServerStats{Running: s.running, PendingTokens: s.pendingTokens, Successes: own.successes, Failures: own.failures}
+		hasLimit := s.limit.report(&reported, now)
+		if hasLimit || s.running > 0 || own.failures > minReportedOutcomes || own.successes > minReportedOutcomes && s.health.peers.failures > minReportedOutcomes {
+			stats[id] = reported
 		}
 	}
 	return stats
@@ -242,8 +262,10 @@
 // SetPeerStats applies the report of a peer in place of its last one, for at
 // most the given time. It ejects servers that the report shows to be outliers.
 func (d *Directory) SetPeerStats(peer string, stats map[string]ServerStats, now time.Time, ttl time.Duration) {
+	var changed []*server
 	d.mu.Lock()
 	d.dropPeer(peer)
+	d.recordReportInterval(peer, now)
 	d.peers[peer] = peerStats{expires: now.Add(ttl), servers: stats}
 	if d.peers[peer].expires.Before(d.nextExpiry) {
 		d.nextExpiry = d.peers[peer].expires
@@ -251,6 +273,9 @@
 	for id, serverStats := range stats {
 		if s := d.servers[id]; s != nil {
 			s.addPeerStats(serverStats, 1)
+			if s.limit.recordPeer(peer, serverStats, now) {
+				changed = append(changed, s)
+			}
 		}
 	}
 	d.expirePeers(now)
@@ -264,6 +289,24 @@
 	for _, s := range ejected {
 		d.notifyEjected(s, OutcomeFailed, now)
 	}
+	for _, s := range changed {
+		d.notifyLimited(s)
+	}
+}
+
+// notifyLimited calls Config.OnLimited with the present limit.
+func (d *Directory) notifyLimited(s *server) {
+	if d.config.OnLimited == nil {
+		return
+	}
+	d.mu.Lock()
+	current := s.limit.current()
+	d.mu.Unlock()
+	if !current.isLimited {
+		d.config.OnLimited(s.record.ID(), nil)
+		return
+	}
+	d.config.OnLimited(s.record.ID(), &current.limit)
 }
 
 // dropPeer removes the report of a peer and subtracts it from the servers'
@@ -300,6 +343,7 @@
 func (s *server) addPeerStats(stats ServerStats, sign int) {
 	s.peerRunning += sign * stats.Running
 	s.peerPendingTokens += sign * stats.PendingTokens
+	s.limit.peerDemand = max(s.limit.peerDemand+float64(sign)*stats.Demand, 0)
 	s.health.peers.successes += float64(sign) * stats.Successes
 	s.health.peers.failures += float64(sign) * stats.Failures
 }
--- a/clempool/share.go
+++ b/clempool/share.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// capacityOf returns the number of requests that the server runs at once, which is what
+// its limit lets in during the time for which a request runs if that is less.
+func (s *service) capacityOf(o *server, perSlot float64) float64 {
+	capacity := perSlot * float64(o.record.Slots())
+	if stated := o.limit.current(); stated.isLimited {
+		capacity = min(capacity, 1+stated.limit*s.runTime.Seconds())
+	}
+	return capacity
+}
+
 // exceedsFairShare reports whether the service is busy and the request would
 // take its organisation above its fair share at this entry. Clients are spread
 // over the entries, so the local counts are representative.
@@ -73,7 +83,7 @@
 	}
 	capacity, load := 0.0, 0
 	for _, server := range c.servers {
-		capacity += perSlot * float64(server.record.Slots())
+		capacity += s.capacityOf(server, perSlot)
 		load += server.running + server.peerRunning
 	}
 	if r.Organisation == "" || float64(load) < busyUtilisation*capacity {
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -252,10 +252,15 @@
 	}
 	s.countedAt, s.counts = now, []*clemwire.Running{}
 	for id, own := range s.config.Directory.LocalStats(now) {
-		s.counts = append(s.counts, &clemwire.Running{
+		running := &clemwire.Running{
 			Server: id, Count: uint32(own.Running), Unread: uint32(own.PendingTokens),
 			Good: uint32(own.Successes * outcomeScale), Failed: uint32(own.Failures * outcomeScale),
-		})
+			Limited: own.IsLimited, Limit: own.Limit, Counted: own.IsCounted, Sent: own.Sent, Demand: uint32(own.Demand * outcomeScale),
+		}
+		if !own.LimitStatedAt.IsZero() {
+			running.Stated = durationpb.New(now.Sub(own.LimitStatedAt))
+		}
+		s.counts = append(s.counts, running)
 	}
 	return s.counts
 }
@@ -304,10 +309,15 @@
 	}
 	stats := make(map[string]clempool.ServerStats, len(share.GetRunning()))
 	for _, r := range share.GetRunning() {
-		stats[r.GetServer()] = clempool.ServerStats{
+		reported := clempool.ServerStats{
 			Running: int(r.GetCount()), PendingTokens: int(r.GetUnread()),
 			Successes: float64(r.GetGood()) / outcomeScale, Failures: float64(r.GetFailed()) / outcomeScale,
+			IsLimited: r.GetLimited(), Limit: r.GetLimit(), IsCounted: r.GetCounted(), Sent: r.GetSent(), Demand: float64(r.GetDemand()) / outcomeScale,
+		}
+		if r.GetStated() != nil {
+			reported.LimitStatedAt = now.Add(-r.GetStated().AsDuration())
 		}
+		stats[r.GetServer()] = reported
 	}
 	s.applyQuarantine(share, now)
 	for _, k := range share.GetKept() {
