clempool: fair shares by limits only if all servers are limited

Cause: the capacity of limited servers counted by their limit, the requests that they still ran in full, so that the service seemed busy. Now it counts so only if every server is limited.

--- a/clempool/rate_test.go
+++ b/clempool/rate_test.go
@@ -116,3 +116,19 @@
 	}
 	require.Greater(t, served[0], 2*served[3])
 }
+
+// Guards against refusals in the name of fair shares while servers without a limit have
+// room.
+func TestFairSharesDoNotApplyWhileUnlimitedServersHaveRoom(t *testing.T) {
+	d := newEntries(1, 4, 8)[0]
+	limit := 2.0
+	for n := range 3 {
+		d.servers[newRecord(n, 8).ID()].limit.record(&limit, epoch, epoch)
+	}
+	for n := range 10 {
+		mustAcquire(t, d, Request{Service: "pool", Organisation: fmt.Sprint(n)}, epoch)
+	}
+	for range 10 {
+		mustAcquire(t, d, Request{Service: "pool", Organisation: "large"}, epoch)
+	}
+}
--- a/clempool/share.go
+++ b/clempool/share.go
@@ -1,6 +1,9 @@
 package clempool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// busyUtilisation is the share of a service's capacity from which
@@ -62,14 +65,10 @@
 	}
 }
 
-// capacityOf returns the number of requests that the server runs at once, which is what
-// its limit lets in during the time for which a request runs if that is less.
-func (s *service) capacityOf(o *server, perSlot float64) float64 {
-	capacity := perSlot * float64(o.record.Slots())
-	if stated := o.limit.current(); stated.isLimited {
-		capacity = min(capacity, 1+stated.limit*s.runTime.Seconds())
-	}
-	return capacity
+// limitedCapacity returns the number of requests that a limited server runs at once: at
+// most what its limit lets in during the time for which a request runs.
+func (s *service) limitedCapacity(o *server, perSlot float64) float64 {
+	return min(perSlot*float64(o.record.Slots()), 1+o.limit.current().limit*s.runTime.Seconds())
 }
 
 // exceedsFairShare reports whether the service is busy and the request would
@@ -82,8 +81,13 @@
 		perSlot = engineRequestsPerSlot
 	}
 	capacity, load := 0.0, 0
+	areLimited := !slices.ContainsFunc(c.servers, func(o *server) bool { return !o.isLimited() })
 	for _, server := range c.servers {
-		capacity += s.capacityOf(server, perSlot)
+		if areLimited {
+			capacity += s.limitedCapacity(server, perSlot)
+		} else {
+			capacity += perSlot * float64(server.record.Slots())
+		}
 		load += server.running + server.peerRunning
 	}
 	if r.Organisation == "" || float64(load) < busyUtilisation*capacity {
