--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -37,6 +37,7 @@
 	LogLinesRateLimited   Event = 930
 	HTTPServerMessage     Event = 931
 	QuarantineInvalid     Event = 932
+	QuarantineNotLifted   Event = 933
 )
 
 var routerEvents = map[Event]Info{
@@ -59,6 +60,7 @@
 	ServerEnded:           {zapcore.WarnLevel, "backend server ended with requests", "The process of a backend server ended unplanned while it had requests. The parts field names the shared parts of one of their prompts."},
 	PartQuarantined:       {zapcore.ErrorLevel, "prompt part quarantined", "Several backend servers ended while they had requests with this part of a prompt, and none has answered one in between. Requests with it are refused. Find out what the part contains; docs/OPERATIONS.md tells how to lift the quarantine."},
 	PartReleased:          {zapcore.WarnLevel, "prompt part released", "No request had the part for some minutes, new evidence speaks for it, or an operator lifted the quarantine."},
+	QuarantineNotLifted:   {zapcore.WarnLevel, "quarantine row not lifted", "New evidence ended the quarantine of a part, but its row in the store could not be written. Entries that start within five minutes refuse requests with the part; lift it by hand if they must not."},
 	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
--- a/clemquarantine/tracker.go
+++ b/clemquarantine/tracker.go
@@ -68,6 +68,8 @@
 	announced map[Part]time.Time
 	findings  findingLog
 	verdicts  map[Part]*Verdict
+	// refuted holds the verdicts that new evidence ended since TakeRefuted.
+	refuted []Verdict
 	// expired holds when the verdict on a part ended that was not released.
 	expired map[Part]time.Time
 	// attempts are the requests in flight that have shared parts.
--- a/clemquarantine/verdict.go
+++ b/clemquarantine/verdict.go
@@ -39,6 +39,9 @@
 func (t *Tracker) end(v *Verdict, isRefuted bool, now time.Time) {
 	delete(t.verdicts, v.Part)
 	if isRefuted {
+		if len(t.refuted) < maxVerdicts {
+			t.refuted = append(t.refuted, *v)
+		}
 		for _, c := range t.suspects[v.Part] {
 			delete(c.causes, v.ID)
 			for id := range c.suspects {
@@ -133,6 +136,16 @@
 	return unstored
 }
 
+// TakeRefuted returns the verdicts that new evidence or an operator ended since the last
+// call.
+func (t *Tracker) TakeRefuted() []Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	refuted := t.refuted
+	t.refuted = nil
+	return refuted
+}
+
 // Adopt applies a verdict of a peer or of the store, unless a response with the part
 // succeeded since.
 func (t *Tracker) Adopt(v Verdict, now time.Time) {
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -18,8 +19,8 @@
 
 const (
 	// quarantineWriteInterval is the interval at which an entry checks whether the store
-	// lacks a verdict, and how much later than the entry before it in the order each
-	// entry writes one.
+	// lacks a verdict. Each entry writes one later than the entry before it in the order,
+	// by this and two exchanges, in which it learns of the verdict and of the write.
 	quarantineWriteInterval = 250 * time.Millisecond
 	// quarantineRowTime is how long after the last request with the part the row of a
 	// verdict is removed from the store.
@@ -67,6 +68,47 @@
 	}, lifted, nil
 }
 
+// StoredQuarantine is a verdict in the store.
+type StoredQuarantine struct {
+	clemquarantine.Verdict
+	// IsLifted is set if an operator ended it.
+	IsLifted bool
+}
+
+// ReadQuarantines returns the verdicts in the store. Errors: KindInvalid, which names the
+// row and the field; those of Store.Read.
+func ReadQuarantines(ctx context.Context, store clementineturn.Store) ([]StoredQuarantine, error) {
+	batch, err := store.Read(ctx, clementineturn.SectionQuarantines)
+	if err != nil {
+		return nil, err
+	}
+	var quarantines []StoredQuarantine
+	for _, change := range batch.Changes() {
+		v, lifted, err := decodeQuarantine(change.Value())
+		if err != nil {
+			return nil, clementineturn.Errorf(clementineturn.KindInvalid, "row %s: %w", change.Key(), err)
+		}
+		quarantines = append(quarantines, StoredQuarantine{Verdict: v, IsLifted: !lifted.IsZero()})
+	}
+	return quarantines, nil
+}
+
+// LiftQuarantine ends a verdict for all entries, which read it within entryReadInterval.
+// Errors: KindNotFound if the store holds none on the part; those of Store.Read and
+// Store.Write.
+func LiftQuarantine(ctx context.Context, store clementineturn.Store, part clemquarantine.Part, now time.Time) error {
+	quarantines, err := ReadQuarantines(ctx, store)
+	if err != nil {
+		return err
+	}
+	for _, q := range quarantines {
+		if q.Part == part {
+			return writeQuarantine(ctx, store, q.Verdict, now)
+		}
+	}
+	return clementineturn.Errorf(clementineturn.KindNotFound, "part %x of service %q is not quarantined", part.ID, part.Service)
+}
+
 // readQuarantines applies the verdicts in the store.
 func (s *Syncer) readQuarantines(ctx context.Context) error {
 	batch, err := s.config.Store.Read(ctx, clementineturn.SectionQuarantines)
@@ -109,12 +151,15 @@
 	lacking := map[clemquarantine.Part]time.Time{}
 	for sleep(ctx, quarantineWriteInterval) {
 		now := time.Now()
+		if err := s.liftRefuted(ctx, now); err != nil {
+			s.config.Events.Emit(clemevent.QuarantineNotLifted, zap.Error(err))
+		}
 		verdicts := s.config.Quarantine.Unstored(now)
 		if len(verdicts) == 0 {
 			clear(lacking)
 			continue
 		}
-		delay := time.Duration(s.peers.readPosition(now)) * quarantineWriteInterval
+		delay := time.Duration(s.peers.readPosition(now)) * (quarantineWriteInterval + 2*s.peers.interval())
 		for _, v := range verdicts {
 			since, known := lacking[v.Part]
 			if !known {
@@ -124,7 +169,7 @@
 			if now.Sub(since) < delay {
 				continue
 			}
-			err := s.writeQuarantine(ctx, v)
+			err := writeQuarantine(ctx, s.config.Store, v, time.Time{})
 			s.recordStoreResult(err)
 			if err != nil {
 				var retry backoff
@@ -139,14 +184,33 @@
 	}
 }
 
-func (s *Syncer) writeQuarantine(ctx context.Context, v clemquarantine.Verdict) error {
-	value, err := json.Marshal(quarantineRow{
+// liftRefuted marks the rows of verdicts as lifted that new evidence ended, so that no
+// entry reads them when it starts. The first entry in order does it.
+func (s *Syncer) liftRefuted(ctx context.Context, now time.Time) error {
+	refuted := s.config.Quarantine.TakeRefuted()
+	if s.peers.readPosition(now) > 0 {
+		return nil
+	}
+	var failed error
+	for _, v := range refuted {
+		failed = errors.Join(failed, writeQuarantine(ctx, s.config.Store, v, now))
+	}
+	return failed
+}
+
+// writeQuarantine writes the row of a verdict, which is lifted unless the time is zero.
+func writeQuarantine(ctx context.Context, store clementineturn.Store, v clemquarantine.Verdict, lifted time.Time) error {
+	row := quarantineRow{
 		Service: v.Service, Part: strconv.FormatUint(v.ID, partBase), Crashes: v.Crashes, At: v.At.UnixMilli(), Seen: v.LastSeen.UnixMilli(),
-	})
+	}
+	if !lifted.IsZero() {
+		row.Lifted = lifted.UnixMilli()
+	}
+	value, err := json.Marshal(row)
 	if err != nil {
 		return clementineturn.Errorf(clementineturn.KindInternal, "encoding a verdict: %w", err)
 	}
-	return s.config.Store.Write(ctx, clementineturn.SectionQuarantines, quarantineKey(v.Part), value)
+	return store.Write(ctx, clementineturn.SectionQuarantines, quarantineKey(v.Part), value)
 }
 
 // addQuarantine adds to a message what the peer lacks of this entry's findings, and the
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -52,6 +52,13 @@
 	s.changed = make(chan struct{})
 }
 
+// currentVersion returns the number of writes so far.
+func (s *fakeStore) currentVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (s *fakeStore) setHanging(isHanging bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -257,6 +264,15 @@
 	return syncer
 }
 
+// leave makes entries unreachable.
+func (n *network) leave(addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range addresses {
+		delete(n.entries, address)
+	}
+}
+
 // join makes an entry that was started elsewhere reachable at the address.
 func (n *network) join(address string, syncer *Syncer) {
 	n.mu.Lock()
