clemquarantine: slow servers, all entries killed right after a verdict, parts that turn lethal

The first entry in order stores a verdict at once and not at its next tick, and an entry takes its peers' word only if they know the store's verdicts.

--- a/clemfront/verdict_test.go
+++ b/clemfront/verdict_test.go
@@ -97,3 +97,64 @@
 		})
 	}
 }
+
+// Guards against entries that forget, or never learn, a lethal part because one after the
+// other restarts, and against a large fleet that learns it too late.
+func TestQuarantineHoldsWhileEntriesRestart(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				entries, engines, rate := 4, 12, 60.0
+				if seed%4 == 3 {
+					entries, engines, rate = 16, 60, 200
+				}
+				c := newCluster(t, entries, engines)
+				c.lethal.Store(lethalPart)
+				l := &chatLoad{cluster: c, rng: rand.New(rand.NewPCG(seed, 12)), lethalAt: int(seed % 3), entries: entries}
+				l.play(rate, 2*time.Second)
+				l.lethalShare = 0.05
+				l.sent.Go(func() {
+					for n := range 9 {
+						time.Sleep(1500 * time.Millisecond)
+						name := entryName(n % entries)
+						c.stopEntry(name)
+						time.Sleep(300 * time.Millisecond)
+						c.startEntry(name)
+					}
+				})
+				l.countFrom(time.Now().Add(2*learnTime + 3*time.Second))
+				l.play(rate, 18*time.Second)
+				l.sent.Wait()
+				parts := c.quarantined()
+				c.stopAll()
+				require.Subset(t, []uint64{lethalPart}, parts)
+				require.LessOrEqual(t, c.lateArrivals(), maxLateArrivals, "%d engines crashed", len(c.crashes))
+				require.Positive(t, l.total)
+				require.GreaterOrEqual(t, float64(l.served), 0.75*float64(l.total))
+			})
+		})
+	}
+}
+
+// Guards against a part that servers answered before it began to crash them, for instance
+// since a release: it needs more evidence, but not for ever.
+func TestPartThatTurnsLethalIsQuarantined(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 4, 12)
+				l := &chatLoad{cluster: c, rng: rand.New(rand.NewPCG(seed, 13)), entries: 4}
+				l.play(60, 3*time.Second)
+				c.lethal.Store(sheetPart)
+				l.countFrom(time.Now().Add(2*learnTime + 3*time.Second))
+				l.play(60, 18*time.Second)
+				l.sent.Wait()
+				parts := c.quarantined()
+				c.stopAll()
+				require.Equal(t, []uint64{sheetPart}, parts)
+				require.LessOrEqual(t, c.lateArrivals(), maxLateArrivals, "%d engines crashed", len(c.crashes))
+				require.GreaterOrEqual(t, float64(l.served), 0.9*float64(l.total))
+			})
+		})
+	}
+}
--- a/clemquarantine/attempt.go
+++ b/clemquarantine/attempt.go
@@ -7,10 +7,14 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 )
 
-// survivalTime is how long a server must go on after it began a response for the
-// prompt to count as harmless, and within which a crash is blamed on responses that
-// it began.
-const survivalTime = 500 * time.Millisecond
+const (
+	// survivalTime is how long a server must go on after it began a response for the
+	// prompt to count as harmless: longer than a slow server takes to end on it.
+	survivalTime = 2 * time.Second
+	// blameTime is the time from the beginning of a response within which a crash is
+	// blamed on it first.
+	blameTime = 500 * time.Millisecond
+)
 
 // Result is how an attempt ended.
 type Result uint8
--- a/clemquarantine/evidence.go
+++ b/clemquarantine/evidence.go
@@ -12,8 +12,8 @@
 	// not sent to a second server.
 	suspectCrashes = 2
 	// begunWeight and waitingWeight are the weights of a crash in which the server had
-	// begun the response to a prompt with the part, and of one in which the request
-	// waited there.
+	// just begun the response to a prompt with the part, and of one in which the request
+	// waited there or its response began earlier.
 	begunWeight   = 5
 	waitingWeight = 3
 	// minWeight is the weight from which on a part is convicted that no server has ever
@@ -55,10 +55,7 @@
 
 // recordCrash records what this entry had at a server that ended.
 func (t *Tracker) recordCrash(a *Attempt, now time.Time) {
-	if !a.begunAt.IsZero() && now.Sub(a.begunAt) > survivalTime {
-		return
-	}
-	f := Finding{Service: a.parts[0].Service, Server: a.server.id, Incarnation: a.server.incarnation, At: now, HasBegun: !a.begunAt.IsZero()}
+	f := Finding{Service: a.parts[0].Service, Server: a.server.id, Incarnation: a.server.incarnation, At: now, HasBegun: !a.begunAt.IsZero() && now.Sub(a.begunAt) <= blameTime}
 	for _, p := range a.parts {
 		f.Parts = append(f.Parts, p.ID)
 	}
--- a/clemquarantine/finding.go
+++ b/clemquarantine/finding.go
@@ -23,7 +23,7 @@
 	// request with the parts.
 	IsServed bool
 	// Server and Incarnation identify the server that ended, and HasBegun is set if it
-	// had begun the response.
+	// had just begun the response.
 	Server      string
 	Incarnation int64
 	HasBegun    bool
--- a/clemquarantine/tracker.go
+++ b/clemquarantine/tracker.go
@@ -74,6 +74,8 @@
 	expired map[Part]time.Time
 	// attempts are the requests in flight that have shared parts.
 	attempts map[*Attempt]struct{}
+	// convicted receives a value when a part was convicted.
+	convicted chan struct{}
 	// pending holds the calls of Config's functions to make once mu is released.
 	pending []func()
 }
@@ -84,7 +86,7 @@
 		c.Term = DefaultTerm
 	}
 	return &Tracker{
-		config: c, suspects: map[Part][]*crash{}, undecided: map[Part]struct{}{}, served: map[Part]time.Time{}, peerServed: map[Part]time.Time{}, announced: map[Part]time.Time{},
+		config: c, convicted: make(chan struct{}, 1), suspects: map[Part][]*crash{}, undecided: map[Part]struct{}{}, served: map[Part]time.Time{}, peerServed: map[Part]time.Time{}, announced: map[Part]time.Time{},
 		verdicts: map[Part]*Verdict{}, expired: map[Part]time.Time{}, attempts: map[*Attempt]struct{}{},
 	}
 }
--- a/clemquarantine/verdict.go
+++ b/clemquarantine/verdict.go
@@ -30,6 +30,10 @@
 		c.causes[v.ID] = true
 	}
 	t.cancelAttempts(v.Part)
+	select {
+	case t.convicted <- struct{}{}:
+	default: // One is waiting to be received.
+	}
 	if call := t.config.OnConvicted; call != nil {
 		t.pending = append(t.pending, func() { call(v) })
 	}
@@ -124,6 +128,10 @@
 	return verdicts
 }
 
+// Convicted returns a channel that receives a value when a part was convicted since the
+// last one.
+func (t *Tracker) Convicted() <-chan struct{} { return t.convicted }
+
 // Unstored returns the verdicts that the store lacks, or whose part has been seen for
 // half a term since it was written there.
 func (t *Tracker) Unstored(now time.Time) []Verdict {
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -149,7 +149,15 @@
 // others learn that it is done.
 func (s *Syncer) storeQuarantines(ctx context.Context) {
 	lacking := map[clemquarantine.Part]time.Time{}
-	for sleep(ctx, quarantineWriteInterval) {
+	ticker := time.NewTicker(quarantineWriteInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.config.Quarantine.Convicted():
+		}
 		now := time.Now()
 		if err := s.liftRefuted(ctx, now); err != nil {
 			s.config.Events.Emit(clemevent.QuarantineNotLifted, zap.Error(err))
@@ -217,7 +225,7 @@
 // verdicts in force.
 func (s *Syncer) addQuarantine(share *clemwire.Share, peer peerState, now time.Time) {
 	findings, last := s.config.Quarantine.Findings(peer.findingsSeen)
-	share.Last, share.Seen = last, peer.findingsApplied
+	share.Last, share.Seen, share.Judges = last, peer.findingsApplied, s.knowsQuarantines.Load()
 	for _, f := range findings {
 		share.Findings = append(share.Findings, &clemwire.Finding{
 			Service: f.Service, Parts: f.Parts, Age: durationpb.New(now.Sub(f.At)), Server: f.Server, Born: f.Incarnation, Begun: f.HasBegun,
@@ -255,7 +263,9 @@
 		}
 		s.config.Quarantine.Adopt(v, now)
 	}
-	s.knowsQuarantines.Store(true)
+	if share.GetJudges() {
+		s.knowsQuarantines.Store(true)
+	}
 }
 
 // setFindingsApplied records the number up to which the findings of the peer were
