clempool: a limit that begins again starts anew; leases and limits in files of their own

Shown by a test: between two limits of a server the counts of peers grew, and all of it was a debit on the new bucket, so that the server got nothing for seconds. Peers that are gone no longer keep the time of their last report. Servers are only checked for their end after requests with prompt parts.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -1,14 +1,12 @@
 package clempool
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	clementineturn "github.com/clementineturn/clementineturn"
-	"github.com/clementineturn/clementineturn/clemconn"
 	"github.com/clementineturn/clementineturn/clemrank"
 )
 
@@ -36,129 +34,6 @@
 	Tried []string
 }
 
-// Lease is the place of one request at the server that was chosen for it. It
-// must be ended with Release.
-type Lease struct {
-	directory *Directory
-	server    *server
-	service   *service
-	// organisation is the organisation that the request is served for.
-	organisation string
-	pool         *clemconn.Pool
-	id           string
-	incarnation  int64
-	acquiredAt   time.Time
-	// slowAfter is the time from which on a request without a prefix counts as slow,
-	// and minLimit the lowest limit of this entry's requests to the service.
-	slowAfter     time.Duration
-	minLimit      float64
-	cacheSource   string
-	pendingTokens int
-	cachedTokens  int
-	prefillWait   time.Duration
-	load          int
-	meanLoad      float64
-	rank          int
-}
-
-// Pool returns the connection pool of the server.
-func (l *Lease) Pool() *clemconn.Pool { return l.pool }
-
-// Server returns the id of the server.
-func (l *Lease) Server() string { return l.id }
-
-// Incarnation returns a number that distinguishes two starts of the server under one
-// id.
-func (l *Lease) Incarnation() int64 { return l.incarnation }
-
-// ServerHasEnded reports whether the process of a server that broke off a response has
-// ended unplanned: the server is listed and not draining, and refuses connections. If
-// it accepts one, the connection is kept for another request.
-func (l *Lease) ServerHasEnded(ctx context.Context) bool {
-	d := l.directory
-	d.mu.Lock()
-	isExpected, hasEnded := d.servers[l.id] == l.server && !l.server.record.IsDraining(), l.server.hasEnded
-	d.mu.Unlock()
-	if !isExpected || hasEnded || !l.pool.RefusesConnections(ctx) {
-		return isExpected && hasEnded
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l.server.hasEnded = true
-	return true
-}
-
-// RecordRateLimit records whether a response to this request states a limit, in requests
-// a second of all entries together; nil means that it states none.
-func (l *Lease) RecordRateLimit(limit *float64, now time.Time) {
-	d := l.directory
-	d.mu.Lock()
-	isChanged := l.server.limit.record(limit, l.acquiredAt, now)
-	d.mu.Unlock()
-	if isChanged {
-		d.notifyLimited(l.server)
-	}
-}
-
-// CacheSource returns the address of a server from which the chosen one can
-// fetch cached parts of the prompt that it lacks, or "".
-func (l *Lease) CacheSource() string { return l.cacheSource }
-
-// CachedTokens returns the number of prompt tokens that the server was believed
-// to have in its prefix cache, or to have there once its pending prompts are
-// read.
-func (l *Lease) CachedTokens() int { return l.cachedTokens }
-
-// PrefillWait returns the estimated time to prefill the prompts that were
-// queued at the server before this one.
-func (l *Lease) PrefillWait() time.Duration { return l.prefillWait }
-
-// Load returns the number of requests, as far as known, that the server had
-// when it was chosen.
-func (l *Lease) Load() int { return l.load }
-
-// MeanLoad returns the mean load of the service's servers when the server was
-// chosen.
-func (l *Lease) MeanLoad() float64 { return l.meanLoad }
-
-// Rank returns the position of the server in the rendezvous order of the chat,
-// from 0. It is 0 for requests without a prefix, and the number of candidates
-// if every one of them was at the load bound.
-func (l *Lease) Rank() int { return l.rank }
-
-// ResponseStarted records the first event of the response, which means that the
-// prompt has been read.
-func (l *Lease) ResponseStarted() {
-	l.directory.mu.Lock()
-	defer l.directory.mu.Unlock()
-	l.server.pendingTokens -= l.pendingTokens
-	l.pendingTokens = 0
-}
-
-// Release ends the lease and records the outcome and, unless it is nil, the
-// load that the server reported.
-func (l *Lease) Release(outcome Outcome, load *clementineturn.Load, now time.Time) {
-	d, s := l.directory, l.server
-	d.mu.Lock()
-	d.expirePeers(now)
-	s.running--
-	l.service.removeRunning(l.organisation)
-	l.service.observe(l, outcome, now)
-	s.pendingTokens -= l.pendingTokens
-	l.pendingTokens = 0
-	if load != nil {
-		s.load = *load
-	}
-	if outcome == OutcomeServed {
-		s.hasEnded = false
-	}
-	ejected := s.health.record(outcome, now) || outcome == OutcomeFailed && d.isOutlier(s, now) && s.health.eject(now)
-	d.mu.Unlock()
-	if ejected {
-		d.notifyEjected(s, outcome, now)
-	}
-}
-
 // Acquire chooses a server for the request and counts the request there. It
 // fails with KindOverloaded or KindUnavailable, both of which say that the
 // request was not run.
@@ -334,23 +209,6 @@
 	limitWait time.Duration
 }
 
-// passes reports whether the server's limit admits the request. It records in the
-// choice that the server was left out otherwise.
-func (d *Directory) passes(s *server, r Request, now time.Time, result *choice) bool {
-	if !s.isLimited() || s.limit.admits(r.Rank, d.reportLag, float64(d.config.Rand()%randomSteps)/randomSteps, now) {
-		return true
-	}
-	// A server with room was left out by chance, and may admit the next request.
-	wait := max(s.limit.wait(now), d.reportLag, time.Millisecond)
-	if result.limitWait == 0 || wait < result.limitWait {
-		result.limitWait = wait
-	}
-	return false
-}
-
-// randomSteps is the number of different random numbers from 0 to 1.
-const randomSteps = 1 << 16
-
 // cheapest returns the server with the lowest estimated cost for the request, in
 // time. The cost is the expected wait at the server, beyond the tolerated wait for
 // the prompts queued there, and the penalties above. Ties go to the earlier server
@@ -440,11 +298,8 @@
 	cost   time.Duration
 }
 
-// leastLoaded returns the server with the least load for its speed, preferring
-// the entry's own data centre among equals, or none if all are full or at their limit. Requests of
-// peers only decide whether a server is full: they have often ended by the time
-// their counts arrive, and entries that followed those counts would all choose
-// the same server.
+// leastLoaded returns the server with the least load for its speed that its limit admits,
+// or none if all are full or at their limit.
 func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
 	var result choice
 	servers := slices.Clone(c.servers)
@@ -462,7 +317,10 @@
 	return result
 }
 
-// leastLoadedOf returns the one of the servers, or nil, without regard to limits.
+// leastLoadedOf returns the server with the least load for its speed, preferring the
+// entry's own data centre among equals, or nil if all are full. Requests of peers only
+// decide whether a server is full: they have often ended by the time their counts
+// arrive, and entries that followed those counts would all choose the same server.
 func (d *Directory) leastLoadedOf(servers []*server) *server {
 	var best *server
 	var bestLoad, bestTie float64
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -332,6 +332,7 @@
 		switch {
 		case now.After(stats.expires):
 			d.dropPeer(peer)
+			delete(d.reportedAt, peer)
 		case stats.expires.Before(d.nextExpiry):
 			d.nextExpiry = stats.expires
 		}
--- a/clempool/rate.go
+++ b/clempool/rate.go
@@ -23,6 +23,8 @@
 	limitReportTime = 10 * time.Second
 	// reportWeight is the weight of a report in the smoothed interval between reports.
 	reportWeight = 1.0 / 8
+	// randomSteps is the number of different random numbers from 0 to 1.
+	randomSteps = 1 << 16
 )
 
 // limitStatement is what a server stated of its limit: the requests a second that it
@@ -117,6 +119,7 @@
 	}
 	if !before.isLimited {
 		l.level, l.updated = l.burst(after), now
+		clear(l.peerSent)
 	}
 	if before.isLimited && math.Abs(after.limit-l.reported) < minLimitChange*max(l.reported, 1) {
 		return false
@@ -162,8 +165,8 @@
 	return l.demand / demandTime.Seconds()
 }
 
-// admits reports whether the limited server may get a request of the rank now. lag is the time
-// until reports of requests arrive, and random a number from 0 to 1.
+// admits reports whether the limited server may get a request of the rank now. lag is
+// the time until reports of requests arrive, and random a number from 0 to 1.
 func (l *rateLimit) admits(rank int, lag time.Duration, random float64, now time.Time) bool {
 	s := l.current()
 	demand := (l.ownDemand(now) + l.peerDemand) * lag.Seconds()
@@ -194,6 +197,20 @@
 	return true
 }
 
+// passes reports whether the server's limit admits the request. It records in the
+// choice that the server was left out otherwise.
+func (d *Directory) passes(s *server, r Request, now time.Time, result *choice) bool {
+	if !s.isLimited() || s.limit.admits(r.Rank, d.reportLag, float64(d.config.Rand()%randomSteps)/randomSteps, now) {
+		return true
+	}
+	// A server with room was left out by chance, and may admit the next request.
+	wait := max(s.limit.wait(now), d.reportLag, time.Millisecond)
+	if result.limitWait == 0 || wait < result.limitWait {
+		result.limitWait = wait
+	}
+	return false
+}
+
 // recordReportInterval records the time between two reports of a peer.
 func (d *Directory) recordReportInterval(peer string, now time.Time) {
 	if last, isKnown := d.reportedAt[peer]; isKnown {
--- a/clempool/rate_test.go
+++ b/clempool/rate_test.go
@@ -132,3 +132,19 @@
 		mustAcquire(t, d, Request{Service: "pool", Organisation: "large"}, epoch)
 	}
 }
+
+// Guards against a limit that begins again and counts what peers sent while there was
+// none.
+func TestLimitThatBeginsAgainStartsAnew(t *testing.T) {
+	var l rateLimit
+	limit := 5.0
+	l.record(&limit, epoch, epoch)
+	l.recordPeer("b", ServerStats{IsCounted: true, Sent: 10}, epoch)
+	l.record(nil, epoch.Add(time.Second), epoch.Add(time.Second))
+	l.record(&limit, epoch.Add(time.Hour), epoch.Add(time.Hour))
+	level := l.level
+	l.recordPeer("b", ServerStats{IsCounted: true, Sent: 100_000}, epoch.Add(time.Hour))
+	require.InDelta(t, level, l.level, 0.001)
+	l.recordPeer("b", ServerStats{IsCounted: true, Sent: 100_001}, epoch.Add(time.Hour))
+	require.InDelta(t, level+1, l.level, 0.001)
+}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -308,7 +308,7 @@
 		result.err = clementineturn.Errorf(clementineturn.KindUnknown, "a part of the prompt was found to crash servers while the request was at one")
 	case result.outcome == clempool.OutcomeServed && !result.isUndelimited:
 		ended = clemquarantine.ResultServed
-	case result.outcome == clempool.OutcomeFailed && clemconn.IsBroken(result.err) && lease.ServerHasEnded(ctx):
+	case watch != nil && result.outcome == clempool.OutcomeFailed && clemconn.IsBroken(result.err) && lease.ServerHasEnded(ctx):
 		result.outcome, ended = clempool.OutcomeCrashed, clemquarantine.ResultCrashed
 	}
 	watch.End(ended, time.Now())
