clemquarantine: terms of the field; a part that was answered is no explanation for one that never was

A part that was never answered no longer waits for the other parts of the same prompts to be answered again, if they were answered before.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -59,7 +59,7 @@
 	CacheInventoryFailed:  {zapcore.WarnLevel, "engine cache inventory failed", "Prompts that the engine has cached may be prefilled again on other servers."},
 	ServerEnded:           {zapcore.WarnLevel, "backend server ended with requests", "The process of a backend server ended unplanned while it had requests. The parts field names the shared parts of one of their prompts."},
 	PartQuarantined:       {zapcore.ErrorLevel, "prompt part quarantined", "Several backend servers ended while they had requests with this part of a prompt, and none has answered one in between. Requests with it are refused. Find out what the part contains; docs/OPERATIONS.md tells how to lift the quarantine."},
-	PartReleased:          {zapcore.WarnLevel, "prompt part released", "No request had the part for some minutes, new evidence speaks for it, or an operator lifted the quarantine."},
+	PartReleased:          {zapcore.WarnLevel, "prompt part released", "No request had the part for some minutes, new evidence shows that it is sound, or an operator lifted the quarantine."},
 	QuarantineNotLifted:   {zapcore.WarnLevel, "quarantine row not lifted", "New evidence ended the quarantine of a part, but its row in the store could not be written. Entries that start within five minutes refuse requests with the part; lift it by hand if they must not."},
 	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -127,7 +127,7 @@
 }
 
 func newQuarantine(events *clemevent.Logger) *clemquarantine.Tracker {
-	verdictFields := func(v clemquarantine.Verdict) []zap.Field {
+	quarantineFields := func(v clemquarantine.Quarantine) []zap.Field {
 		return []zap.Field{
 			zap.String("service", v.Service), zap.String("part", strconv.FormatUint(v.ID, 16)), zap.Int("crashes", v.Crashes),
 			zap.Duration("age", time.Since(v.At)), zap.Duration("idle", time.Since(v.LastSeen)),
@@ -141,8 +141,8 @@
 			}
 			events.Emit(clemevent.ServerEnded, zap.String("server", server), zap.String("service", service), zap.Strings("parts", texts))
 		},
-		OnConvicted: func(v clemquarantine.Verdict) { events.Emit(clemevent.PartQuarantined, verdictFields(v)...) },
-		OnReleased:  func(v clemquarantine.Verdict) { events.Emit(clemevent.PartReleased, verdictFields(v)...) },
+		OnQuarantined: func(v clemquarantine.Quarantine) { events.Emit(clemevent.PartQuarantined, quarantineFields(v)...) },
+		OnReleased:    func(v clemquarantine.Quarantine) { events.Emit(clemevent.PartReleased, quarantineFields(v)...) },
 	})
 }
 
--- a/clemfront/verdict_test.go
+++ b/clemfront/quarantine_test.go
@@ -15,7 +15,7 @@
 func (c *cluster) quarantined() []uint64 {
 	var parts []uint64
 	for _, e := range c.entries {
-		for _, v := range e.quarantine.Verdicts(time.Now()) {
+		for _, v := range e.quarantine.Quarantines(time.Now()) {
 			if !slices.Contains(parts, v.ID) {
 				parts = append(parts, v.ID)
 			}
@@ -40,7 +40,7 @@
 	}
 }
 
-// Guards against verdicts on sound parts, which are present in many crashes: with a
+// Guards against quarantines of sound parts, which are present in many crashes: with a
 // lethal part at any position, rate and share of the traffic, only that part is
 // quarantined, and in time.
 func TestOnlyThePartThatCrashesServersIsQuarantined(t *testing.T) {
@@ -68,9 +68,9 @@
 	}
 }
 
-// Guards against verdicts when servers end for a reason that has nothing to do with
+// Guards against quarantines when servers end for a reason that has nothing to do with
 // requests: single ones, one after the other, many or all at once.
-func TestCrashesWithoutLethalPartConvictNone(t *testing.T) {
+func TestCrashesWithoutLethalPartQuarantineNone(t *testing.T) {
 	rates := []float64{4, 20, 60, 120}
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/clemquarantine/attempt.go
+++ b/clemquarantine/attempt.go
@@ -11,9 +11,9 @@
 	// survivalTime is how long a server must go on after it began a response for the
 	// prompt to count as harmless: longer than a slow server takes to end on it.
 	survivalTime = 2 * time.Second
-	// blameTime is the time from the beginning of a response within which a crash is
+	// attributionTime is the time from the beginning of a response within which a crash is
 	// blamed on it first.
-	blameTime = 500 * time.Millisecond
+	attributionTime = 500 * time.Millisecond
 )
 
 // Result is how an attempt ended.
@@ -37,7 +37,7 @@
 	// Server is the id of the backend server, and Incarnation tells its starts apart.
 	Server      string
 	Incarnation int64
-	// Cancel ends the attempt. It is called if a part is convicted before the server
+	// Cancel ends the attempt. It is called if a part is quarantined before the server
 	// has begun the response.
 	Cancel func()
 }
@@ -50,7 +50,7 @@
 	server      serverKey
 	cancel      func()
 	begunAt     time.Time
-	isHarmless  bool
+	hasSurvived bool
 	isCancelled bool
 }
 
@@ -89,10 +89,10 @@
 	}
 	a.tracker.mu.Lock()
 	defer a.tracker.unlock()
-	if a.isHarmless || a.begunAt.IsZero() || now.Sub(a.begunAt) < survivalTime {
+	if a.hasSurvived || a.begunAt.IsZero() || now.Sub(a.begunAt) < survivalTime {
 		return
 	}
-	a.isHarmless = true
+	a.hasSurvived = true
 	a.tracker.recordServed(a.parts, now)
 }
 
@@ -109,12 +109,12 @@
 	case a.isCancelled:
 	case result == ResultServed:
 		t.recordServed(a.parts, now)
-	case result == ResultCrashed && !a.isHarmless:
+	case result == ResultCrashed && !a.hasSurvived:
 		t.recordCrash(a, now)
 	}
 }
 
-// IsCancelled reports whether the attempt was ended because a part was convicted.
+// IsCancelled reports whether the attempt was ended because a part was quarantined.
 func (a *Attempt) IsCancelled() bool {
 	if a == nil {
 		return false
--- a/clemquarantine/evidence.go
+++ b/clemquarantine/evidence.go
@@ -16,20 +16,20 @@
 	// waited there or its response began earlier.
 	begunWeight   = 5
 	waitingWeight = 3
-	// minWeight is the weight from which on a part is convicted that no server has ever
-	// answered and that was present in every crash since the first one. partialWeight
-	// is the same for one that was present in at least half of them, and
+	// minWeight is the sum of weights from which on a part is quarantined that no server
+	// has ever answered and that was present in every crash since the first one.
+	// partialWeight is the same for one that was present in at least half of them, and
 	// unlikelyWeight for other parts, which are bystanders as a rule.
 	minWeight      = 3 * begunWeight
 	partialWeight  = 5 * begunWeight
 	unlikelyWeight = 8 * begunWeight
-	// decisiveCrashes is the number of crashes from which on a part is convicted although
+	// decisiveCrashes is the number of crashes from which on a part is quarantined although
 	// another part was present in the same crashes.
 	decisiveCrashes = 5
-	// simultaneity is the time within which crashes of several servers count as one,
+	// correlationTime is the time within which crashes of several servers count as one,
 	// since a common cause is likely: some times what entries take to notice a crash.
-	simultaneity = 50 * time.Millisecond
-	// settleTime is how long evidence is awaited that speaks for a part, unless there
+	correlationTime = 50 * time.Millisecond
+	// settleTime is how long evidence is awaited that shows a part to be sound, unless there
 	// have been decisiveCrashes.
 	settleTime = 300 * time.Millisecond
 )
@@ -48,14 +48,14 @@
 	// learnedAt is when the last suspects became known here.
 	learnedAt time.Time
 	// suspects holds the weights of the parts of the requests at the server, and causes
-	// those that were convicted.
+	// those that were quarantined.
 	suspects map[uint64]int
 	causes   map[uint64]bool
 }
 
 // recordCrash records what this entry had at a server that ended.
 func (t *Tracker) recordCrash(a *Attempt, now time.Time) {
-	f := Finding{Service: a.parts[0].Service, Server: a.server.id, Incarnation: a.server.incarnation, At: now, HasBegun: !a.begunAt.IsZero() && now.Sub(a.begunAt) <= blameTime}
+	f := Finding{Service: a.parts[0].Service, Server: a.server.id, Incarnation: a.server.incarnation, At: now, HasBegun: !a.begunAt.IsZero() && now.Sub(a.begunAt) <= attributionTime}
 	for _, p := range a.parts {
 		f.Parts = append(f.Parts, p.ID)
 	}
@@ -96,11 +96,11 @@
 			t.suspects[p] = append(t.suspects[p], c)
 		}
 		c.suspects[id] = max(c.suspects[id], weight)
-		if t.verdicts[p] != nil {
+		if t.quarantines[p] != nil {
 			c.causes[id] = true
 		}
 		t.undecided[p] = struct{}{}
-		t.announce(p)
+		t.addServedFinding(p)
 	}
 }
 
@@ -113,14 +113,14 @@
 		if len(t.suspects[p]) == 0 {
 			delete(t.suspects, p)
 			delete(t.peerServed, p)
-			delete(t.announced, p)
+			delete(t.reported, p)
 			delete(t.undecided, p)
 		}
 	}
 }
 
-// accusation is the evidence against a part.
-type accusation struct {
+// evidence is the evidence against a part.
+type evidence struct {
 	crashes []*crash
 	// moments is the number of crashes, of which simultaneous ones count once, and
 	// weight the sum of their weights.
@@ -130,10 +130,10 @@
 	learnedAt time.Time
 }
 
-// caseAgainst returns the evidence against a part: the crashes in which it was present
+// evidenceAgainst returns the evidence against a part: the crashes in which it was present
 // since a response with it last succeeded, without those that have another cause.
-func (t *Tracker) caseAgainst(p Part) accusation {
-	var a accusation
+func (t *Tracker) evidenceAgainst(p Part) evidence {
+	var a evidence
 	since := later(t.lastServed(p), t.expired[p])
 	var last time.Time
 	var lastWeight int
@@ -144,7 +144,7 @@
 		weight := c.suspects[p.ID]
 		a.crashes = append(a.crashes, c)
 		a.learnedAt = later(a.learnedAt, c.learnedAt)
-		if a.moments > 0 && c.at.Sub(last).Abs() < simultaneity {
+		if a.moments > 0 && c.at.Sub(last).Abs() < correlationTime {
 			a.weight += max(weight-lastWeight, 0)
 			lastWeight = max(weight, lastWeight)
 			continue
@@ -156,7 +156,7 @@
 	return a
 }
 
-// hasOtherCause reports whether a convicted part other than the given one was present
+// hasOtherCause reports whether a quarantined part other than the given one was present
 // in the crash.
 func (c *crash) hasOtherCause(id uint64) bool {
 	for cause := range c.causes {
@@ -167,8 +167,8 @@
 	return false
 }
 
-// evaluate ends verdicts that are over or refuted, and weighs the evidence against the
-// undecided parts.
+// evaluate ends quarantines that are over or refuted, and begins those for which there is
+// enough evidence.
 func (t *Tracker) evaluate(now time.Time) {
 	t.expire(now)
 	t.releaseRefuted(now)
@@ -176,29 +176,29 @@
 		return
 	}
 	for _, p := range slices.SortedFunc(maps.Keys(t.undecided), compareParts) {
-		a := t.caseAgainst(p)
-		_, wasConvicted := t.expired[p]
+		a := t.evidenceAgainst(p)
+		_, wasQuarantined := t.expired[p]
 		switch {
-		case t.verdicts[p] != nil || a.weight < minWeight && (!wasConvicted || a.weight < begunWeight):
+		case t.quarantines[p] != nil || a.weight < minWeight && (!wasQuarantined || a.weight < begunWeight):
 			delete(t.undecided, p)
-		case wasConvicted || t.isGuilty(p, a, now):
+		case wasQuarantined || t.isConclusive(p, a, now):
 			delete(t.undecided, p)
-			t.convict(Verdict{Part: p, Crashes: len(a.crashes), At: now, LastSeen: now}, now)
+			t.quarantine(Quarantine{Part: p, Crashes: len(a.crashes), At: now, LastSeen: now}, now)
 		}
 	}
 }
 
-// isGuilty reports whether the evidence suffices to convict the part.
-func (t *Tracker) isGuilty(p Part, a accusation, now time.Time) bool {
+// isConclusive reports whether the evidence suffices to quarantine the part.
+func (t *Tracker) isConclusive(p Part, a evidence, now time.Time) bool {
 	if a.weight < t.requiredWeight(p, a) || a.moments < decisiveCrashes && now.Sub(a.learnedAt) < settleTime {
 		return false
 	}
 	for id := range a.crashes[0].suspects {
 		other := Part{p.Service, id}
-		if other == p {
+		if other == p || t.lastServed(p).IsZero() && !t.lastServed(other).IsZero() {
 			continue
 		}
-		b := t.caseAgainst(other)
+		b := t.evidenceAgainst(other)
 		if !containsAll(b.crashes, a.crashes) {
 			continue
 		}
@@ -211,8 +211,8 @@
 	return true
 }
 
-// requiredWeight returns the weight of the evidence that convicts the part.
-func (t *Tracker) requiredWeight(p Part, a accusation) int {
+// requiredWeight returns the weight of evidence that suffices to quarantine the part.
+func (t *Tracker) requiredWeight(p Part, a evidence) int {
 	if !t.lastServed(p).IsZero() {
 		return unlikelyWeight
 	}
@@ -241,10 +241,10 @@
 	return a.Before(b)
 }
 
-// announce adds a finding for the peers if this entry has seen a successful response
-// with a part that they may suspect.
-func (t *Tracker) announce(p Part) {
-	own, known := t.ownServed(p), later(t.announced[p], t.peerServed[p])
+// addServedFinding adds a finding for the peers if this entry has seen a successful
+// response with a part that they may suspect.
+func (t *Tracker) addServedFinding(p Part) {
+	own, known := t.ownServed(p), later(t.reported[p], t.peerServed[p])
 	if !own.After(known) {
 		return
 	}
@@ -254,8 +254,8 @@
 			suspicions++
 		}
 	}
-	if suspicions >= suspectCrashes || t.verdicts[p] != nil {
-		t.announced[p] = own
+	if suspicions >= suspectCrashes || t.quarantines[p] != nil {
+		t.reported[p] = own
 		t.findings.add(Finding{Service: p.Service, Parts: []uint64{p.ID}, At: own, IsServed: true})
 	}
 }
--- a/clemquarantine/finding.go
+++ b/clemquarantine/finding.go
@@ -71,7 +71,7 @@
 		}
 		for _, id := range f.Parts {
 			p := Part{f.Service, id}
-			if t.suspects[p] != nil || t.verdicts[p] != nil {
+			if t.suspects[p] != nil || t.quarantines[p] != nil {
 				t.peerServed[p] = later(t.peerServed[p], f.At)
 			}
 		}
--- a/clemquarantine/tracker.go
+++ b/clemquarantine/tracker.go
@@ -2,10 +2,10 @@
 // requests with them away from the servers (a circuit breaker for queries of death).
 //
 // Every request that a server was running when it ended is a suspect, and most of
-// them are bystanders. A part is convicted if it was present in the crashes of
+// them are bystanders. A part is quarantined if it was present in the crashes of
 // several servers and no server has answered a prompt with it in between. Entries
 // exchange what they saw, since each of them sees few of the requests, and the
-// verdicts.
+// quarantines.
 package clemquarantine
 
 import (
@@ -17,13 +17,13 @@
 )
 
 const (
-	// DefaultTerm is how long a verdict lasts after the last request with the part.
+	// DefaultTerm is how long a quarantine lasts after the last request with the part.
 	DefaultTerm = 5 * time.Minute
 	// maxCrashes is the number of crashes that are remembered, maxSuspects that of
-	// the parts remembered with each, and maxVerdicts that of verdicts.
-	maxCrashes  = 128
-	maxSuspects = 512
-	maxVerdicts = 1024
+	// the parts remembered with each, and maxQuarantines that of quarantines.
+	maxCrashes     = 128
+	maxSuspects    = 512
+	maxQuarantines = 1024
 	// maxServed is half the number of parts whose last successful response is
 	// remembered.
 	maxServed = 2048
@@ -37,18 +37,18 @@
 
 // Config describes a Tracker to construct.
 type Config struct {
-	// Term is how long a verdict lasts after the last request with the part; 0 means
+	// Term is how long a quarantine lasts after the last request with the part; 0 means
 	// DefaultTerm.
 	Term time.Duration
 	// OnCrash, if set, is called when a server's crash becomes known for the first
 	// time, with the parts of the first prompt that is known to have been there.
 	OnCrash func(server, service string, parts []uint64)
-	// OnConvicted and OnReleased, if set, are called when a verdict takes effect here
+	// OnQuarantined and OnReleased, if set, are called when a quarantine takes effect here
 	// and when it ends.
-	OnConvicted, OnReleased func(Verdict)
+	OnQuarantined, OnReleased func(Quarantine)
 }
 
-// Tracker holds the evidence and the verdicts of an entry. It is safe for concurrent
+// Tracker holds the evidence and the quarantines of an entry. It is safe for concurrent
 // use.
 type Tracker struct {
 	config Config
@@ -64,18 +64,18 @@
 	// served and servedBefore hold when a response with a part last succeeded, as seen
 	// by this entry; peerServed the same for its peers, for suspects only.
 	served, servedBefore, peerServed map[Part]time.Time
-	// announced is the time of the last success of a part that was sent to peers.
-	announced map[Part]time.Time
-	findings  findingLog
-	verdicts  map[Part]*Verdict
-	// refuted holds the verdicts that new evidence ended since TakeRefuted.
-	refuted []Verdict
-	// expired holds when the verdict on a part ended that was not released.
+	// reported is the time of the last success of a part that was sent to peers.
+	reported    map[Part]time.Time
+	findings    findingLog
+	quarantines map[Part]*Quarantine
+	// refuted holds the quarantines that new evidence ended since TakeRefuted.
+	refuted []Quarantine
+	// expired holds when the quarantine of a part ended that was not released.
 	expired map[Part]time.Time
 	// attempts are the requests in flight that have shared parts.
 	attempts map[*Attempt]struct{}
-	// convicted receives a value when a part was convicted.
-	convicted chan struct{}
+	// quarantined receives a value when a part was quarantined.
+	quarantined chan struct{}
 	// pending holds the calls of Config's functions to make once mu is released.
 	pending []func()
 }
@@ -86,8 +86,8 @@
 		c.Term = DefaultTerm
 	}
 	return &Tracker{
-		config: c, convicted: make(chan struct{}, 1), suspects: map[Part][]*crash{}, undecided: map[Part]struct{}{}, served: map[Part]time.Time{}, peerServed: map[Part]time.Time{}, announced: map[Part]time.Time{},
-		verdicts: map[Part]*Verdict{}, expired: map[Part]time.Time{}, attempts: map[*Attempt]struct{}{},
+		config: c, quarantined: make(chan struct{}, 1), suspects: map[Part][]*crash{}, undecided: map[Part]struct{}{}, served: map[Part]time.Time{}, peerServed: map[Part]time.Time{}, reported: map[Part]time.Time{},
+		quarantines: map[Part]*Quarantine{}, expired: map[Part]time.Time{}, attempts: map[*Attempt]struct{}{},
 	}
 }
 
@@ -101,17 +101,17 @@
 	}
 }
 
-// Check returns an error for a request with a convicted part, which must not be
+// Check returns an error for a request with a quarantined part, which must not be
 // sent to a server. Errors: KindQuarantined, not run.
 func (t *Tracker) Check(service string, parts []clementineturn.PromptPart, now time.Time) error {
 	t.mu.Lock()
 	defer t.unlock()
 	t.evaluate(now)
 	for _, p := range parts {
-		if v := t.verdicts[Part{service, p.ID()}]; v != nil {
-			t.sighted(v, now)
+		if q := t.quarantines[Part{service, p.ID()}]; q != nil {
+			t.recordSighting(q, now)
 			return clementineturn.Refuse(clementineturn.KindQuarantined, "prompt part %x crashed %d servers of service %s; prompts with it are refused for %s after the last one",
-				v.ID, v.Crashes, service, t.config.Term)
+				q.ID, q.Crashes, service, t.config.Term)
 		}
 	}
 	return nil
@@ -124,7 +124,7 @@
 	t.mu.Lock()
 	defer t.unlock()
 	return slices.ContainsFunc(parts, func(p clementineturn.PromptPart) bool {
-		return t.caseAgainst(Part{service, p.ID()}).moments >= suspectCrashes
+		return t.evidenceAgainst(Part{service, p.ID()}).moments >= suspectCrashes
 	})
 }
 
@@ -139,7 +139,7 @@
 			t.served, t.servedBefore = map[Part]time.Time{}, t.served
 		}
 		t.served[p] = now
-		t.announce(p)
+		t.addServedFinding(p)
 	}
 	t.evaluate(now)
 }
--- a/clemquarantine/tracker_test.go
+++ b/clemquarantine/tracker_test.go
@@ -42,8 +42,8 @@
 }
 
 // Guards against refusals of sound requests that share a part with lethal ones, and
-// against verdicts before the peers could speak for a part.
-func TestThreeCrashesConvictAPartThatWasNeverServed(t *testing.T) {
+// against quarantines before peers could report successes.
+func TestThreeCrashesQuarantineAPartThatWasNeverServed(t *testing.T) {
 	tracker := New(Config{})
 	crashThrice(tracker, 2)
 	require.False(t, isRefused(tracker, 1200, 2))
@@ -53,8 +53,8 @@
 	require.NoError(t, tracker.Check("another pool", promptParts(2), at(1600)))
 }
 
-// Guards against verdicts on parts that crash no server: responses succeed with them.
-func TestServedPartIsAcquitted(t *testing.T) {
+// Guards against quarantines of parts that crash no server: responses succeed with them.
+func TestServedPartIsCleared(t *testing.T) {
 	tracker := New(Config{})
 	for n := range 12 {
 		run(tracker, fmt.Sprint("s", n), ResultCrashed, 500*n, 3)
@@ -83,7 +83,7 @@
 	}
 	for _, entry := range entries {
 		require.True(t, isRefused(entry, 1600, 2))
-		require.Equal(t, 3, entry.Verdicts(at(1600))[0].Crashes)
+		require.Equal(t, 3, entry.Quarantines(at(1600))[0].Crashes)
 	}
 }
 
@@ -106,8 +106,8 @@
 }
 
 // Guards against crashes by requests that were on their way when their part was
-// convicted, and against the end of those that servers answer.
-func TestConvictionCancelsWaitingRequests(t *testing.T) {
+// quarantined, and against the end of those that servers answer.
+func TestQuarantineCancelsWaitingRequests(t *testing.T) {
 	tracker := New(Config{})
 	cancelled := 0
 	waiting := tracker.Start(AttemptConfig{Service: "pool", Parts: promptParts(2), Server: "a", Cancel: func() { cancelled++ }})
@@ -121,13 +121,13 @@
 	sound.End(ResultServed, at(1700))
 }
 
-// Guards against a verdict that never ends, and against as many crashes as before once
+// Guards against a quarantine that never ends, and against as many crashes as before once
 // it has ended.
-func TestVerdictEndsAndOneCrashRenewsIt(t *testing.T) {
+func TestQuarantineEndsAndOneCrashRenewsIt(t *testing.T) {
 	tracker := New(Config{Term: time.Minute})
 	crashThrice(tracker, 2)
 	require.True(t, isRefused(tracker, 50_000, 2))
-	require.True(t, isRefused(tracker, 109_000, 2), "requests with the part keep the verdict in force")
+	require.True(t, isRefused(tracker, 109_000, 2), "requests with the part keep the quarantine in force")
 	require.False(t, isRefused(tracker, 170_000, 2))
 	run(tracker, "s9", ResultCrashed, 171_000, 2)
 	require.True(t, isRefused(tracker, 171_100, 2))
@@ -141,15 +141,15 @@
 	require.False(t, isRefused(tracker, 66_000, 2), "it was served in between")
 }
 
-// Guards against a wrong verdict that stays in force: a response with the part that
+// Guards against a wrong quarantine that stays in force: a response with the part that
 // succeeds ends it, here and at peers, as does an operator.
-func TestWrongVerdictIsReleased(t *testing.T) {
+func TestWrongQuarantineIsReleased(t *testing.T) {
 	tracker, peer := New(Config{}), New(Config{})
 	late := tracker.Start(AttemptConfig{Service: "pool", Parts: promptParts(2), Server: "a", Cancel: func() {}})
 	late.Begin(at(1500))
 	crashThrice(tracker, 2)
 	require.True(t, isRefused(tracker, 1600, 2))
-	for _, v := range tracker.Verdicts(at(1600)) {
+	for _, v := range tracker.Quarantines(at(1600)) {
 		peer.Adopt(v, at(1650))
 	}
 	require.True(t, isRefused(peer, 1700, 2))
@@ -158,35 +158,35 @@
 	findings, _ := tracker.Findings(0)
 	peer.AddPeerFindings(findings, at(1850))
 	require.False(t, isRefused(peer, 1900, 2))
-	peer.Adopt(Verdict{Part: Part{"pool", 2}, At: at(1600), LastSeen: at(1600)}, at(2000))
-	require.False(t, isRefused(peer, 2000, 2), "a verdict older than the response")
+	peer.Adopt(Quarantine{Part: Part{"pool", 2}, At: at(1600), LastSeen: at(1600)}, at(2000))
+	require.False(t, isRefused(peer, 2000, 2), "a quarantine older than the response")
 
 	lifted := New(Config{})
 	crashThrice(lifted, 2)
 	require.True(t, isRefused(lifted, 1600, 2))
 	lifted.Lift(Part{"pool", 2}, at(1000), at(1700))
-	require.True(t, isRefused(lifted, 1700, 2), "an order that is older than the verdict")
+	require.True(t, isRefused(lifted, 1700, 2), "an order that is older than the quarantine")
 	lifted.Lift(Part{"pool", 2}, at(1650), at(1700))
 	require.False(t, isRefused(lifted, 1800, 2))
 }
 
-// Guards against verdicts that entries prolong for each other by the time that
+// Guards against quarantines that entries prolong for each other by the time that
 // messages take.
-func TestExchangeDoesNotProlongVerdicts(t *testing.T) {
+func TestExchangeDoesNotProlongQuarantines(t *testing.T) {
 	a, b := New(Config{Term: time.Minute}), New(Config{Term: time.Minute})
 	crashThrice(a, 2)
 	require.True(t, isRefused(a, 1600, 2))
 	const transit = 50
 	for ms := 1600; ms < 70_000; ms += 2 * transit {
 		for i, pair := range [][2]*Tracker{{a, b}, {b, a}} {
-			for _, v := range pair[0].Verdicts(at(ms + i*transit)) {
+			for _, v := range pair[0].Quarantines(at(ms + i*transit)) {
 				v.At, v.LastSeen = v.At.Add(transit*time.Millisecond), v.LastSeen.Add(transit*time.Millisecond)
 				pair[1].Adopt(v, at(ms+(i+1)*transit))
 			}
 		}
 	}
-	require.Empty(t, a.Verdicts(at(70_000)))
-	require.Empty(t, b.Verdicts(at(70_000)))
+	require.Empty(t, a.Quarantines(at(70_000)))
+	require.Empty(t, b.Quarantines(at(70_000)))
 }
 
 // Guards against memory that grows with the traffic.
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -299,7 +299,7 @@
 }
 
 // endWatch records what the attempt says about the prompt, and corrects the outcome if
-// the server has ended or a part was convicted meanwhile.
+// the server has ended or a part was quarantined meanwhile.
 func (q *request) endWatch(ctx context.Context, watch *clemquarantine.Attempt, lease *clempool.Lease, result *attemptResult) {
 	ended := clemquarantine.ResultOther
 	switch {
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -19,16 +19,16 @@
 
 const (
 	// quarantineWriteInterval is the interval at which an entry checks whether the store
-	// lacks a verdict. Each entry writes one later than the entry before it in the order,
-	// by this and two exchanges, in which it learns of the verdict and of the write.
+	// lacks a quarantine. Each entry writes one later than the entry before it in the order,
+	// by this and two exchanges, in which it learns of the quarantine and of the write.
 	quarantineWriteInterval = 250 * time.Millisecond
 	// quarantineRowTime is how long after the last request with the part the row of a
-	// verdict is removed from the store.
+	// quarantine is removed from the store.
 	quarantineRowTime = 4 * clemquarantine.DefaultTerm
 	partBase          = 16
 )
 
-// quarantineRow is the row of a verdict in the store. An operator ends the verdict by
+// quarantineRow is the row of a quarantine in the store. An operator ends the quarantine by
 // setting lifted to the time of day in milliseconds since 1970.
 type quarantineRow struct {
 	Service string `json:"service"`
@@ -39,43 +39,43 @@
 	Lifted  int64  `json:"lifted,omitempty"`
 }
 
-// quarantineKey returns the key of the row of a verdict.
+// quarantineKey returns the key of the row of a quarantine.
 func quarantineKey(p clemquarantine.Part) string {
 	return fmt.Sprintf("%s/%016x", p.Service, p.ID)
 }
 
 // decodeQuarantine decodes a row and returns when it was lifted, or zero. Errors:
 // KindInvalid, which names the field.
-func decodeQuarantine(value []byte) (clemquarantine.Verdict, time.Time, error) {
+func decodeQuarantine(value []byte) (clemquarantine.Quarantine, time.Time, error) {
 	var row quarantineRow
 	if err := json.Unmarshal(value, &row); err != nil {
-		return clemquarantine.Verdict{}, time.Time{}, clementineturn.Invalid("value", "%v", err)
+		return clemquarantine.Quarantine{}, time.Time{}, clementineturn.Invalid("value", "%v", err)
 	}
 	part, err := strconv.ParseUint(row.Part, partBase, 64)
 	if err != nil {
-		return clemquarantine.Verdict{}, time.Time{}, clementineturn.Invalid("part", "%q is no hexadecimal number", row.Part)
+		return clemquarantine.Quarantine{}, time.Time{}, clementineturn.Invalid("part", "%q is no hexadecimal number", row.Part)
 	}
 	if row.Service == "" {
-		return clemquarantine.Verdict{}, time.Time{}, clementineturn.Invalid("service", "it is missing")
+		return clemquarantine.Quarantine{}, time.Time{}, clementineturn.Invalid("service", "it is missing")
 	}
 	var lifted time.Time
 	if row.Lifted > 0 {
 		lifted = time.UnixMilli(row.Lifted)
 	}
 	seen := time.UnixMilli(row.Seen)
-	return clemquarantine.Verdict{
+	return clemquarantine.Quarantine{
 		Part: clemquarantine.Part{Service: row.Service, ID: part}, Crashes: row.Crashes, At: time.UnixMilli(row.At), LastSeen: seen, StoredSeen: seen,
 	}, lifted, nil
 }
 
-// StoredQuarantine is a verdict in the store.
+// StoredQuarantine is a quarantine in the store.
 type StoredQuarantine struct {
-	clemquarantine.Verdict
+	clemquarantine.Quarantine
 	// IsLifted is set if an operator ended it.
 	IsLifted bool
 }
 
-// ReadQuarantines returns the verdicts in the store. Errors: KindInvalid, which names the
+// ReadQuarantines returns the quarantines in the store. Errors: KindInvalid, which names the
 // row and the field; those of Store.Read.
 func ReadQuarantines(ctx context.Context, store clementineturn.Store) ([]StoredQuarantine, error) {
 	batch, err := store.Read(ctx, clementineturn.SectionQuarantines)
@@ -88,12 +88,12 @@
 		if err != nil {
 			return nil, clementineturn.Errorf(clementineturn.KindInvalid, "row %s: %w", change.Key(), err)
 		}
-		quarantines = append(quarantines, StoredQuarantine{Verdict: v, IsLifted: !lifted.IsZero()})
+		quarantines = append(quarantines, StoredQuarantine{Quarantine: v, IsLifted: !lifted.IsZero()})
 	}
 	return quarantines, nil
 }
 
-// LiftQuarantine ends a verdict for all entries, which read it within entryReadInterval.
+// LiftQuarantine ends a quarantine for all entries, which read it within entryReadInterval.
 // Errors: KindNotFound if the store holds none on the part; those of Store.Read and
 // Store.Write.
 func LiftQuarantine(ctx context.Context, store clementineturn.Store, part clemquarantine.Part, now time.Time) error {
@@ -103,13 +103,13 @@
 	}
 	for _, q := range quarantines {
 		if q.Part == part {
-			return writeQuarantine(ctx, store, q.Verdict, now)
+			return writeQuarantine(ctx, store, q.Quarantine, now)
 		}
 	}
 	return clementineturn.Errorf(clementineturn.KindNotFound, "part %x of service %q is not quarantined", part.ID, part.Service)
 }
 
-// readQuarantines applies the verdicts in the store.
+// readQuarantines applies the quarantines in the store.
 func (s *Syncer) readQuarantines(ctx context.Context) error {
 	batch, err := s.config.Store.Read(ctx, clementineturn.SectionQuarantines)
 	if err != nil {
@@ -135,16 +135,16 @@
 	return nil
 }
 
-// onMonotonicClock returns the verdict with times that later changes of the time of day
+// onMonotonicClock returns the quarantine with times that later changes of the time of day
 // do not affect, none of them in the future.
-func onMonotonicClock(v clemquarantine.Verdict, now time.Time) clemquarantine.Verdict {
+func onMonotonicClock(v clemquarantine.Quarantine, now time.Time) clemquarantine.Quarantine {
 	for _, at := range []*time.Time{&v.At, &v.LastSeen, &v.StoredSeen} {
 		*at = now.Add(-max(now.Sub(*at), 0))
 	}
 	return v
 }
 
-// storeQuarantines writes verdicts to the store, so that they outlast a restart of all
+// storeQuarantines writes quarantines to the store, so that they outlast a restart of all
 // entries. Entries write in the order in which they read the list of servers, and the
 // others learn that it is done.
 func (s *Syncer) storeQuarantines(ctx context.Context) {
@@ -156,19 +156,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-s.config.Quarantine.Convicted():
+		case <-s.config.Quarantine.Quarantined():
 		}
 		now := time.Now()
 		if err := s.liftRefuted(ctx, now); err != nil {
 			s.config.Events.Emit(clemevent.QuarantineNotLifted, zap.Error(err))
 		}
-		verdicts := s.config.Quarantine.Unstored(now)
-		if len(verdicts) == 0 {
+		quarantines := s.config.Quarantine.Unstored(now)
+		if len(quarantines) == 0 {
 			clear(lacking)
 			continue
 		}
 		delay := time.Duration(s.peers.readPosition(now)) * (quarantineWriteInterval + 2*s.peers.interval())
-		for _, v := range verdicts {
+		for _, v := range quarantines {
 			since, known := lacking[v.Part]
 			if !known {
 				since = now
@@ -192,7 +192,7 @@
 	}
 }
 
-// liftRefuted marks the rows of verdicts as lifted that new evidence ended, so that no
+// liftRefuted marks the rows of quarantines as lifted that new evidence ended, so that no
 // entry reads them when it starts. The first entry in order does it.
 func (s *Syncer) liftRefuted(ctx context.Context, now time.Time) error {
 	refuted := s.config.Quarantine.TakeRefuted()
@@ -206,8 +206,8 @@
 	return failed
 }
 
-// writeQuarantine writes the row of a verdict, which is lifted unless the time is zero.
-func writeQuarantine(ctx context.Context, store clementineturn.Store, v clemquarantine.Verdict, lifted time.Time) error {
+// writeQuarantine writes the row of a quarantine, which is lifted unless the time is zero.
+func writeQuarantine(ctx context.Context, store clementineturn.Store, v clemquarantine.Quarantine, lifted time.Time) error {
 	row := quarantineRow{
 		Service: v.Service, Part: strconv.FormatUint(v.ID, partBase), Crashes: v.Crashes, At: v.At.UnixMilli(), Seen: v.LastSeen.UnixMilli(),
 	}
@@ -216,22 +216,22 @@
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
-		return clementineturn.Errorf(clementineturn.KindInternal, "encoding a verdict: %w", err)
+		return clementineturn.Errorf(clementineturn.KindInternal, "encoding a quarantine: %w", err)
 	}
 	return store.Write(ctx, clementineturn.SectionQuarantines, quarantineKey(v.Part), value)
 }
 
 // addQuarantine adds to a message what the peer lacks of this entry's findings, and the
-// verdicts in force.
+// quarantines in force.
 func (s *Syncer) addQuarantine(share *clemwire.Share, peer peerState, now time.Time) {
 	findings, last := s.config.Quarantine.Findings(peer.findingsSeen)
-	share.Last, share.Seen, share.Judges = last, peer.findingsApplied, s.knowsQuarantines.Load()
+	share.Last, share.Seen, share.Synced = last, peer.findingsApplied, s.knowsQuarantines.Load()
 	for _, f := range findings {
 		share.Findings = append(share.Findings, &clemwire.Finding{
 			Service: f.Service, Parts: f.Parts, Age: durationpb.New(now.Sub(f.At)), Server: f.Server, Born: f.Incarnation, Begun: f.HasBegun,
 		})
 	}
-	for _, v := range s.config.Quarantine.Verdicts(now) {
+	for _, v := range s.config.Quarantine.Quarantines(now) {
 		quarantine := &clemwire.Quarantine{
 			Service: v.Service, Part: v.ID, Crashes: uint32(v.Crashes), Age: durationpb.New(now.Sub(v.At)), Idle: durationpb.New(now.Sub(v.LastSeen)),
 		}
@@ -242,7 +242,7 @@
 	}
 }
 
-// applyQuarantine applies a peer's findings and verdicts.
+// applyQuarantine applies a peer's findings and quarantines.
 func (s *Syncer) applyQuarantine(share *clemwire.Share, now time.Time) {
 	findings := make([]clemquarantine.Finding, len(share.GetFindings()))
 	for i, f := range share.GetFindings() {
@@ -254,7 +254,7 @@
 	s.config.Quarantine.AddPeerFindings(findings, now)
 	s.peers.setFindingsApplied(share.GetAddress(), share.GetLast())
 	for _, q := range share.GetQuarantines() {
-		v := clemquarantine.Verdict{
+		v := clemquarantine.Quarantine{
 			Part: clemquarantine.Part{Service: q.GetService(), ID: q.GetPart()}, Crashes: int(q.GetCrashes()),
 			At: now.Add(-q.GetAge().AsDuration()), LastSeen: now.Add(-q.GetIdle().AsDuration()),
 		}
@@ -263,7 +263,7 @@
 		}
 		s.config.Quarantine.Adopt(v, now)
 	}
-	if share.GetJudges() {
+	if share.GetSynced() {
 		s.knowsQuarantines.Store(true)
 	}
 }
--- a/clemspread/quarantine_test.go
+++ b/clemspread/quarantine_test.go
@@ -13,11 +13,11 @@
 
 var testPart = clemquarantine.Part{Service: "pool", ID: 0xdead}
 
-func isQuarantined(s *Syncer) bool { return len(s.config.Quarantine.Verdicts(time.Now())) > 0 }
+func isQuarantined(s *Syncer) bool { return len(s.config.Quarantine.Quarantines(time.Now())) > 0 }
 
-// Guards against verdicts that a restart of all entries loses, and against a write by
+// Guards against quarantines that a restart of all entries loses, and against a write by
 // each entry.
-func TestVerdictIsWrittenOnceAndReadAtTheStart(t *testing.T) {
+func TestQuarantineIsWrittenOnceAndReadAtTheStart(t *testing.T) {
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
 		var entries []*Syncer
 		running, stop := context.WithCancel(ctx)
@@ -27,7 +27,7 @@
 		time.Sleep(time.Second)
 		before := store.currentVersion()
 		now := time.Now()
-		entries[1].config.Quarantine.Adopt(clemquarantine.Verdict{Part: testPart, Crashes: 3, At: now, LastSeen: now}, now)
+		entries[1].config.Quarantine.Adopt(clemquarantine.Quarantine{Part: testPart, Crashes: 3, At: now, LastSeen: now}, now)
 		time.Sleep(2 * time.Second)
 		for _, entry := range entries {
 			require.True(t, isQuarantined(entry))
@@ -43,14 +43,14 @@
 	})
 }
 
-// Guards against an entry that serves before it knows the verdicts, and against one that
+// Guards against an entry that serves before it knows the quarantines, and against one that
 // never does because the store is away while a peer could tell.
-func TestEntryIsReadyOnceItKnowsTheVerdicts(t *testing.T) {
+func TestEntryIsReadyOnceItKnowsTheQuarantines(t *testing.T) {
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
 		first := n.start(ctx, "a", store)
 		time.Sleep(time.Second)
 		now := time.Now()
-		first.config.Quarantine.Adopt(clemquarantine.Verdict{Part: testPart, Crashes: 3, At: now, LastSeen: now}, now)
+		first.config.Quarantine.Adopt(clemquarantine.Quarantine{Part: testPart, Crashes: 3, At: now, LastSeen: now}, now)
 		away := newFakeStore()
 		away.setFailing(true)
 		second := n.start(ctx, "b", away, "a")
@@ -61,8 +61,8 @@
 	})
 }
 
-// Guards against a refuted verdict that entries read again when they start.
-func TestRefutedVerdictIsLiftedInTheStore(t *testing.T) {
+// Guards against a refuted quarantine that entries read again when they start.
+func TestRefutedQuarantineIsLiftedInTheStore(t *testing.T) {
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
 		entry := n.start(ctx, "a", store)
 		time.Sleep(time.Second)
@@ -72,7 +72,7 @@
 			Parts: []clementineturn.PromptPart{clementineturn.NewPromptPart(clementineturn.PromptPartConfig{ID: testPart.ID})},
 		})
 		late.Begin(now)
-		entry.config.Quarantine.Adopt(clemquarantine.Verdict{Part: testPart, Crashes: 3, At: now, LastSeen: now}, now)
+		entry.config.Quarantine.Adopt(clemquarantine.Quarantine{Part: testPart, Crashes: 3, At: now, LastSeen: now}, now)
 		time.Sleep(time.Second)
 		late.End(clemquarantine.ResultServed, time.Now())
 		require.False(t, isQuarantined(entry))
@@ -93,7 +93,7 @@
 		store.set(clementineturn.SectionQuarantines, "x", "{")
 		store.set(clementineturn.SectionQuarantines, "y", `{"service":"pool","part":"zz"}`)
 		now := time.Now()
-		require.NoError(t, writeQuarantine(ctx, store, clemquarantine.Verdict{Part: testPart, At: now, LastSeen: now}, time.Time{}))
+		require.NoError(t, writeQuarantine(ctx, store, clemquarantine.Quarantine{Part: testPart, At: now, LastSeen: now}, time.Time{}))
 		entry := n.start(ctx, "a", store)
 		time.Sleep(time.Second)
 		require.True(t, entry.IsReady())
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -94,7 +94,7 @@
 	// documentRequestedAt and rowsRequestedAt are the times of the last requests
 	// to any peer.
 	documentRequestedAt, rowsRequestedAt time.Time
-	// knowsQuarantines is set once the verdicts in the store or those of a peer were
+	// knowsQuarantines is set once the quarantines in the store or those of a peer were
 	// read.
 	knowsQuarantines atomic.Bool
 	// counts are the running requests as of countedAt.
@@ -114,7 +114,7 @@
 }
 
 // IsReady reports whether this entry has a configuration, a list of backend servers
-// and the verdicts on prompt parts.
+// and the quarantined prompt parts.
 func (s *Syncer) IsReady() bool {
 	version, _ := s.servers.StoreVersion(time.Now())
 	return s.config.Table.Current() != nil && version > 0 && s.knowsQuarantines.Load()
