--- a/clempool/rate.go
+++ b/clempool/rate.go
@@ -38,8 +38,8 @@
 
 // rateLimit keeps the requests of all entries to a server within the limit that the
 // server states. It is a leaky bucket: each request adds 1 to the level, which falls with
-// the limit. Entries tell each other how many requests they have sent. What one does not
-// know yet of the others' is allowed for by chance: each request is admitted with a
+// the limit. Entries report to each other how many requests they have sent. Requests that
+// are not reported yet are allowed for by chance: each request is admitted with a
 // probability at which the expected number of requests until reports arrive, this one
 // included, is no more than there is room for.
 type rateLimit struct {
--- a/clempool/rate_test.go
+++ b/clempool/rate_test.go
@@ -76,7 +76,7 @@
 }
 
 // Guards against entries that do not know of a limit or of the others' requests: one
-// entry is told by the server, the others by it.
+// entry has a response with the limit, the others its reports.
 func TestEntriesShareALimit(t *testing.T) {
 	entries := newEntries(3, 1, 128)
 	r := Request{Service: "pool"}
--- a/clemquarantine/attempt.go
+++ b/clemquarantine/attempt.go
@@ -34,7 +34,7 @@
 	Service string
 	// Parts are the parts of the prompt that other requests may contain.
 	Parts []clementineturn.PromptPart
-	// Server is the id of the backend server, and Incarnation tells its starts apart.
+	// Server is the id of the backend server, and Incarnation distinguishes its starts.
 	Server      string
 	Incarnation int64
 	// Cancel ends the attempt. It is called if a part is quarantined before the server
--- a/clemspread/quarantine_test.go
+++ b/clemspread/quarantine_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against an entry that serves before it knows the quarantines, and against one that
-// never does because the store is away while a peer could tell.
+// never does because the store is away while a peer knows them.
 func TestEntryIsReadyOnceItKnowsTheQuarantines(t *testing.T) {
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
 		first := n.start(ctx, "a", store)
