clemsoak: a version is due after its own acknowledgement

The logs of all three entries show version 57 applied 2.39 s before the check and 58 at the check: the soak numbers a version before it writes it, and the check read the new number with the time of the version before. The check stays as it is but for that time; while a version is not acknowledged, none is due. The test calls functions that the change splits off, so it was not run on the code before.

--- a/clemsoak/soak_test.go
+++ b/clemsoak/soak_test.go
@@ -140,3 +140,26 @@
 	require.NoError(t, err)
 	require.Equal(t, "new!", string(echo))
 }
+
+// Guards against a version that counts as due by the time at which the store acknowledged
+// the version before it.
+func TestVersionIsDueAfterItsOwnAcknowledgement(t *testing.T) {
+	e := &environment{stall: func() time.Duration { return 0 }}
+	due := func(within time.Duration) bool {
+		_, acknowledged := e.current()
+		return e.isDue(acknowledged, within)
+	}
+	e.beginVersion()
+	e.acknowledge(1)
+	time.Sleep(time.Millisecond)
+	require.True(t, due(0))
+	e.beginVersion()
+	require.False(t, due(0), "the store has not acknowledged it yet")
+	e.beginVersion()
+	e.acknowledge(2)
+	require.False(t, due(0), "the store acknowledged an older one")
+	e.acknowledge(3)
+	time.Sleep(time.Millisecond)
+	require.True(t, due(0))
+	require.False(t, due(time.Hour))
+}
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -70,7 +70,8 @@
 	mu          sync.Mutex
 	serverCount int
 	version     int
-	// acknowledgedAt is when the store acknowledged the version.
+	// acknowledgedAt is when the store acknowledged the version; in the future as long as
+	// it has not.
 	acknowledgedAt time.Time
 	keys           map[string]string
 	// revokedIn holds the organisations whose keys were removed, with the first
@@ -214,7 +215,7 @@
 // of its own, which shows what version is in force.
 func (e *environment) configure() error {
 	e.mu.Lock()
-	e.version++
+	e.beginVersion()
 	m := clemstandin.ProviderConfiguration{
 		Version: e.version, Host: host, Services: []string{serviceApp, serviceStream}, APIKeys: maps.Clone(e.keys),
 		TimeoutMS: timeoutMS, LatencyTargetMS: objectiveMS,
@@ -228,12 +229,26 @@
 	}
 	m.Routes = append(m.Routes, clemstandin.Route{Prefix: versionPath(m.Version), Type: "safe", Service: serviceApp, MaxAttempts: kinds[kindProbe].attempts})
 	err := e.store.Configure(m)
-	e.mu.Lock()
-	e.acknowledgedAt = time.Now()
-	e.mu.Unlock()
+	e.acknowledge(m.Version)
 	return err
 }
 
+// beginVersion begins the next version, which the store has yet to acknowledge. The
+// caller holds mu.
+func (e *environment) beginVersion() {
+	e.version++
+	e.acknowledgedAt = time.Now().Add(time.Hour)
+}
+
+// acknowledge records that the store acknowledged a version.
+func (e *environment) acknowledge(version int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if version == e.version {
+		e.acknowledgedAt = time.Now()
+	}
+}
+
 func versionPath(version int) string { return fmt.Sprintf("/v%d/", version) }
 
 // current returns the newest version and when it was acknowledged.
