--- a/clemops/error.go
+++ b/clemops/error.go
@@ -40,6 +40,7 @@
 	clementineturn.KindUnready:         connect.CodeUnavailable,
 	clementineturn.KindCancelled:       connect.CodeCanceled,
 	clementineturn.KindSlow:            connect.CodeUnavailable,
+	clementineturn.KindQuarantined:     connect.CodeUnavailable,
 }
 
 // connectError converts the error to a Connect error. Its detail is a Refusal
