--- a/review/_check/main.go
+++ b/review/_check/main.go
@@ -20,6 +20,7 @@
 	"feed":        runFeed,
 	"refused":     runRefused,
 	"poison":      runPoison,
+	"drain":       runDrain,
 	"late":        runLate,
 	"undelimited": runUndelimited,
 }
