clemrouter: a draining entry passes on only what can end before it stops

Cause: the check at arrival compared the time left with twice an estimate that is 100 ms for every request without output tokens. Nothing measured how long requests take. Evidence: the orders cut are exactly those sent later than 7.6 s less 5 s after SIGTERM.

Change: the run times of each route are measured relative to the estimate, with requests in progress counted for the time so far. A request is passed on if the slowest one lately, or its own time limit, ends before the entry; else it is refused as not run at once, and another entry serves it. The check comes before each sending to a server, since a body may arrive late and a first server may refuse late.

Why it works: what is passed on ends by its time limit, or is at most 1.25 times as slow as what was measured.

--- /dev/null
+++ b/clembudget/runtime_test.go
@@ -0,0 +1,64 @@
+package clembudget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var runTimeStart = time.Unix(1_700_000_000, 0)
+
+// observeRuns records complete requests one after the other.
+func observeRuns(t *RunTimeTracker, estimate time.Duration, at time.Time, runTimes ...time.Duration) {
+	for _, runTime := range runTimes {
+		t.Start("r", estimate, at).End(true, at.Add(runTime))
+	}
+}
+
+// The longest run time is in proportion to the estimate, and holds for two windows.
+func TestLongestRunTime(t *testing.T) {
+	tracker := NewRunTimeTracker()
+	_, ok := tracker.Longest("r", time.Second, runTimeStart)
+	require.False(t, ok, "nothing is known")
+	observeRuns(tracker, time.Second, runTimeStart, 1, 2, 3, 4, 5, 6, 2*time.Second)
+	_, ok = tracker.Longest("r", time.Second, runTimeStart)
+	require.False(t, ok, "too little is known")
+	observeRuns(tracker, time.Second, runTimeStart, time.Second)
+	for estimate, want := range map[time.Duration]time.Duration{time.Second: 2500 * time.Millisecond, 2 * time.Second: 5 * time.Second} {
+		longest, ok := tracker.Longest("r", estimate, runTimeStart.Add(time.Second))
+		require.True(t, ok)
+		require.Equal(t, want, longest)
+	}
+	_, ok = tracker.Longest("other", time.Second, runTimeStart)
+	require.False(t, ok, "other groups say nothing")
+	_, ok = tracker.Longest("r", time.Second, runTimeStart.Add(2*runTimeWindow+time.Second))
+	require.False(t, ok, "all of it is old")
+}
+
+// A request that still runs counts for the time so far, and one that was cut off as a
+// lower bound.
+func TestLongestRunTimeCountsRequestsInProgress(t *testing.T) {
+	tracker := NewRunTimeTracker()
+	run := tracker.Start("r", time.Second, runTimeStart)
+	observeRuns(tracker, time.Second, runTimeStart, 1, 2, 3, 4, 5, 6, 7, 8)
+	for _, at := range []time.Duration{4 * time.Second, 8 * time.Second} {
+		longest, ok := tracker.Longest("r", time.Second, runTimeStart.Add(at))
+		require.True(t, ok)
+		require.Equal(t, time.Duration(runTimeMargin*float64(at)), longest)
+	}
+	run.End(false, runTimeStart.Add(8*time.Second))
+	run.End(true, runTimeStart.Add(time.Hour))
+	longest, ok := tracker.Longest("r", time.Second, runTimeStart.Add(9*time.Second))
+	require.True(t, ok)
+	require.Equal(t, 10*time.Second, longest)
+}
+
+func TestRunTimeTrackerIsBounded(t *testing.T) {
+	tracker := NewRunTimeTracker()
+	for i := range 3 * maxRunTimeGroups {
+		tracker.Start(fmt.Sprint(i), time.Second, runTimeStart).End(true, runTimeStart)
+	}
+	require.LessOrEqual(t, len(tracker.groups), maxRunTimeGroups)
+}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -29,9 +29,6 @@
 	nonIdempotentMaxIdle = 3 * time.Second
 	// minRetryTime is the time before the deadline that a retry needs.
 	minRetryTime = 20 * time.Millisecond
-	// drainSafetyFactor multiplies the estimated time of a request that arrives
-	// at a draining entry.
-	drainSafetyFactor = 2
 	// generationStartTime, prefillTokenTime and decodeTokenTime estimate how long
 	// an engine takes to start a response, to read a prompt token and to generate
 	// an output token.
@@ -158,6 +155,8 @@
 func (q *request) dispatch() error {
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
+	run := q.router.runTimes.Start(q.route.Name(), q.estimateTime(), time.Now())
+	defer func() { run.End(false, time.Now()) }()
 	var best attemptResult
 	lease, err := q.acquire(q.selection(), time.Now())
 	if err != nil {
@@ -167,6 +166,7 @@
 	for lease != nil {
 		result := q.attempt(ctx, lease)
 		if result.isFinal {
+			run.End(result.outcome == clempool.OutcomeServed && result.err == nil, time.Now())
 			return result.err
 		}
 		if result.errorResponse != nil || best.errorResponse == nil {
@@ -207,8 +207,12 @@
 	return lease
 }
 
-// acquire takes a place at a server, unless a part of the prompt is quarantined.
+// acquire takes a place at a server, unless a part of the prompt is quarantined or this
+// entry stops too soon.
 func (q *request) acquire(criteria clempool.Request, now time.Time) (*clempool.Lease, error) {
+	if err := q.checkDraining(now); err != nil {
+		return nil, err
+	}
 	if err := q.router.config.Quarantine.Check(q.service, q.sharedParts(), now); err != nil {
 		return nil, err
 	}
@@ -275,6 +279,9 @@
 		}
 		return clementineturn.Errorf(kind, "a backend server did not answer: %w", best.err)
 	}
+	if err := q.checkDraining(time.Now()); err != nil {
+		return err
+	}
 	return clementineturn.NewError(clementineturn.ErrorConfig{
 		Kind: clementineturn.KindUnavailable, NotRun: true, RetryAfter: refusedRetryAfter,
 		Message: "no backend server took the request", Cause: best.err,
--- /dev/null
+++ b/clemrouter/drain.go
@@ -0,0 +1,47 @@
+package clemrouter
+
+import (
+	"fmt"
+	"time"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
+
+// drainingRetryAfter is when a client may retry a request to a draining entry: another
+// entry will serve it.
+const drainingRetryAfter = 20 * time.Millisecond
+
+// Drain starts draining: the router asks clients to close their connections and
+// sends no request to a server that may take longer than until the given time.
+func (r *Router) Drain(end time.Time) { r.drainEnd.CompareAndSwap(nil, &end) }
+
+// IsDraining reports whether Drain was called.
+func (r *Router) IsDraining() bool { return r.drainEnd.Load() != nil }
+
+// checkDraining refuses a request that may not end before a draining entry stops: it
+// would run, and its client would get no answer.
+func (q *request) checkDraining(now time.Time) error {
+	end := q.router.drainEnd.Load()
+	if end == nil {
+		return nil
+	}
+	left, longest := end.Sub(now), q.longestRunTime(now)
+	if longest < left {
+		return nil
+	}
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: drainingRetryAfter,
+		Message: fmt.Sprintf("this entry stops in %v, and the request may take %v", left.Round(time.Millisecond), longest.Round(time.Millisecond)),
+	})
+}
+
+// longestRunTime returns the time that the request takes if it is as slow for its size
+// as the slowest one on the same route lately, or if nothing is known of these, the
+// time that it may take.
+func (q *request) longestRunTime(now time.Time) time.Duration {
+	allowed := q.deadline.Sub(now)
+	if longest, ok := q.router.runTimes.Longest(q.route.Name(), q.estimateTime(), now); ok {
+		return min(longest, allowed)
+	}
+	return allowed
+}
--- /dev/null
+++ b/clemrouter/drain_test.go
@@ -0,0 +1,162 @@
+package clemrouter
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// drainPeriod is the time from the stop signal to the end of draining.
+const drainPeriod = 7600 * time.Millisecond
+
+// slowBody is a request body that takes some time to arrive.
+type slowBody struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (b *slowBody) Read(to []byte) (int, error) {
+	time.Sleep(b.delay)
+	b.delay = 0
+	return b.Reader.Read(to)
+}
+
+// serveMany sends requests to the router at once and waits for their ends.
+func (f *fixture) serveMany(count int, path string, header http.Header) {
+	var sent sync.WaitGroup
+	for range count {
+		sent.Go(func() { f.serve(path, header, strings.NewReader("body")) })
+	}
+	sent.Wait()
+}
+
+// Guards against at-most-once requests that a draining entry passes on though their
+// servers take longer than the entry still runs: they have run, and their clients
+// get no answer (LOST). What is known to end in time is served.
+func TestDrainingEntryTakesOnlyWhatItCanFinish(t *testing.T) {
+	const slow, fast = 5 * time.Second, 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		path string
+		// runTimes are how long requests took before the stop signal.
+		runTimes []time.Duration
+		runTime  time.Duration
+		// sentAt is when the request is sent, after the stop signal.
+		sentAt   time.Duration
+		header   http.Header
+		isServed bool
+	}{
+		"slow, at the end":             {path: "/unsafe/", runTimes: []time.Duration{slow}, runTime: slow, sentAt: 3100 * time.Millisecond},
+		"slow, in the middle":          {path: "/unsafe/", runTimes: []time.Duration{slow}, runTime: slow, sentAt: 2650 * time.Millisecond},
+		"slow, at once":                {path: "/unsafe/", runTimes: []time.Duration{slow}, runTime: slow, isServed: true},
+		"fast, at the end":             {path: "/unsafe/", runTimes: []time.Duration{fast}, runTime: fast, sentAt: 3100 * time.Millisecond, isServed: true},
+		"one in many is slow":          {path: "/unsafe/", runTimes: []time.Duration{fast, fast, slow, fast, fast, fast, fast, fast}, runTime: slow, sentAt: 3100 * time.Millisecond},
+		"safe and slow":                {path: "/safe/", runTimes: []time.Duration{slow}, runTime: slow, sentAt: 3100 * time.Millisecond},
+		"nothing known":                {path: "/unsafe/", runTime: slow, sentAt: 3100 * time.Millisecond},
+		"nothing known, impatient":     {path: "/unsafe/", runTime: fast, sentAt: 3100 * time.Millisecond, header: http.Header{"Patience": {"4s"}}, isServed: true},
+		"other routes are slow":        {path: "/safe/", runTimes: []time.Duration{fast}, runTime: fast, sentAt: 3100 * time.Millisecond, isServed: true},
+		"slow and large generations":   {path: "/unsafe/", runTimes: []time.Duration{slow}, runTime: slow, sentAt: 3100 * time.Millisecond, header: http.Header{"Tokens": {"1000"}}},
+		"small one among large ones":   {path: "/unsafe/", runTimes: []time.Duration{slow}, runTime: fast, sentAt: 3100 * time.Millisecond, header: http.Header{"Tokens": {"1"}}, isServed: true},
+		"large one at the last second": {path: "/unsafe/", runTimes: []time.Duration{fast}, runTime: slow, sentAt: 3100 * time.Millisecond, header: http.Header{"Tokens": {"100000"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const sample = 24
+				f := newBareFixture(t, repeat(okResponse, 10*sample)...)
+				defer f.closeServers()
+				header := http.Header{}
+				if c.header["Tokens"] != nil {
+					header["Tokens"] = []string{"1000"}
+				}
+				for range sample / max(len(c.runTimes), 1) {
+					for _, runTime := range c.runTimes {
+						f.setRunTime(runTime)
+						f.serveMany(1, c.path, header)
+					}
+				}
+				f.setRunTime(c.runTime)
+				f.router.Drain(time.Now().Add(drainPeriod))
+				time.Sleep(c.sentAt)
+				before := f.arrivals()
+				recorder := f.serve(c.path, c.header, strings.NewReader("body"))
+				if c.isServed {
+					require.Equal(t, http.StatusOK, recorder.Code)
+					return
+				}
+				require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+				require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+				require.Equal(t, before, f.arrivals(), "refused as not run")
+			})
+		})
+	}
+}
+
+// Guards against the same loss at an entry that is stopped soon after its start: the
+// requests that ended so far are the short ones.
+func TestDrainingEntryCountsRequestsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBareFixture(t, repeat(okResponse, 100)...)
+		defer f.closeServers()
+		var slow sync.WaitGroup
+		defer slow.Wait()
+		f.setRunTime(5 * time.Second)
+		slow.Go(func() { f.serveMany(4, "/unsafe/", nil) })
+		time.Sleep(time.Second)
+		f.setRunTime(50 * time.Millisecond)
+		for range 24 {
+			f.serveMany(1, "/unsafe/", nil)
+		}
+		f.router.Drain(time.Now().Add(drainPeriod))
+		time.Sleep(2500 * time.Millisecond)
+		before := f.arrivals()
+		require.Equal(t, http.StatusServiceUnavailable, f.serve("/unsafe/", nil, strings.NewReader("body")).Code)
+		require.Equal(t, before, f.arrivals())
+	})
+}
+
+// Guards against the same loss on the paths to a server after the arrival of a
+// request: its body may take longer than the estimate, and a first server may refuse
+// it late.
+func TestDrainingEntryChecksBeforeEachSending(t *testing.T) {
+	t.Run("slow body", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newBareFixture(t, repeat(okResponse, 100)...)
+			defer f.closeServers()
+			f.setRunTime(time.Second)
+			f.serveMany(24, "/unsafe/", nil)
+			time.AfterFunc(time.Millisecond, func() { f.router.Drain(time.Now().Add(drainPeriod)) })
+			before := f.arrivals()
+			recorder := f.serve("/unsafe/", nil, &slowBody{Reader: strings.NewReader("body"), delay: 7 * time.Second})
+			require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+			require.Equal(t, before, f.arrivals())
+		})
+	})
+	t.Run("late refusal", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newBareFixture(t, append(repeat(okResponse, 24), fullResponse, okResponse)...)
+			defer f.closeServers()
+			f.setRunTime(time.Second)
+			f.serveMany(24, "/unsafe/", nil)
+			f.setRunTime(7 * time.Second)
+			f.router.Drain(time.Now().Add(drainPeriod))
+			before := f.arrivals()
+			recorder := f.serve("/unsafe/", nil, strings.NewReader("body"))
+			require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+			require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+			require.Equal(t, before+1, f.arrivals(), "not sent to a second server")
+		})
+	})
+}
+
+func repeat(response string, count int) []string {
+	responses := make([]string, count)
+	for i := range responses {
+		responses[i] = response
+	}
+	return responses
+}
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -28,8 +28,6 @@
 	// outage of the store. Clients wait for at most a part of their remaining time.
 	unconfiguredRetryAfter = 100 * time.Millisecond
 	noPeerRetryAfter       = time.Second
-	// drainingRetryAfter is the same for a draining entry.
-	drainingRetryAfter = 20 * time.Millisecond
 	// defaultMaxBody is the size limit of request bodies in bytes if the
 	// configuration sets none.
 	defaultMaxBody = 8 << 20
@@ -65,6 +63,8 @@
 	stalls *clembudget.StallTracker
 	// patience holds the time limits that clients set.
 	patience *patienceTracker
+	// runTimes holds how long the requests of each route run.
+	runTimes *clembudget.RunTimeTracker
 
 	active   atomic.Int64
 	drainEnd atomic.Pointer[time.Time]
@@ -75,19 +75,12 @@
 	if c.Quarantine == nil {
 		c.Quarantine = clemquarantine.New(clemquarantine.Config{})
 	}
-	return &Router{config: c, stalls: clembudget.NewStallTracker(), patience: newPatienceTracker(), serverLabels: clemmetric.NewLabelLimiter(maxServerLabels), classLabels: clemmetric.NewLabelLimiter(maxClassLabels)}
+	return &Router{config: c, stalls: clembudget.NewStallTracker(), patience: newPatienceTracker(), runTimes: clembudget.NewRunTimeTracker(), serverLabels: clemmetric.NewLabelLimiter(maxServerLabels), classLabels: clemmetric.NewLabelLimiter(maxClassLabels)}
 }
 
 // ActiveRequests returns the number of requests being served.
 func (r *Router) ActiveRequests() int { return int(r.active.Load()) }
 
-// Drain starts draining: the router asks clients to close their connections and
-// refuses requests that are not expected to end before the given time.
-func (r *Router) Drain(end time.Time) { r.drainEnd.CompareAndSwap(nil, &end) }
-
-// IsDraining reports whether Drain was called.
-func (r *Router) IsDraining() bool { return r.drainEnd.Load() != nil }
-
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.active.Add(1)
@@ -179,7 +172,7 @@
 	q.service = q.route.PickService(xxhash.Sum64String(requestInfo.RequestID()))
 	q.setPrecedence(configuration)
 	q.deadline = q.arrived.Add(effectiveTimeout(requestInfo.Timeout(), q.route.Timeout()))
-	if err := q.checkDraining(); err != nil {
+	if err := q.checkDraining(q.arrived); err != nil {
 		return err
 	}
 	if err := q.readBody(configuration.Limits().MaxBodyBytes()); err != nil {
@@ -204,18 +197,6 @@
 	return min(client, operator)
 }
 
-// checkDraining refuses a request that is not expected to end before a draining
-// entry stops.
-func (q *request) checkDraining() error {
-	end := q.router.drainEnd.Load()
-	if end == nil || q.arrived.Add(drainSafetyFactor*q.estimateTime()).Before(*end) {
-		return nil
-	}
-	return clementineturn.NewError(clementineturn.ErrorConfig{
-		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: drainingRetryAfter, Message: "this entry leaves before the request would end",
-	})
-}
-
 // readBody reads the whole body, so that the request can be retried and that
 // net/http detects from then on when the client disconnects.
 func (q *request) readBody(limit int) error {
