clemrouter: the rest of a stream must prove that it continues it

Cause: the answer of the next server was judged like a beginning.

Change: another server's part must be an event stream whose first event with an id or data has the next id; before it only comments may come, and nothing is forwarded. A part without length or chunks needs an event of its own. If the check fails, a further server may be tried. Streams whose last event has no id are not continued.

Why it works: nothing of the part reaches the client before the proof.

TestEventIDs checks the same values of a new type.

--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -247,6 +247,9 @@
 	if ctx.Err() != nil || time.Until(q.deadline) < minRetryTime || len(q.triedServers) >= maxServersTried {
 		return false
 	}
+	if q.isStarted && !q.mayContinue {
+		return false
+	}
 	if q.runCount > 0 && (!q.route.IsIdempotent() || q.runCount >= q.route.MaxAttempts() || q.isSuspect()) {
 		return false
 	}
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -138,7 +138,7 @@
 		Version: 1,
 		Routes: []clemroute.RouteConfig{
 			route("safe", clemroute.KindSafe, 2, false), route("unsafe", clemroute.KindUnsafe, 1, false),
-			route("stream", clemroute.KindStream, 1, false), route("resumable", clemroute.KindStream, 2, true), quickRetry, steady,
+			route("stream", clemroute.KindStream, 1, false), route("resumable", clemroute.KindStream, 2, true), route("patient", clemroute.KindStream, 3, true), quickRetry, steady,
 		},
 		Services:      []clemroute.ServiceConfig{{Name: "pool"}},
 		Organisations: []clemroute.OrganisationConfig{{Name: "acme", Keys: []string{"k"}}},
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -131,6 +131,9 @@
 	firstEventTime time.Duration
 	// lastEventID is the id of the last event that was sent to the client.
 	lastEventID string
+	// mayContinue is set if another server can send the rest of the stream: the last
+	// event that was sent has an id.
+	mayContinue bool
 	eventCount  int
 }
 
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -184,8 +184,8 @@
 }
 
 func TestEventIDs(t *testing.T) {
-	first, last, count := eventIDs([]byte("x-versions: 2\nid: 7\ndata: a\n\nid:8\ndata: b\n\n"))
-	require.Equal(t, []any{"7", "8", 2}, []any{first, last, count})
+	events := summarizeEvents([]byte("x-versions: 2\nid: 7\ndata: a\n\nid:8\ndata: b\n\n"))
+	require.Equal(t, []any{"7", "8", 2}, []any{events.firstID, events.lastID, events.count})
 	require.True(t, isNextEvent("7", "8"))
 	require.False(t, isNextEvent("7", "9"))
 	require.True(t, isNextEvent("a", "b"))
--- a/clemrouter/stall.go
+++ b/clemrouter/stall.go
@@ -145,7 +145,7 @@
 // reserveNext takes a place for the request at another server than that of the
 // lease, and returns nil if there is none or no retry is allowed.
 func (q *request) reserveNext(lease *clempool.Lease, now time.Time) *clempool.Lease {
-	if q.deadline.Sub(now) < minRetryTime || len(q.triedServers)+1 >= maxServersTried {
+	if q.isStarted && !q.mayContinue || q.deadline.Sub(now) < minRetryTime || len(q.triedServers)+1 >= maxServersTried {
 		return nil
 	}
 	criteria := q.selection()
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,8 +29,6 @@
 	eventEnd  = []byte("\n\n")
 	eventID   = []byte("id:")
 	eventData = []byte("data:")
-	// lineID and lineData are the same at the start of a later line.
-	lineID, lineData = []byte("\nid:"), []byte("\ndata:")
 )
 
 // forwardStream forwards the events of a response as they arrive, complete ones
@@ -41,27 +40,28 @@
 		result.err = clementineturn.Errorf(clementineturn.KindMismatch, "a stream without the server's signature or with an encoding")
 		return result
 	}
+	part := streamPart{request: q, response: response, isRest: q.isStarted}
+	if part.isRest && !isEventStream(response.Header) {
+		result.err = clementineturn.Errorf(clementineturn.KindMismatch, "content of type %q in place of a stream's rest", response.Header.Get("Content-Type"))
+		return result
+	}
 	var pending []byte
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
-			complete := pending[:at+len(eventEnd)]
-			if hasContent(complete) {
+			events := summarizeEvents(pending[:at+len(eventEnd)])
+			if events.hasContent {
 				progress()
 			}
-			if failed := q.forwardEvents(response, complete); failed != nil {
-				result.outcome, result.isFinal, result.err = clempool.OutcomeAbandoned, true, failed
-				if clementineturn.IsKind(failed, clementineturn.KindMismatch) {
-					result.outcome = clempool.OutcomeFailed
-				}
-				return result
+			if failed := part.forward(events); failed != nil {
+				return part.forwardFailed(result, failed)
 			}
 			pending = append(pending[:0], pending[at+len(eventEnd):]...)
 		}
 		switch {
-		case err == io.EOF && q.eventCount == 0 && isUndelimited(response):
+		case err == io.EOF && !part.hasEvents && isUndelimited(response):
 			// The server may have ended before the first event.
 			err = io.ErrUnexpectedEOF
 		case err == io.EOF && len(pending) == 0:
@@ -97,30 +97,77 @@
 	return result
 }
 
-// forwardEvents writes complete events to the client. Errors: KindMismatch if
-// they do not continue the events that were sent, KindCancelled if the client
-// cannot be written to.
-func (q *request) forwardEvents(response *clemconn.Response, events []byte) error {
-	first, last, count := eventIDs(events)
-	if q.lastEventID != "" && !isNextEvent(q.lastEventID, first) {
-		return clementineturn.Errorf(clementineturn.KindMismatch, "event %q does not follow event %q", first, q.lastEventID)
+// isEventStream reports whether the header allows a response to be the rest of a stream.
+func isEventStream(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && mediaType == "text/event-stream"
+}
+
+// streamPart is the part of a stream that one server sends.
+type streamPart struct {
+	request  *request
+	response *clemconn.Response
+	// isRest is set if another server sent the part before, hasEvents once an event with
+	// an id or data was accepted.
+	isRest, hasEvents bool
+}
+
+// forward writes complete events to the client. Errors: KindMismatch if they do not
+// continue the events that were sent, KindCancelled if the client cannot be written to.
+func (p *streamPart) forward(events eventSummary) error {
+	q := p.request
+	if p.isRest && !p.hasEvents {
+		before := events.text[:events.contentStart]
+		if !areComments(before) {
+			return clementineturn.Errorf(clementineturn.KindMismatch, "%.100q in place of a stream's rest", before)
+		}
+		if !events.hasContent {
+			return nil
+		}
+		events.text = events.text[events.contentStart:]
+	}
+	isFirst := events.hasContent && !p.hasEvents
+	if q.lastEventID != "" && (!isNextEvent(q.lastEventID, events.firstID) || p.isRest && isFirst && !events.startsWithID) {
+		return clementineturn.Errorf(clementineturn.KindMismatch, "event %q does not follow event %q", events.firstID, q.lastEventID)
+	}
+	p.hasEvents = p.hasEvents || events.hasContent
+	return q.forwardEvents(p.response, events)
+}
+
+// forwardFailed returns the result after forward failed. Another server may still send
+// the rest if nothing of this part was sent.
+func (p *streamPart) forwardFailed(result attemptResult, failed error) attemptResult {
+	isMismatch := clementineturn.IsKind(failed, clementineturn.KindMismatch)
+	result.err, result.isFinal = failed, p.hasEvents || !isMismatch
+	if !isMismatch {
+		result.outcome = clempool.OutcomeAbandoned
 	}
+	return result
+}
+
+// forwardEvents writes complete events to the client. Errors: KindCancelled if the
+// client cannot be written to.
+func (q *request) forwardEvents(response *clemconn.Response, events eventSummary) error {
 	if q.eventCount == 0 {
 		q.firstEventTime = time.Since(q.arrived)
 		q.router.config.Metrics.Timer(clemmetric.FirstEventTime, "route", q.route.Kind().String()).Update(q.firstEventTime)
 	}
 	if q.isStarted {
-		n, err := q.writer.Write(events)
+		n, err := q.writer.Write(events.text)
 		if q.bytesWritten += n; err != nil {
 			return clementineturn.Errorf(clementineturn.KindCancelled, "writing to the client: %w", err)
 		}
-	} else if err := q.startStream(response, events); err != nil {
+	} else if err := q.startStream(response, events.text); err != nil {
 		return err
 	}
-	if last != "" {
-		q.lastEventID = last
+	if events.lastID != "" {
+		q.lastEventID = events.lastID
 	}
-	q.eventCount += count
+	if events.hasContent {
+		q.mayContinue = events.endsWithID
+	}
+	q.eventCount += events.count
 	if err := http.NewResponseController(q.writer).Flush(); err != nil {
 		return clementineturn.Errorf(clementineturn.KindCancelled, "writing to the client: %w", err)
 	}
@@ -133,29 +180,67 @@
 	return q.writeHead(response.StatusCode, events)
 }
 
-// hasContent reports whether one of the events has an id or data.
-func hasContent(events []byte) bool {
-	return bytes.HasPrefix(events, eventID) || bytes.HasPrefix(events, eventData) ||
-		bytes.Contains(events, lineID) || bytes.Contains(events, lineData)
+// eventSummary describes some complete events.
+type eventSummary struct {
+	text []byte
+	// firstID and lastID are the ids of the first and the last event that have one.
+	firstID, lastID string
+	count           int
+	// hasContent is set if an event has an id or data: others are comments or fields
+	// that clients ignore. startsWithID and endsWithID are set if the first and the last
+	// of these events has an id.
+	hasContent, startsWithID, endsWithID bool
+	// contentStart is the position in text of the first of these events, or its end.
+	contentStart int
 }
 
-// eventIDs returns the ids of the first and the last event that have one, and the
-// number of events.
-func eventIDs(events []byte) (first, last string, count int) {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		if len(line) == 0 {
-			count++
-			continue
-		}
-		if id, ok := bytes.CutPrefix(line, eventID); ok {
-			last = string(bytes.TrimSpace(id))
-			if first == "" {
-				first = last
+func summarizeEvents(text []byte) eventSummary {
+	s := eventSummary{text: text}
+	hasID, hasData := false, false
+	start, position := 0, 0
+	for line := range bytes.SplitSeq(bytes.TrimSuffix(text, eventEnd), []byte("\n")) {
+		position += len(line) + 1
+		id, isID := bytes.CutPrefix(line, eventID)
+		switch {
+		case len(line) == 0:
+			s.endEvent(start, hasID, hasData)
+			start, hasID, hasData = position, false, false
+		case isID:
+			hasID, s.lastID = true, string(bytes.TrimSpace(id))
+			if s.firstID == "" {
+				s.firstID = s.lastID
 			}
+		case bytes.HasPrefix(line, eventData):
+			hasData = true
+		}
+	}
+	s.endEvent(start, hasID, hasData)
+	if !s.hasContent {
+		s.contentStart = len(text)
+	}
+	return s
+}
+
+// areComments reports whether the text has only comments, which begin with a colon.
+func areComments(text []byte) bool {
+	for line := range bytes.SplitSeq(text, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
 		}
 	}
-	// The split yields one more empty line after the last event.
-	return first, last, max(count-1, 0)
+	return true
+}
+
+// endEvent records the event that starts at the position.
+func (s *eventSummary) endEvent(start int, hasID, hasData bool) {
+	s.count++
+	if !hasID && !hasData {
+		return
+	}
+	if !s.hasContent {
+		s.contentStart, s.startsWithID = start, hasID
+	}
+	s.hasContent, s.endsWithID = true, hasID
 }
 
 // isNextEvent reports whether an event with the id after may directly follow one
