clemconn: a response that names no request is the last one on its connection

A faulty server sends an earlier refusal once more on a kept connection, when the next request is there.

Cause: refusals may come without the request's id, and a response without an id was taken for the answer to whatever request the connection carried. With an id the copy is skipped.

Change: after a response without an id its connection is closed, so that the copy never meets a request. The rest is as before: a response with another request's id is skipped, a connection with bytes on it is not used.

Why it works: on a connection with earlier requests all earlier responses bore an id, and their copies do too.

--- a/clemconn/conn_test.go
+++ b/clemconn/conn_test.go
@@ -56,7 +56,7 @@
 	return &Request{
 		Method: http.MethodPost, Target: "/a%2Fb/?q=1", Host: "h", Body: []byte("body"),
 		Header: http.Header{"Id": {id}}, MaxIdle: keepAliveMargin * 100,
-		Matches: func(_ int, header http.Header) bool { return header.Get("Id") == id },
+		Match: func(_ int, header http.Header) Match { return map[string]Match{id: MatchOwn}[header.Get("Id")] },
 	}
 }
 
@@ -108,6 +108,22 @@
 	require.Equal(t, "connection", <-requests)
 }
 
+// Guards against a late copy of a response that names no request, on a connection that
+// carries another request by then.
+func TestConnectionOfUnnamedResponseIsNotReused(t *testing.T) {
+	address, requests := startServer(t, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+	p := New(Config{Address: address})
+	r := newRequest("1")
+	r.Match = func(int, http.Header) Match { return MatchUnnamed }
+	response, err := p.Exchange(context.Background(), r)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response)
+	require.NoError(t, err)
+	response.Close()
+	require.Empty(t, p.idle)
+	require.Equal(t, "connection", <-requests)
+}
+
 func TestBrokenResponses(t *testing.T) {
 	for name, response := range map[string]string{
 		"no answer":      "!",
--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -34,6 +34,20 @@
 	keepAliveMargin = 500 * time.Millisecond
 )
 
+// Match is what a response says about the request that it belongs to.
+type Match uint8
+
+const (
+	// MatchOther is a response to another request.
+	MatchOther Match = iota
+	// MatchUnnamed is a response that names no request. It is taken for one to the
+	// present request, the only one that the connection ever carries after it: a late
+	// copy could not be told from the response to a later request.
+	MatchUnnamed
+	// MatchOwn is a response to the present request.
+	MatchOwn
+)
+
 // Request is one request to a backend server.
 type Request struct {
 	Method string
@@ -44,8 +58,8 @@
 	Body   []byte
 	// MaxIdle is how long a connection may have been idle to be reused.
 	MaxIdle time.Duration
-	// Matches reports whether a response belongs to this request; nil accepts any.
-	Matches func(status int, header http.Header) bool
+	// Match returns which request a response belongs to; nil means MatchOwn.
+	Match func(status int, header http.Header) Match
 }
 
 // Response is a backend server's response. It must be closed.
@@ -58,6 +72,8 @@
 	// written already.
 	written chan error
 	atEOF   bool
+	// isUnnamed is set if the response names no request.
+	isUnnamed bool
 }
 
 // Exchange sends the request once and returns the response after its head was
@@ -132,8 +148,12 @@
 		if head.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Matches == nil || request.Matches(head.StatusCode, head.Header) {
-			r.Response = head
+		match := MatchOwn
+		if request.Match != nil {
+			match = request.Match(head.StatusCode, head.Header)
+		}
+		if match != MatchOther {
+			r.Response, r.isUnnamed = head, match == MatchUnnamed
 			return nil
 		}
 		r.conn.limit.set(maxStrayBody)
@@ -167,7 +187,7 @@
 
 // isReusable reports whether the connection can carry another request.
 func (r *Response) isReusable() bool {
-	if !r.atEOF || r.Response.Close || r.conn.reader.Buffered() > 0 {
+	if !r.atEOF || r.isUnnamed || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -337,10 +337,7 @@
 			Server: lease.Server(), Organisation: q.organisation, Timeout: time.Until(q.deadline),
 			LastEventID: q.lastEventID, CacheSource: lease.CacheSource(), Priority: q.priority,
 		})),
-		Matches: func(status int, header http.Header) bool {
-			id := q.router.config.Dialect.DecodeResponse(status, header).RequestID()
-			return id == "" || id == q.requestInfo.RequestID()
-		},
+		Match: q.matchResponse,
 	})
 	if err != nil {
 		return q.exchangeFailed(err)
@@ -376,6 +373,17 @@
 	return result
 }
 
+// matchResponse returns whether a server's response belongs to this request.
+func (q *request) matchResponse(status int, header http.Header) clemconn.Match {
+	switch q.router.config.Dialect.DecodeResponse(status, header).RequestID() {
+	case "":
+		return clemconn.MatchUnnamed
+	case q.requestInfo.RequestID():
+		return clemconn.MatchOwn
+	}
+	return clemconn.MatchOther
+}
+
 // exchangeFailed returns the result of an attempt that got no response head.
 func (q *request) exchangeFailed(err error) attemptResult {
 	result := attemptResult{err: err, outcome: clempool.OutcomeFailed, mayHaveRun: true, sent: true}
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -68,9 +68,11 @@
 	runTime time.Duration
 }
 
-// Responses of backend servers. A final "!" closes the connection.
+// Responses of backend servers. A final "!" closes the connection, and ownID stands for
+// the request's id.
 const (
-	okResponse          = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 4\r\n\r\ngood"
+	ownID               = "OWN"
+	okResponse          = "HTTP/1.1 200 OK\r\nId: " + ownID + "\r\nSigned: s\r\nContent-Length: 4\r\n\r\ngood"
 	serverErrorResponse = "HTTP/1.1 500 Bad\r\nSigned: s\r\nContent-Length: 3\r\n\r\nbad"
 	fullResponse        = "HTTP/1.1 503 Full\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
 	misdirectedResponse = "HTTP/1.1 421 Wrong\r\nContent-Length: 0\r\n\r\n"
@@ -84,6 +86,9 @@
 	pause = "pause"
 	// resetAfter at the end of a response resets the connection.
 	resetAfter = "reset"
+	// sentAgain at the end of a response sends it once more when the next request has
+	// arrived on the connection.
+	sentAgain = "again"
 	// shortPause is a twentieth of it.
 	shortPause = "rest"
 	streamHead = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -231,12 +236,16 @@
 func (f *fixture) respond(conn net.Conn, isReset *atomic.Bool) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	late := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.WriteString(conn, late); err != nil {
+			return
+		}
 		f.mu.Lock()
 		f.received = append(f.received, request)
 		response := connectionReset
@@ -250,6 +259,11 @@
 			_, _ = reader.ReadByte()
 			return
 		}
+		response = strings.ReplaceAll(response, ownID, request.Header.Get("Id"))
+		response, isTwice := strings.CutSuffix(response, sentAgain)
+		if late = ""; isTwice {
+			late = response
+		}
 		text, resets := strings.CutSuffix(response, resetAfter)
 		isReset.Store(resets)
 		text, closes := strings.CutSuffix(text, "!")
