--- a/clemstandin/provider.go
+++ b/clemstandin/provider.go
@@ -47,10 +47,15 @@
 	if err != nil {
 		return err
 	}
+	p.PutRow(ProviderRow{Table: table, Key: key, Value: data})
+	return nil
+}
+
+// PutRow writes or removes a row as it is, as any other writer may.
+func (p *Provider) PutRow(row ProviderRow) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.put(ProviderRow{Table: table, Key: key, Value: data})
-	return nil
+	p.put(row)
 }
 
 // Delete removes a row.
--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -49,6 +50,7 @@
 	t                          *testing.T
 	store                      *clemstandin.Provider
 	frontAddress, readyAddress string
+	controlAddress             string
 	stop                       chan os.Signal
 	ended                      chan error
 	settingsPath               string
@@ -71,18 +73,24 @@
 	return strings.Contains(strings.Join(f.logLines, "\n"), text)
 }
 
-func startFront(t *testing.T) *testFront {
+// startFront starts a front with a store of its own, and some peers.
+func startFront(t *testing.T, peers ...*testFront) *testFront {
 	f := &testFront{
-		t: t, store: clemstandin.NewProvider(), frontAddress: freeAddress(t), readyAddress: freeAddress(t),
+		t: t, store: clemstandin.NewProvider(), frontAddress: freeAddress(t), readyAddress: freeAddress(t), controlAddress: freeAddress(t),
 		stop: make(chan os.Signal, 1), ended: make(chan error, 1),
 		settingsPath: filepath.Join(t.TempDir(), "settings.json"),
 	}
 	provider := httptest.NewServer(f.store)
 	t.Cleanup(provider.Close)
-	f.settingsText = fmt.Sprintf(`{"node": "front-1", "ip": "127.0.0.1", "zone": "z", "listen": {"front": %q, "ready": %q, "control": %q},
-		"heartbeat_ms": 1200, "provider": {"address": %q},
+	seeds := []string{}
+	for _, peer := range peers {
+		seeds = append(seeds, strconv.Quote(peer.controlAddress))
+	}
+	// The metrics have a fixed port, so that each front needs an address of its own.
+	f.settingsText = fmt.Sprintf(`{"node": "front-%d", "ip": "127.0.0.%[1]d", "zone": "z", "listen": {"front": %q, "ready": %q, "control": %q},
+		"heartbeat_ms": 1200, "provider": {"address": %q}, "seeds": [%s],
 		"bounds": {"grace_s": 8, "cap_x": 2, "retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_budget_slack": 20}}`,
-		f.frontAddress, f.readyAddress, freeAddress(t), strings.TrimPrefix(provider.URL, "http://"))
+		len(peers)+1, f.frontAddress, f.readyAddress, f.controlAddress, strings.TrimPrefix(provider.URL, "http://"), strings.Join(seeds, ", "))
 	f.writeSettings(f.settingsText)
 	config := newConfig(f.settingsPath)
 	config.LogOutput, config.Stop = f, f.stop
