--- a/cmd/clementine-front/odd_test.go
+++ b/cmd/clementine-front/odd_test.go
@@ -75,8 +75,10 @@
 	for name, value := range oddServers() {
 		key := "odd " + name
 		first.store.PutRow(clemstandin.ProviderRow{Table: serversTable, Key: key, Value: []byte(value)})
+		first.store.PutRow(clemstandin.ProviderRow{Table: serversTable, Part: "other", Key: "i-1", Value: []byte(value)})
 		first.store.PutRow(clemstandin.ProviderRow{Table: "clementine-entries", Key: key, Value: []byte(value)})
 	}
+	first.store.PutRow(clemstandin.ProviderRow{Table: serversTable, Part: "other", Key: "i-1", Removed: true})
 	// The warnings about the rows above have to come within the limit of log lines.
 	for _, key := range []string{"", "\r\nOther: x", strings.Repeat("i", 200)} {
 		first.store.PutRow(clemstandin.ProviderRow{Table: serversTable, Key: key, Value: []byte("{")})
