clemplatform: an odd host on the platform's list spoils no other

Cause: the list was decoded as a whole. A value that is nested too deeply fails the JSON decoder for the whole document.

Change: each host is decoded by itself. One that does not decode, has no name or an address without a valid port is left out and logged (609) with its field. If the document as a whole does not decode, the hosts are split by tokens, which have no limit of depth.

--- a/clemevent/member.go
+++ b/clemevent/member.go
@@ -13,6 +13,7 @@
 	HostJoined          Event = 606
 	SelfDraining        Event = 607
 	SelfUndrained       Event = 608
+	HostInvalid         Event = 609
 )
 
 var memberEvents = map[Event]Info{
@@ -25,4 +26,5 @@
 	HostJoined:          {zapcore.InfoLevel, "host joined", "The host is new on the platform's list."},
 	SelfDraining:        {zapcore.InfoLevel, "own host draining", "The platform's list or an operator's drain names this host, so the process takes no new work."},
 	SelfUndrained:       {zapcore.InfoLevel, "own host drain reason ended", "The reason for draining in the reason field no longer applies. The process takes new work once no reason is left."},
+	HostInvalid:         {zapcore.WarnLevel, "listed host invalid", "An element of the platform's list describes no host that can be called; the error names the field. It is left out, the others hold. Find out what writes it."},
 }
--- a/clemmember/cost_test.go
+++ b/clemmember/cost_test.go
@@ -35,7 +35,7 @@
 		require.NoError(b, err)
 		b.Run(fmt.Sprintf("decode/%d", count), func(b *testing.B) {
 			for b.Loop() {
-				if _, err := clemplatform.DecodeHosts(data); err != nil {
+				if _, err := clemplatform.DecodeHosts(data, nil); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/clemnode/node.go
+++ b/clemnode/node.go
@@ -104,8 +104,11 @@
 	}
 }
 
-func newPlatform(settings *clemsetting.Settings) *clemplatform.Client {
-	return clemplatform.New(clemplatform.Config{URL: settings.PlatformURL(), Timeout: platformTimeout})
+func newPlatform(settings *clemsetting.Settings, events *clemevent.Logger) *clemplatform.Client {
+	return clemplatform.New(clemplatform.Config{
+		URL: settings.PlatformURL(), Timeout: platformTimeout,
+		OnInvalidHost: func(err error) { events.Emit(clemevent.HostInvalid, zap.Error(err)) },
+	})
 }
 
 func newPeers(settings *clemsetting.Settings) *clemrpc.Peers {
--- a/clemplatform/client.go
+++ b/clemplatform/client.go
@@ -30,6 +30,8 @@
 	Client *http.Client
 	// Timeout bounds each call; 0 means 5 s.
 	Timeout time.Duration
+	// OnInvalidHost is called for each listed host that does not decode. It may be nil.
+	OnInvalidHost func(error)
 }
 
 // Client is a client of the platform's services.
@@ -37,6 +39,8 @@
 	url     string
 	client  *http.Client
 	timeout time.Duration
+	// onInvalidHost is called for each listed host that does not decode, unless it is nil.
+	onInvalidHost func(error)
 }
 
 // New returns the client that the configuration describes.
@@ -47,7 +51,7 @@
 	return &Client{
 		url:     strings.TrimRight(c.URL, "/"),
 		client:  clemhttp.New(clemhttp.Config{Client: c.Client}),
-		timeout: c.Timeout,
+		timeout: c.Timeout, onInvalidHost: c.OnInvalidHost,
 	}
 }
 
--- a/clemplatform/client_test.go
+++ b/clemplatform/client_test.go
@@ -237,13 +237,13 @@
 	f.Add([]byte(`{"hosts":[{"name":"a","address":"10.0.0.1:1","role":"entry","more":1}]}`))
 	f.Add([]byte(`{"hosts":[null]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		hosts, err := clemplatform.DecodeHosts(data)
+		hosts, err := clemplatform.DecodeHosts(data, nil)
 		if err != nil {
 			return
 		}
 		encoded, err := clemplatform.EncodeHosts(hosts)
 		require.NoError(t, err)
-		again, err := clemplatform.DecodeHosts(encoded)
+		again, err := clemplatform.DecodeHosts(encoded, nil)
 		require.NoError(t, err)
 		require.Len(t, again, len(hosts))
 	})
--- a/clemplatform/hosts.go
+++ b/clemplatform/hosts.go
@@ -1,9 +1,13 @@
 package clemplatform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -36,7 +40,7 @@
 	if a.status != http.StatusOK {
 		return nil, "", a.statusError("list", "hosts", clementineturn.KindUnavailable)
 	}
-	list, err := DecodeHosts(a.body)
+	list, err := DecodeHosts(a.body, h.onInvalidHost)
 	if err != nil {
 		return nil, "", clementineturn.Errorf(clementineturn.KindUnavailable, "list of hosts: %w", err)
 	}
@@ -44,23 +48,132 @@
 }
 
 // DecodeHosts decodes the JSON form of the list of hosts. Unknown fields are
-// ignored, so that the platform may add some.
-func DecodeHosts(data []byte) ([]*clemwire.Host, error) {
-	var list hostList
-	if err := json.Unmarshal(data, &list); err != nil {
+// ignored, so that the platform may add some. A host that does not decode is left out
+// and passed to onInvalid, which may be nil, as a KindInvalid error that names the
+// field.
+func DecodeHosts(data []byte, onInvalid func(error)) ([]*clemwire.Host, error) {
+	raw, err := splitHosts(data)
+	if err != nil {
 		return nil, err
 	}
-	options := protojson.UnmarshalOptions{DiscardUnknown: true}
-	found := make([]*clemwire.Host, len(list.Hosts))
-	for i, raw := range list.Hosts {
-		found[i] = &clemwire.Host{}
-		if err := options.Unmarshal(raw, found[i]); err != nil {
-			return nil, err
+	found := make([]*clemwire.Host, 0, len(raw))
+	for i, text := range raw {
+		host, err := decodeHost("hosts."+strconv.Itoa(i), text)
+		if err == nil {
+			found = append(found, host)
+			continue
+		}
+		if onInvalid != nil {
+			onInvalid(err)
 		}
 	}
 	return found, nil
 }
 
+func decodeHost(field string, data []byte) (*clemwire.Host, error) {
+	host := &clemwire.Host{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, host); err != nil {
+		return nil, clementineturn.Invalid(field, "%w", err)
+	}
+	if host.GetName() == "" {
+		return nil, clementineturn.Invalid(field+".name", "is missing")
+	}
+	if err := checkAddress(host.GetAddress()); err != nil {
+		return nil, clementineturn.Invalid(field+".address", "%w", err)
+	}
+	if err := checkAddress(host.GetAdmin()); err != nil {
+		return nil, clementineturn.Invalid(field+".admin", "%w", err)
+	}
+	return host, nil
+}
+
+// checkAddress checks the port of an address, unless the address is empty.
+func checkAddress(address string) error {
+	if address == "" {
+		return nil
+	}
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return fmt.Errorf("%.20q is no port", port)
+	}
+	return nil
+}
+
+// splitHosts returns the JSON form of each host.
+func splitHosts(data []byte) ([]json.RawMessage, error) {
+	var list hostList
+	err := json.Unmarshal(data, &list)
+	if err == nil {
+		return list.Hosts, nil
+	}
+	// A host that is nested too deeply for Unmarshal must not spoil the others.
+	if hosts, ok := splitDeepHosts(data); ok {
+		return hosts, nil
+	}
+	return nil, err
+}
+
+// splitDeepHosts is splitHosts for values that are nested at any depth. It returns
+// false if the data is not such a list.
+func splitDeepHosts(data []byte) ([]json.RawMessage, bool) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return nil, false
+	}
+	var hosts []json.RawMessage
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return nil, false
+		}
+		if key != "hosts" {
+			if skipValue(decoder) != nil {
+				return nil, false
+			}
+			continue
+		}
+		if token, err := decoder.Token(); err != nil || token != json.Delim('[') {
+			return nil, false
+		}
+		hosts = nil
+		for decoder.More() {
+			start := decoder.InputOffset()
+			if skipValue(decoder) != nil {
+				return nil, false
+			}
+			hosts = append(hosts, bytes.TrimLeft(data[start:decoder.InputOffset()], ", \t\r\n"))
+		}
+		if _, err := decoder.Token(); err != nil {
+			return nil, false
+		}
+	}
+	_, err := decoder.Token()
+	return hosts, err == nil
+}
+
+// skipValue reads a value of any depth.
+func skipValue(decoder *json.Decoder) error {
+	for depth := 0; ; {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+	}
+}
+
 // EncodeHosts encodes the list of hosts as JSON.
 func EncodeHosts(hosts []*clemwire.Host) ([]byte, error) {
 	list := hostList{Hosts: make([]json.RawMessage, len(hosts))}
--- a/clemstandin/platform.go
+++ b/clemstandin/platform.go
@@ -1,6 +1,7 @@
 package clemstandin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -268,8 +269,9 @@
 	if err != nil {
 		return err
 	}
-	hosts, err := clemplatform.DecodeHosts(data)
-	if err != nil {
+	var invalid error
+	hosts, err := clemplatform.DecodeHosts(data, func(err error) { invalid = err })
+	if err = cmp.Or(err, invalid); err != nil {
 		return fmt.Errorf("%s: %w", p.hostsFile, err)
 	}
 	p.hosts.Replace(hosts)
