clemfront: requests that the stop ends are answered and logged

What callers saw: a request that still ran at the end of the grace period got a closed connection.

Cause: the front closed its clients' connections at exit, so that each request saw its client leave, and the process ended beside it.

Change: at the end of draining the front cancels its requests with a cause and waits up to 0.2 s for their ends. What a server may have run gets 502 (a promise of nothing), what none got 503, not run; a stream that has begun is aborted. Nothing is sent to a further server.

--- a/clemevent/catalogue.go
+++ b/clemevent/catalogue.go
@@ -33,6 +33,7 @@
 	ProcessDraining Event = 102
 	ProcessStopped  Event = 103
 	ProcessFailed   Event = 104
+	RequestsEnded   Event = 105
 )
 
 var processEvents = map[Event]Info{
@@ -41,4 +42,5 @@
 	ProcessDraining: {zapcore.InfoLevel, "process draining", "Readiness checks fail from now on. The process finishes the work in progress and then exits."},
 	ProcessStopped:  {zapcore.InfoLevel, "process stopped", "All work has ended and the process exits."},
 	ProcessFailed:   {zapcore.ErrorLevel, "process failed", "The process cannot continue and exits; the error field gives the reason."},
+	RequestsEnded:   {zapcore.WarnLevel, "requests ended by the stop", "The grace period is nearly over. The requests in progress, as many as the running field says, are ended: those that a backend server may have run with 502, others as not run, streams by closing the connection."},
 }
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -31,7 +31,8 @@
 	// failed checks.
 	shutdownDelay = 3200 * time.Millisecond
 	// exitMargin is the time between the end of draining and the end of the grace
-	// period, at which the process is killed.
+	// period, at which the process is killed. Within the first half of it the requests
+	// that are ended get their responses.
 	exitMargin = 400 * time.Millisecond
 	// drainPollInterval is the polling interval during shutdownDelay.
 	drainPollInterval = 50 * time.Millisecond
@@ -68,6 +69,8 @@
 	wasReady bool
 	// clientConns counts the open connections of clients.
 	clientConns atomic.Int64
+	// endRequests ends the requests of clients with a cause.
+	endRequests context.CancelCauseFunc
 }
 
 func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry) *front {
@@ -118,8 +121,10 @@
 func (f *front) clientServer() *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
+	var base context.Context
+	base, f.endRequests = context.WithCancelCause(context.Background())
 	return &http.Server{
-		Handler: f.router, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: f.router, Protocols: protocols, BaseContext: func(net.Listener) context.Context { return base }, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: log.New(httpErrorWriter{f.events}, "", 0),
 		ConnState: func(_ net.Conn, state http.ConnState) {
 			switch state {
@@ -247,7 +252,8 @@
 }
 
 // drain fails the readiness check, waits until the load balancer has removed the
-// front, waits for running requests and closes idle connections.
+// front, waits for running requests and closes idle connections. At the end of draining
+// it ends the requests that still run.
 func (f *front) drain(clients *http.Server) {
 	started := time.Now()
 	end := started.Add(f.settings.Load().Bounds().GracePeriod() - exitMargin)
@@ -256,10 +262,19 @@
 	for time.Since(started) < shutdownDelay {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
 	// Shutdown closes idle connections and waits for the others.
-	if err := clients.Shutdown(ctx); err != nil {
+	if err := shutdownUntil(clients, end); err == nil {
+		return
+	}
+	f.events.Emit(clemevent.RequestsEnded, zap.Int("running", f.router.ActiveRequests()))
+	f.endRequests(clementineturn.Errorf(clementineturn.KindDraining, "the entry stops"))
+	if err := shutdownUntil(clients, end.Add(exitMargin/2)); err != nil {
 		f.events.Emit(clemevent.ProcessFailed, zap.Int("running", f.router.ActiveRequests()), zap.Error(err))
 	}
 }
+
+func shutdownUntil(server *http.Server, end time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -266,8 +266,11 @@
 // fail ends a request for which every attempt failed: it forwards a server's
 // error response, or returns the error for the client.
 func (q *request) fail(ctx context.Context, best attemptResult) error {
-	if err := q.http.Context().Err(); err != nil {
-		return clementineturn.Errorf(clementineturn.KindCancelled, "the client left: %w", err)
+	if q.hasClientLeft() {
+		return clementineturn.Errorf(clementineturn.KindCancelled, "the client left: %w", q.http.Context().Err())
+	}
+	if q.isStopped() {
+		return q.stoppedError()
 	}
 	if q.isStarted {
 		return best.err
--- a/clemrouter/drain.go
+++ b/clemrouter/drain.go
@@ -1,6 +1,7 @@
 package clemrouter
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -45,3 +46,27 @@
 	}
 	return allowed
 }
+
+// hasClientLeft reports whether the client closed its connection.
+func (q *request) hasClientLeft() bool {
+	return q.http.Context().Err() != nil && !q.isStopped()
+}
+
+// isStopped reports whether the entry ended the request because it stops: the cause in
+// the request's context is of KindDraining.
+func (q *request) isStopped() bool {
+	return clementineturn.IsKind(context.Cause(q.http.Context()), clementineturn.KindDraining)
+}
+
+// stoppedError returns the error of a request that the entry ended.
+func (q *request) stoppedError() error {
+	switch {
+	case q.isStarted:
+		return clementineturn.Errorf(clementineturn.KindCut, "this entry stopped after %d events", q.eventCount)
+	case q.runCount > 0:
+		return clementineturn.Errorf(clementineturn.KindUnknown, "this entry stopped before a backend server answered")
+	}
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: drainingRetryAfter, Message: "this entry stopped before a backend server took the request",
+	})
+}
--- a/clemrouter/drain_test.go
+++ b/clemrouter/drain_test.go
@@ -1,7 +1,9 @@
 package clemrouter
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clempool"
 )
 
 // drainPeriod is the time from the stop signal to the end of draining.
@@ -153,6 +158,57 @@
 	})
 }
 
+// Guards against requests that are sent to a further server, are said not to have run,
+// or look complete, after the entry has ended them at its stop.
+func TestRequestsThatTheStopEnds(t *testing.T) {
+	const endAfter = 10 * time.Millisecond
+	for name, c := range map[string]struct {
+		path, response string
+		runTime        time.Duration
+		status         int
+	}{
+		"at most once":            {"/unsafe/", okResponse, time.Minute, http.StatusBadGateway},
+		"idempotent":              {"/safe/", okResponse, time.Minute, http.StatusBadGateway},
+		"stream before its start": {"/resumable/", chunked(testEvent(1)), time.Minute, http.StatusBadGateway},
+		"stream, aborted":         {"/resumable/", chunked(testEvent(1), testEvent(2)), 0, 0},
+		"ended in the meantime":   {"/unsafe/", okResponse, endAfter / 2, http.StatusOK},
+		"refused in the meantime": {"/unsafe/", fullResponse, endAfter + time.Millisecond, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBareFixture(t, c.response, okResponse)
+				defer f.closeServers()
+				f.setRunTime(c.runTime)
+				ctx, end := context.WithCancelCause(t.Context())
+				defer end(nil)
+				time.AfterFunc(endAfter, func() { end(clementineturn.Errorf(clementineturn.KindDraining, "the entry stops")) })
+				recorder := f.serveUntil(ctx, c.path, nil, strings.NewReader("body"))
+				require.Equal(t, c.status, recorder.Code)
+				require.Equal(t, 1, f.arrivals())
+				require.Empty(t, recorder.Header().Get("Retry-After"))
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+	t.Run("not sent", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newBareFixture(t, okResponse)
+			defer f.closeServers()
+			f.router.config.Directory = clempool.New(clempool.Config{
+				MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 },
+				Dial: func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() },
+			})
+			f.router.config.Directory.Put(clempool.NewRecord(clempool.RecordConfig{ID: "s1", Service: "pool", Address: "s1", Slots: 8}))
+			ctx, end := context.WithCancelCause(t.Context())
+			defer end(nil)
+			time.AfterFunc(endAfter, func() { end(clementineturn.Errorf(clementineturn.KindDraining, "the entry stops")) })
+			recorder := f.serveUntil(ctx, "/unsafe/", nil, strings.NewReader("body"))
+			require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+			require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+		})
+	})
+}
+
 func repeat(response string, count int) []string {
 	responses := make([]string, count)
 	for i := range responses {
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -168,8 +168,13 @@
 
 // serve passes a request to the router and returns the response. The status is 0 if
 // the router aborted it.
-func (f *fixture) serve(path string, header http.Header, body io.Reader) (recorder *httptest.ResponseRecorder) {
-	request := httptest.NewRequest(http.MethodPost, "http://127.0.0.1"+path, body)
+func (f *fixture) serve(path string, header http.Header, body io.Reader) *httptest.ResponseRecorder {
+	return f.serveUntil(context.Background(), path, header, body)
+}
+
+// serveUntil is serve for a request whose context may end.
+func (f *fixture) serveUntil(ctx context.Context, path string, header http.Header, body io.Reader) (recorder *httptest.ResponseRecorder) {
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://127.0.0.1"+path, body)
 	request.Header = http.Header{"Id": {"r1"}, "Key": {"k"}}
 	for name, values := range header {
 		request.Header[name] = values
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -227,7 +227,7 @@
 	switch {
 	case err == nil:
 		q.log(clemevent.RequestAnswered, nil)
-	case q.http.Context().Err() != nil || err.Kind() == clementineturn.KindCancelled:
+	case q.hasClientLeft() || err.Kind() == clementineturn.KindCancelled:
 		q.log(clemevent.ClientDisconnected, err)
 		panic(http.ErrAbortHandler)
 	case q.isStarted:
