--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -94,7 +94,13 @@
 	f.writeSettings(f.settingsText)
 	config := newConfig(f.settingsPath)
 	config.LogOutput, config.Stop = f, f.stop
-	go func() { f.ended <- clemfront.Run(context.Background(), config) }()
+	go func() {
+		defer close(f.ended)
+		f.ended <- clemfront.Run(t.Context(), config)
+	}()
+	// Fronts with the same address have one port for metrics, so that a test waits for
+	// the end of its fronts.
+	t.Cleanup(func() { <-f.ended })
 	return f
 }
 
