clemrouter: refused callers come back later if every other entry drains too

What callers saw: while all entries are stopped together, a draining entry that refused a request sent them to another one after 0.02 s, which refused them as well; most clients try twice.

Cause: an entry tells its peers that it is leaving, and nobody read it.

Change: a peer serves if it is active, holds a configuration and is not leaving. If none does, the Retry-After of a draining entry is 1 s, as it is without a configuration; within a third of the client's remaining time as before.

--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -160,10 +160,10 @@
 	return 1
 }
 
-// noPeerConfigured reports whether no peer is known to have a configuration.
-func (v *peerView) noPeerConfigured() bool {
+// noPeerServes reports whether no peer is known to serve requests.
+func (v *peerView) noPeerServes() bool {
 	syncer := v.syncer.Load()
-	return syncer == nil || syncer.NoPeerConfigured()
+	return syncer == nil || syncer.NoPeerServes()
 }
 
 func newPeerView() *peerView { return &peerView{} }
@@ -180,7 +180,7 @@
 func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, retryBudget *clembudget.RetryWindow, quarantine *clemquarantine.Tracker, v *peerView, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
 	return clemrouter.New(clemrouter.Config{
 		Dialect: c.Dialect, Table: table, Directory: directory, RetryBudget: retryBudget, Quarantine: quarantine,
-		Events: events, Metrics: metrics, NoPeerConfigured: v.noPeerConfigured,
+		Events: events, Metrics: metrics, NoPeerServes: v.noPeerServes,
 	})
 }
 
--- a/clemrouter/drain.go
+++ b/clemrouter/drain.go
@@ -8,10 +8,6 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 )
 
-// drainingRetryAfter is when a client may retry a request to a draining entry: another
-// entry will serve it.
-const drainingRetryAfter = 20 * time.Millisecond
-
 // Drain starts draining: the router asks clients to close their connections and
 // sends no request to a server that may take longer than until the given time.
 func (r *Router) Drain(end time.Time) { r.drainEnd.CompareAndSwap(nil, &end) }
@@ -30,9 +26,13 @@
 	if longest < left {
 		return nil
 	}
+	return q.drainingError("this entry stops in %v, and the request may take %v", left.Round(time.Millisecond), longest.Round(time.Millisecond))
+}
+
+// drainingError returns the refusal of a request that another entry will serve.
+func (q *request) drainingError(format string, values ...any) error {
 	return clementineturn.NewError(clementineturn.ErrorConfig{
-		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: drainingRetryAfter,
-		Message: fmt.Sprintf("this entry stops in %v, and the request may take %v", left.Round(time.Millisecond), longest.Round(time.Millisecond)),
+		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: q.router.elsewhereAfter(drainingRetryAfter), Message: fmt.Sprintf(format, values...),
 	})
 }
 
@@ -66,7 +66,5 @@
 	case q.runCount > 0:
 		return clementineturn.Errorf(clementineturn.KindUnknown, "this entry stopped before a backend server answered")
 	}
-	return clementineturn.NewError(clementineturn.ErrorConfig{
-		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: drainingRetryAfter, Message: "this entry stopped before a backend server took the request",
-	})
+	return q.drainingError("this entry stopped before a backend server took the request")
 }
--- a/clemrouter/drain_test.go
+++ b/clemrouter/drain_test.go
@@ -158,6 +158,21 @@
 	})
 }
 
+// Guards against callers that are told to come back at once while every entry drains,
+// and use up their attempts.
+func TestDrainingEntryTellsWhenAnotherServes(t *testing.T) {
+	for retryAfter, noPeerServes := range map[string]bool{"0.020": false, "1.000": true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newBareFixture(t)
+			f.router.config.NoPeerServes = func() bool { return noPeerServes }
+			f.router.Drain(time.Now().Add(drainPeriod))
+			recorder := f.serve("/unsafe/", nil, strings.NewReader("body"))
+			require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+			require.Equal(t, retryAfter, recorder.Header().Get("Retry-After"))
+		})
+	}
+}
+
 // Guards against requests that are sent to a further server, are said not to have run,
 // or look complete, after the entry has ended them at its stop.
 func TestRequestsThatTheStopEnds(t *testing.T) {
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -23,10 +23,12 @@
 
 const (
 	// unconfiguredRetryAfter is when a client may retry a request to an entry
-	// without a configuration: another entry will serve it. noPeerRetryAfter is
-	// the same if no other entry is known to have one, about as long as a brief
-	// outage of the store. Clients wait for at most a part of their remaining time.
+	// without a configuration, and drainingRetryAfter to one that drains: another entry
+	// will serve it. noPeerRetryAfter is the same if no other entry is known to serve
+	// requests, about as long as a brief outage of the store or a restart. Clients wait
+	// for at most a part of their remaining time.
 	unconfiguredRetryAfter = 100 * time.Millisecond
+	drainingRetryAfter     = 20 * time.Millisecond
 	noPeerRetryAfter       = time.Second
 	// defaultMaxBody is the size limit of request bodies in bytes if the
 	// configuration sets none.
@@ -49,9 +51,9 @@
 	Quarantine *clemquarantine.Tracker
 	Events     *clemevent.Logger
 	Metrics    *clemmetric.Registry
-	// NoPeerConfigured reports whether no other entry is known to have a
-	// configuration; nil means that some do.
-	NoPeerConfigured func() bool
+	// NoPeerServes reports whether no other entry is known to serve requests; nil
+	// means that some do.
+	NoPeerServes func() bool
 }
 
 // Router serves client requests. It implements http.Handler.
@@ -147,12 +149,8 @@
 	}
 	configuration := r.config.Table.Current()
 	if configuration == nil {
-		retry := unconfiguredRetryAfter
-		if r.config.NoPeerConfigured != nil && r.config.NoPeerConfigured() {
-			retry = noPeerRetryAfter
-		}
 		return clementineturn.NewError(clementineturn.ErrorConfig{
-			Kind: clementineturn.KindUnready, NotRun: true, RetryAfter: retry, Message: "no configuration is in force yet",
+			Kind: clementineturn.KindUnready, NotRun: true, RetryAfter: r.elsewhereAfter(unconfiguredRetryAfter), Message: "no configuration is in force yet",
 		})
 	}
 	q.version = configuration.Version()
@@ -185,6 +183,15 @@
 	return q.dispatch()
 }
 
+// elsewhereAfter returns when a client may retry at another entry: after the given
+// time, or noPeerRetryAfter if none serves requests.
+func (r *Router) elsewhereAfter(retry time.Duration) time.Duration {
+	if r.config.NoPeerServes != nil && r.config.NoPeerServes() {
+		return noPeerRetryAfter
+	}
+	return retry
+}
+
 // effectiveTimeout returns the shorter of the client's and the operator's
 // timeout. A value of 0 or less counts as unset; if both are, it returns
 // defaultTimeout.
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -76,7 +76,7 @@
 
 	// No entry has a configuration, as after a power loss of all entries during an
 	// outage of the store.
-	f.router.config.NoPeerConfigured = func() bool { return true }
+	f.router.config.NoPeerServes = func() bool { return true }
 	_, header, _, err = f.post("/safe/", nil)
 	require.NoError(t, err)
 	require.Equal(t, "1.000", header.Get("Retry-After"))
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -189,8 +189,9 @@
 	return peer.sendsChanges || version == 0 || age > wholeListDelay
 }
 
-// NoPeerConfigured reports whether no other entry is known to hold a configuration.
-func (s *Syncer) NoPeerConfigured() bool { return !s.peers.hasConfiguredPeer(time.Now()) }
+// NoPeerServes reports whether no other entry is known that holds a configuration and
+// is not leaving.
+func (s *Syncer) NoPeerServes() bool { return !s.peers.hasServingPeer(time.Now()) }
 
 // newShare returns this entry's next report to the peer.
 func (s *Syncer) newShare(address string) *clemwire.Share {
--- a/clemspread/load_test.go
+++ b/clemspread/load_test.go
@@ -89,7 +89,7 @@
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
 		store.setFailing(true)
 		e := n.start(ctx, "a", store)
-		require.True(t, e.NoPeerConfigured())
+		require.True(t, e.NoPeerServes())
 		time.Sleep(5 * time.Second)
 		require.Less(t, store.callCount(), 20, "three loops that retry each on their own call 40 times")
 		store.setFailing(false)
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -53,6 +53,8 @@
 	// wantsRows if it requested the rows of backend servers that changed after
 	// its store version.
 	wantsDocument, wantsRows bool
+	// isLeaving is set if the peer drains before it stops.
+	isLeaving bool
 	// sendsChanges is set if the peer can send the changes of the list since this
 	// entry's version, and not only the whole list.
 	sendsChanges bool
@@ -136,6 +138,7 @@
 		}
 	}
 	p.version, p.storeVersion, p.wantsDocument, p.wantsRows, p.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
+	p.isLeaving = share.GetLeaving()
 	p.sendsChanges, p.findingsSeen = share.GetSince() > 0, share.GetSeen()
 	return isNewlyReachable
 }
@@ -266,12 +269,13 @@
 	return n
 }
 
-// hasConfiguredPeer reports whether an active peer holds a configuration.
-func (t *peerTable) hasConfiguredPeer(now time.Time) bool {
+// hasServingPeer reports whether an active peer holds a configuration and is not
+// leaving.
+func (t *peerTable) hasServingPeer(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.byAddress {
-		if p.version > 0 && now.Sub(p.lastSeenAt) < activeTimeout {
+		if p.version > 0 && !p.isLeaving && now.Sub(p.lastSeenAt) < activeTimeout {
 			return true
 		}
 	}
