--- a/clemsoak/client.go
+++ b/clemsoak/client.go
@@ -12,8 +12,13 @@
 )
 
 const (
-	// thinkTime is the mean time between two requests of a client.
-	thinkTime = 60 * time.Millisecond
+	// thinkTime is the mean time between two requests of a client, slowThinkTime the same
+	// for a client that sends slow calls.
+	thinkTime     = 60 * time.Millisecond
+	slowThinkTime = 2 * time.Second
+	// clientsPerSlowClient is the number of clients for each one that sends slow calls,
+	// which come in addition.
+	clientsPerSlowClient = 2
 	// shortTimeoutShare is the share of requests whose client disconnects early,
 	// after shortTimeout.
 	shortTimeoutShare = 0.05
@@ -35,7 +40,9 @@
 
 // client sends requests over connections that it reuses as long as they last.
 type client struct {
-	soak         *Soak
+	soak *Soak
+	// isSlow is set if the client sends slow calls and no others.
+	isSlow       bool
 	number       int
 	requestCount int
 	organisation string
@@ -58,7 +65,11 @@
 
 func (c *client) run(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
-	for sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(thinkTime))) {
+	pause := thinkTime
+	if c.isSlow {
+		pause = slowThinkTime
+	}
+	for sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(pause))) {
 		r := c.nextRequest()
 		c.soak.observer.recordSent(r)
 		start := time.Now()
@@ -83,6 +94,9 @@
 		position -= kinds[k].weight
 		k++
 	}
+	if c.isSlow {
+		k = kindSlow
+	}
 	c.requestCount++
 	id := fmt.Sprintf("%x-%d-%d", c.soak.config.Seed, c.number, c.requestCount)
 	request := clemstandin.ClientRequest{
@@ -101,17 +115,23 @@
 }
 
 // checkShutdown checks that an entry that is shutting down responded to a request
-// that was run, unless something else explains the missing response.
+// that was run, unless a fault of the entry or of the server explains the missing
+// response. Faults of the store explain none.
 func (c *client) checkShutdown(r *sentRequest, response clemstandin.ClientResponse, start time.Time) {
 	f := c.entry.Load()
 	stopRequested := time.Unix(0, f.lastStopRequest.Load())
 	span := time.Since(start) + minQuietTime
 	if r.kind.events() > 0 || time.Since(stopRequested) > time.Duration(bounds.GracePeriodS)*time.Second || time.Since(start) >= r.call.Timeout ||
-		!f.isQuietFor(span) || !c.soak.env.serversQuiet.isQuietFor(span) || !c.soak.env.storeQuiet.isQuietFor(span) || start.Before(stopRequested) {
+		!f.isQuietFor(span) || start.Before(stopRequested) {
+		return
+	}
+	server := c.soak.observer.serverOf(r.call.RequestID)
+	if server != "" && !c.soak.env.isServerQuietFor(server, span) {
 		return
 	}
-	c.soak.observer.check(PromiseGracefulShutdown, response.Status != 0 || !c.soak.observer.hasRun(r.call.RequestID),
-		"%s was run, and %s, which leaves, gave no answer: %v", r.call.RequestID, f.name, response.Err)
+	isAnswered := response.Status != 0 && response.Status != http.StatusBadGateway
+	c.soak.observer.check(PromiseGracefulShutdown, isAnswered || server == "",
+		"%s was run by %s, and %s, which leaves, gave no answer (status %d): %v", r.call.RequestID, server, f.name, response.Status, response.Err)
 }
 
 // prober checks which version of the configuration is in force at one entry.
--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -204,7 +204,7 @@
 func onServer(begin func(*link, *rand.Rand) func()) func(context.Context, *Soak, *rand.Rand) func() {
 	return func(_ context.Context, s *Soak, rng *rand.Rand) func() {
 		slot := s.env.slots[rng.IntN(len(s.env.slots))]
-		return s.env.serversQuiet.wrapFault(begin(slot.link, rng))
+		return s.env.serversQuiet.wrapFault(slot.wrapFault(begin(slot.link, rng)))
 	}
 }
 
@@ -282,7 +282,7 @@
 	server.Inject([]clemstandin.BackendFaults{
 		{ErrorRatio: share}, {ResetRatio: share}, {GarbledRatio: share}, {TruncatedRatio: share}, {ExtraResponseRatio: share}, {SlowdownFactor: 1 + 9*rng.Float64()},
 	}[rng.IntN(6)])
-	return s.env.serversQuiet.wrapFault(func() { server.Inject(clemstandin.BackendFaults{}) })
+	return s.env.serversQuiet.wrapFault(slot.wrapFault(func() { server.Inject(clemstandin.BackendFaults{}) }))
 }
 
 func changeConfiguration(_ context.Context, s *Soak, _ *rand.Rand) func() {
--- a/clemsoak/kind.go
+++ b/clemsoak/kind.go
@@ -8,11 +8,13 @@
 const (
 	// kindUnsafe may run at most once and kindIdempotent may be retried.
 	// kindResumableStream may be resumed at another server, kindStream may not.
-	// kindProbe tests which configuration is in force.
+	// kindSlow may run at most once, and takes longer than an entry goes on after it has
+	// left the load balancer's rotation. kindProbe tests which configuration is in force.
 	kindUnsafe kind = iota
 	kindIdempotent
 	kindResumableStream
 	kindStream
+	kindSlow
 	kindProbe
 )
 
@@ -38,6 +40,7 @@
 	kindIdempotent:      {name: "again", prefix: "/again/", service: serviceApp, route: "safe", idempotent: true, weight: 25, attempts: 2, timeout: 2500 * time.Millisecond},
 	kindResumableStream: {name: "chat", prefix: "/chat/", service: serviceStream, route: "stream", idempotent: true, events: streamEvents, weight: 25, attempts: 2, timeout: 5 * time.Second},
 	kindStream:          {name: "feed", prefix: "/feed/", service: serviceStream, route: "stream", events: streamEvents, weight: 15, attempts: 1, timeout: 5 * time.Second},
+	kindSlow:            {name: "slow", prefix: "/slow/", service: serviceApp, route: "unsafe", attempts: 1, timeout: 10 * time.Second},
 	kindProbe:           {name: "probe", service: serviceApp, route: "safe", idempotent: true, attempts: 2, timeout: 2500 * time.Millisecond},
 }
 
--- a/clemsoak/soak.go
+++ b/clemsoak/soak.go
@@ -170,8 +170,10 @@
 	}
 	clients, stopClients := context.WithCancel(ctx)
 	var clientTasks sync.WaitGroup
-	for n := range c.Clients {
-		clientTasks.Go(func() { newClient(s, n).run(clients) })
+	for n := range c.Clients + c.Clients/clientsPerSlowClient {
+		client := newClient(s, n)
+		client.isSlow = n >= c.Clients
+		clientTasks.Go(func() { client.run(clients) })
 	}
 	for _, f := range s.fronts {
 		clientTasks.Go(func() { newProber(s, f).run(clients) })
--- a/clemsoak/witness.go
+++ b/clemsoak/witness.go
@@ -228,11 +228,15 @@
 	}
 }
 
-// hasRun reports whether a server has run the request.
-func (o *observer) hasRun(id string) bool {
+// serverOf returns the server of the request's last run, or "" if it was not run.
+func (o *observer) serverOf(id string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.runs[id]) > 0
+	runs := o.runs[id]
+	if len(runs) == 0 {
+		return ""
+	}
+	return runs[len(runs)-1].Server
 }
 
 // checkTotals checks the promises that can only be judged after the run. Service
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -21,8 +21,11 @@
 	// events of a stream.
 	callTime      = 15 * time.Millisecond
 	eventInterval = 20 * time.Millisecond
-	// objectiveMS and timeoutMS hold for all routes.
-	objectiveMS, timeoutMS = 600, 4000
+	// slowTime is the duration of a slow call.
+	slowTime = 5 * time.Second
+	// objectiveMS and timeoutMS hold for all routes but that of slow calls, which has
+	// the timeout slowTimeoutMS.
+	objectiveMS, timeoutMS, slowTimeoutMS = 600, 4000, 10_000
 	// organisations is the number of organisations whose keys are never revoked.
 	organisations     = 4
 	probeOrganisation = "probe"
@@ -38,8 +41,10 @@
 	boundQuietTime = 5 * time.Second
 )
 
-// serverSlot is an address at which servers of a service run one after the other.
+// serverSlot is an address at which servers of a service run one after the other. Its
+// quiet period is that of the server that runs now.
 type serverSlot struct {
+	quietPeriod
 	link    *link
 	service string
 	server  *clemstandin.Backend
@@ -151,11 +156,11 @@
 	n := e.serverCount
 	e.mu.Unlock()
 	config := clemstandin.BackendConfig{
-		ID: fmt.Sprintf("i-%03d", n), Service: s.service, Slots: appSlots, WorkTime: callTime, Seed: e.config.Seed + uint64(n),
+		ID: fmt.Sprintf("i-%03d", n), Service: s.service, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
 		OnRequest: e.observer.recordArrival, OnRunEnded: e.observer.recordRunEnd,
 	}
 	if s.service == serviceStream {
-		config.Slots, config.WorkTime, config.EventCount = streamSlots, eventInterval, streamEvents
+		config.Slots, config.WorkTime, config.SlowPrefix, config.EventCount = streamSlots, eventInterval, "", streamEvents
 	}
 	config.OnRunStarted = e.onRunStart
 	server := clemstandin.NewBackend(config)
@@ -192,6 +197,17 @@
 	}
 }
 
+// isServerQuietFor reports whether the server is running and no fault of its own or of
+// the link to it was active within the given time before now.
+func (e *environment) isServerQuietFor(id string, span time.Duration) bool {
+	for _, s := range e.slots {
+		if e.backend(s).ID() == id {
+			return s.isQuietFor(span)
+		}
+	}
+	return false
+}
+
 // isDue reports whether entries free of faults must have applied a change that
 // the store acknowledged at the given time.
 func (e *environment) isDue(acknowledged time.Time, within time.Duration) bool {
@@ -221,11 +237,15 @@
 		TimeoutMS: timeoutMS, LatencyTargetMS: objectiveMS,
 	}
 	e.mu.Unlock()
-	for _, k := range kinds[:kindProbe] {
-		m.Routes = append(m.Routes, clemstandin.Route{
-			Prefix: k.prefix, Type: k.route, Service: k.service, MaxAttempts: k.attempts,
-			Resumable: k.events > 0 && k.idempotent, SessionAffinity: k.events > 0,
-		})
+	for k, info := range kinds[:kindProbe] {
+		route := clemstandin.Route{
+			Prefix: info.prefix, Type: info.route, Service: info.service, MaxAttempts: info.attempts,
+			Resumable: info.events > 0 && info.idempotent, SessionAffinity: info.events > 0,
+		}
+		if kind(k) == kindSlow {
+			route.TimeoutMS = slowTimeoutMS
+		}
+		m.Routes = append(m.Routes, route)
 	}
 	m.Routes = append(m.Routes, clemstandin.Route{Prefix: versionPath(m.Version), Type: "safe", Service: serviceApp, MaxAttempts: kinds[kindProbe].attempts})
 	err := e.store.Configure(m)
@@ -286,6 +306,7 @@
 // removes it.
 func (e *environment) crash(s *serverSlot) {
 	e.serversQuiet.recordFault()
+	s.recordFault()
 	s.link.setTarget("")
 	s.link.reset()
 	e.mu.Lock()
@@ -311,6 +332,7 @@
 	sleep(ctx, drainingTime)
 	e.store.DeleteServer(old.ID())
 	sleep(ctx, addressReuseDelay)
+	s.recordFault()
 	s.link.setTarget("")
 	_ = listening.Close()
 	e.serversQuiet.recordFault()
--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -64,6 +64,10 @@
 	Slots int
 	// WorkTime is the time that a response takes, or each event of a stream.
 	WorkTime time.Duration
+	// SlowPrefix is the path below which requests wait for a third party: they take
+	// SlowTime and no slot. "" means that there are none.
+	SlowPrefix string
+	SlowTime   time.Duration
 	// EventCount is the number of events of a stream; with 0, responses are not
 	// streams.
 	EventCount int
@@ -129,9 +133,16 @@
 	}
 }
 
-// acquire counts a request as running or waiting. It reports false if the server
-// is full.
-func (b *Backend) acquire() bool {
+func (b *Backend) isSlow(r *http.Request) bool {
+	return b.config.SlowPrefix != "" && strings.HasPrefix(r.URL.Path, b.config.SlowPrefix)
+}
+
+// acquire counts a request as running or waiting, unless it takes no slot. It reports
+// false if the server is full.
+func (b *Backend) acquire(r *http.Request) bool {
+	if b.isSlow(r) {
+		return true
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if float64(b.activeRequests) >= (1+maxWaitingRatio)*float64(b.config.Slots) {
@@ -141,7 +152,10 @@
 	return true
 }
 
-func (b *Backend) release() {
+func (b *Backend) release(r *http.Request) {
+	if b.isSlow(r) {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.activeRequests--
@@ -156,13 +170,17 @@
 	}
 	b.config.OnRequest(id, b.config.Service)
 	body, err := io.ReadAll(r.Body)
-	if err != nil || id == "" || !b.acquire() {
+	if err != nil || id == "" || !b.acquire(r) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer b.release()
+	defer b.release(r)
 	w.Header().Set("X-Request-Id", id)
+	if b.isSlow(r) {
+		b.respond(w, r, b.startRun(id, r, string(body)))
+		return
+	}
 	select {
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
@@ -225,7 +243,11 @@
 // simulateWork waits for the time that work takes. It reports false if the
 // client disconnected.
 func (b *Backend) simulateWork(r *http.Request, drawn BackendFaults) bool {
-	timer := time.NewTimer(time.Duration(drawn.SlowdownFactor * float64(b.config.WorkTime)))
+	work := b.config.WorkTime
+	if b.isSlow(r) {
+		work = b.config.SlowTime
+	}
+	timer := time.NewTimer(time.Duration(drawn.SlowdownFactor * float64(work)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/clemstandin/provider_operator.go
+++ b/clemstandin/provider_operator.go
@@ -1,6 +1,7 @@
 package clemstandin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 )
@@ -14,6 +15,8 @@
 	Prefix, Type, Service      string
 	MaxAttempts                int
 	Resumable, SessionAffinity bool
+	// TimeoutMS is the route's own timeout in milliseconds; 0 means that of all routes.
+	TimeoutMS int
 }
 
 // ProviderConfiguration is the configuration that the operator writes.
@@ -25,7 +28,7 @@
 	// APIKeys holds the API key of each organisation by its name.
 	APIKeys map[string]string
 	// TimeoutMS and LatencyTargetMS are the timeout and the latency target of every
-	// route, in milliseconds.
+	// route without its own, in milliseconds.
 	TimeoutMS, LatencyTargetMS int
 }
 
@@ -35,7 +38,7 @@
 	for _, r := range m.Routes {
 		routes = append(routes, map[string]any{
 			"name": "r" + r.Prefix, "host": m.Host, "prefix": r.Prefix, "route_type": r.Type, "service": r.Service,
-			"timeout_ms": m.TimeoutMS, "latency_target_ms": m.LatencyTargetMS, "gap_aim_ms": m.LatencyTargetMS,
+			"timeout_ms": cmp.Or(r.TimeoutMS, m.TimeoutMS), "latency_target_ms": m.LatencyTargetMS, "gap_aim_ms": m.LatencyTargetMS,
 			"attempts": max(r.MaxAttempts, 1), "resumable": r.Resumable, "session_affinity": r.SessionAffinity,
 		})
 	}
