clemrouter: a stalled stream is moved only if its last event has an id

The check of read fields of the request from the timer of a stalled stream, a data race that no test met; found when the change was read again. The timer holds the answer itself now, set with each event. TestStalledStreamWithoutIDsIsNotMoved fails if the check is taken out.

--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -359,9 +359,9 @@
 		if q.isStarted {
 			q.logResumed(lease.Server())
 		}
-		result = q.forwardStream(response, responseInfo, func() {
+		result = q.forwardStream(response, responseInfo, func(events eventSummary) {
 			lease.ResponseStarted()
-			stall.progress()
+			stall.progress(events.endsWithID)
 			watch.Progress(time.Now())
 		})
 	case q.isStarted && !responseInfo.NotRun():
--- a/clemrouter/resumed_test.go
+++ b/clemrouter/resumed_test.go
@@ -99,3 +99,12 @@
 	require.NoError(t, err)
 	require.Equal(t, testEvent(1)+testEvent(2), body)
 }
+
+// Guards against a stalled stream that is moved though its last event has no id.
+func TestStalledStreamWithoutIDsIsNotMoved(t *testing.T) {
+	f := newFixture(t, chunked("data: a\n\n", "data: b\n\n"), streamHead+testEvent(1))
+	_, _, body, err := f.post("/steady/", nil)
+	require.NoError(t, err)
+	require.Equal(t, "data: a\n\ndata: b\n\n", body)
+	require.Len(t, f.received, 1)
+}
--- a/clemrouter/stall.go
+++ b/clemrouter/stall.go
@@ -45,13 +45,15 @@
 	// hasStarted is set once events of a stream arrived, hasEnded once the attempt is
 	// over.
 	hasStarted, hasEnded bool
+	// isMovable is set if another server can send what is still missing.
+	isMovable bool
 	// next is the place at another server for which the attempt was ended.
 	next *clempool.Lease
 }
 
 // newStallTimer starts the timer of the next attempt.
 func (q *request) newStallTimer(ctx context.Context, lease *clempool.Lease) *stallTimer {
-	t := &stallTimer{request: q, lease: lease, since: time.Now()}
+	t := &stallTimer{request: q, lease: lease, since: time.Now(), isMovable: !q.isStarted || q.mayContinue}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.minimum = time.Duration(plainFirstByteFactor * float64(q.route.LatencyTarget()))
 	if q.route.Kind() == clemroute.KindStream {
@@ -72,14 +74,15 @@
 	return q.router.stalls.Group(q.service + " " + phase + " " + strconv.FormatInt(int64(target), 10))
 }
 
-// progress records that events of a stream arrived, and restarts the timer. Without
-// an event gap target no gap is too long.
-func (t *stallTimer) progress() {
+// progress records that events of a stream arrived, and whether another server can go
+// on after them, and restarts the timer. Without an event gap target no gap is too long.
+func (t *stallTimer) progress(isMovable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.hasEnded {
 		return
 	}
+	t.isMovable = isMovable
 	now := time.Now()
 	t.waits.Observe(now.Sub(t.since) - t.allowance)
 	t.since = now
@@ -121,7 +124,10 @@
 		t.timer.Reset(rest)
 		return
 	}
-	if t.next = t.request.reserveNext(t.lease, now); t.next == nil {
+	if t.isMovable {
+		t.next = t.request.reserveNext(t.lease, now)
+	}
+	if t.next == nil {
 		t.timer.Reset(t.minimum)
 		return
 	}
@@ -145,7 +151,7 @@
 // reserveNext takes a place for the request at another server than that of the
 // lease, and returns nil if there is none or no retry is allowed.
 func (q *request) reserveNext(lease *clempool.Lease, now time.Time) *clempool.Lease {
-	if q.isStarted && !q.mayContinue || q.deadline.Sub(now) < minRetryTime || len(q.triedServers)+1 >= maxServersTried {
+	if q.deadline.Sub(now) < minRetryTime || len(q.triedServers)+1 >= maxServersTried {
 		return nil
 	}
 	criteria := q.selection()
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -34,14 +34,14 @@
 // forwardStream forwards the events of a response as they arrive, complete ones
 // only. It calls progress whenever events with an id or data arrived: a stalled
 // server may still send a byte or a comment now and then.
-func (q *request) forwardStream(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, progress func()) attemptResult {
+func (q *request) forwardStream(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, progress func(eventSummary)) attemptResult {
 	result := attemptResult{outcome: clempool.OutcomeFailed, mayHaveRun: true}
 	if !responseInfo.Signed() || response.Header.Get("Content-Encoding") != "" {
 		result.err = clementineturn.Errorf(clementineturn.KindMismatch, "a stream without the server's signature or with an encoding")
 		return result
 	}
 	part := streamPart{request: q, response: response, isRest: q.isStarted}
-	if part.isRest && !isEventStream(response.Header) {
+	if part.isRest && !mayBeEventStream(response.Header) {
 		result.err = clementineturn.Errorf(clementineturn.KindMismatch, "content of type %q in place of a stream's rest", response.Header.Get("Content-Type"))
 		return result
 	}
@@ -53,7 +53,7 @@
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
 			events := summarizeEvents(pending[:at+len(eventEnd)])
 			if events.hasContent {
-				progress()
+				progress(events)
 			}
 			if failed := part.forward(events); failed != nil {
 				return part.forwardFailed(result, failed)
@@ -97,8 +97,9 @@
 	return result
 }
 
-// isEventStream reports whether the header allows a response to be the rest of a stream.
-func isEventStream(header http.Header) bool {
+// mayBeEventStream reports whether the content type allows a response to be the rest of
+// a stream.
+func mayBeEventStream(header http.Header) bool {
 	contentType := header.Get("Content-Type")
 	mediaType, _, err := mime.ParseMediaType(contentType)
 	return contentType == "" || err == nil && mediaType == "text/event-stream"
