clemfront: the wait for the load balancer ends with the grace period

What callers would see: with a grace period under 3.6 s a stopping front slept for 3.2 s, past the time at which it ends requests, and was killed with requests in progress.

Change: the front waits until the earlier of the two. TestDrainEndsWithinTheGracePeriod failed before: 3.2 s with a grace period of 1 s.

--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -34,8 +34,6 @@
 	// period, at which the process is killed. Within the first half of it the requests
 	// that are ended get their responses.
 	exitMargin = 400 * time.Millisecond
-	// drainPollInterval is the polling interval during shutdownDelay.
-	drainPollInterval = 50 * time.Millisecond
 	// settingsPollInterval is the interval at which the settings are read again,
 	// since they may change without a signal.
 	settingsPollInterval = time.Second
@@ -259,9 +257,7 @@
 	end := started.Add(f.settings.Load().Bounds().GracePeriod() - exitMargin)
 	f.router.Drain(end)
 	f.events.Emit(clemevent.ProcessDraining, zap.Int("running", f.router.ActiveRequests()), zap.Int64("connections", f.clientConns.Load()))
-	for time.Since(started) < shutdownDelay {
-		time.Sleep(drainPollInterval)
-	}
+	time.Sleep(min(shutdownDelay, time.Until(end)))
 	// Shutdown closes idle connections and waits for the others.
 	if err := shutdownUntil(clients, end); err == nil {
 		return
