clemspread: evacuations of data centres and a second reader of the operator's rows

Cause: entries had no notion of evacuations; 2,808 requests reached an evacuated data centre. A long poll that became unresponsive without a reset kept a removed key in service for 11.5 s.

Change: the rows op/evacuate/CENTRE are followed, kept with their store versions, exchanged in field 24 of Share and passed to OnEvacuated. The entry that reads the list of servers for all reads the changes of the operator's rows once a second on a new connection, and renews a long poll that missed one.

Result: go test -race -cpu 1 ./clemspread ./platform ./clemfront passes. Without the second reader TestSilentLongPollsDelayNothing, TestSilentLongPollIsRenewed and TestOneEntryReadsTheOperatorsChanges fail.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -38,6 +38,11 @@
 	HTTPServerMessage     Event = 931
 	QuarantineInvalid     Event = 932
 	QuarantineNotLifted   Event = 933
+	CentreEvacuated       Event = 950
+	EvacuationWithdrawn   Event = 951
+	EvacuationUnknown     Event = 952
+	AllCentresEvacuated   Event = 953
+	LongPollRenewed       Event = 954
 )
 
 var routerEvents = map[Event]Info{
@@ -74,5 +79,10 @@
 	ServerUnlimited:       {zapcore.InfoLevel, "backend server no longer limited", "A response to a request that was sent after the last statement of a limit states none."},
 	ServerLimitInvalid:    {zapcore.WarnLevel, "backend server limit invalid", "A response states a limit that is no number of requests a second. The last limit stays in force."},
 	LogLinesRateLimited:   {zapcore.WarnLevel, "log lines dropped", "More lines of the event in the of field were logged than the rate limit allows; count is the number of dropped lines."},
+	CentreEvacuated:       {zapcore.WarnLevel, "data centre evacuated", "The operator evacuates the data centre in the centre field: its backend servers get nothing new, what runs there ends. source is the store or the entry that reported it, version that of the operator's row."},
+	EvacuationWithdrawn:   {zapcore.WarnLevel, "evacuation withdrawn", "The operator's row is gone; the servers of the data centre get new work again. The lasted field is how long this entry knew of the evacuation."},
+	EvacuationUnknown:     {zapcore.WarnLevel, "evacuated data centre unknown", "No listed backend server is in the data centre that the operator evacuates, so that the evacuation has no effect. Compare the name in the key of the row with the listed field."},
+	AllCentresEvacuated:   {zapcore.ErrorLevel, "all data centres evacuated", "Every listed backend server is in an evacuated data centre. All requests are refused until an evacuation is withdrawn."},
+	LongPollRenewed:       {zapcore.WarnLevel, "long poll of the store renewed", "The long poll of the operator's rows did not deliver a change that another connection had a second before. It was ended and another one begun. Check what drops idle connections between entries and store."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -49,6 +49,8 @@
 type Store interface {
 	clementineturn.Store
 	clementineturn.Inventory
+	// OnNewConnections returns a client that opens a connection for each call.
+	OnNewConnections() clementineturn.Store
 }
 
 // Config describes a front to run.
@@ -58,9 +60,12 @@
 	ReadSettings func() (*clemsite.Settings, error)
 	// NewStore returns a client of the platform's store, whose address may change.
 	// The client calls onCall for each call to the store.
-	NewStore            func(address func() string, onCall func()) Store
-	Dialect             clementineturn.Dialect
-	ConfigurationKey    string
+	NewStore         func(address func() string, onCall func()) Store
+	Dialect          clementineturn.Dialect
+	ConfigurationKey string
+	// EvacuatedCentre returns the data centre that the operator's row with the key
+	// evacuates, and whether the key is that of an evacuation.
+	EvacuatedCentre     func(key string) (centre string, ok bool)
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
 	DecodeServer        func(id string, value []byte) (clempool.Record, error)
 	// LogOutput receives the log lines.
@@ -197,6 +202,7 @@
 	syncer := clemspread.New(clemspread.Config{
 		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Seeds: func() []string { return active.Load().Seeds() },
 		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Quarantine: quarantine, Events: events,
+		OnNewConnections: store.OnNewConnections(), EvacuatedCentre: c.EvacuatedCentre,
 		ConfigurationKey: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		IsDraining: router.IsDraining,
 	})
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -24,6 +24,7 @@
 	AddedTime            = "added_time"
 	ReadySeconds         = "ready_seconds"
 	Quarantines          = "quarantines"
+	Evacuations          = "evacuations"
 )
 
 // Info describes a metric.
@@ -69,6 +70,7 @@
 	{Attempts, kindCounter, "front", "service,server,outcome", "Requests sent to backend servers, by what came of them. Servers beyond the first 256 count as other."},
 	{AddedTime, kindSummary, "front", "", "Time from the head of a request to its first sending to a backend server, in seconds."},
 	{Quarantines, kindGauge, "front", "", "Prompt parts that are quarantined because they crash backend servers."},
+	{Evacuations, kindGauge, "front", "", "Data centres that the operator has evacuated, as this entry knows them."},
 	{ReadySeconds, kindGauge, "front", "", "Time from the start of the process to its readiness, in seconds."},
 	{FirstEventTime, kindSummary, "front", "route", "Time from the start of a request to the first event of its stream, in seconds."},
 	{StoreCalls, kindCounter, "front", "", "Calls to the platform's store."},
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -105,6 +105,7 @@
 			s.config.Events.Emit(clemevent.EntryRemoved, zap.String("entry", r.Address), zap.String("name", change.Key()))
 		}
 	}
+	s.knowsEntries.Store(true)
 	return nil
 }
 
@@ -218,6 +219,7 @@
 	share.Running = s.runningCounts(now)
 	share.Kept = s.takeCacheUpdates(address)
 	s.addQuarantine(share, peer, now)
+	share.Evacuations = s.evacuations.Messages()
 	return share
 }
 
@@ -301,7 +303,9 @@
 	}
 	for _, address := range share.GetEntries() {
 		s.peers.add(address, now)
+		s.knowsEntries.Store(true)
 	}
+	s.evacuations.ApplyPeer(share.GetEvacuations(), share.GetName(), now)
 	if len(share.GetDocument()) > 0 && share.GetVersion() > s.config.Table.Version() {
 		s.applyDocument(share.GetDocument(), share.GetName())
 	}
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -63,6 +63,16 @@
 	ConfigurationKey    string
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
 	DecodeServer        func(id string, value []byte) (clempool.Record, error)
+	// EvacuatedCentre returns the data centre that the operator's row with the key
+	// evacuates, and whether the key is that of an evacuation. If it is nil there are no
+	// evacuations.
+	EvacuatedCentre func(key string) (centre string, ok bool)
+	// OnEvacuated, if set, is called with the evacuated data centres in order after each
+	// change. Calls are made one at a time and must not call the Syncer.
+	OnEvacuated func(centres []string)
+	// OnNewConnections is a client of the store that opens a connection for each call.
+	// If it is nil Store is used.
+	OnNewConnections clementineturn.Store
 	// Inventory returns the cached prompt parts of an engine. If it is nil no
 	// engine is queried.
 	Inventory clementineturn.Inventory
@@ -78,9 +88,11 @@
 type Syncer struct {
 	clemrpc.UnimplementedPeer
 
-	config  Config
-	servers *serverList
-	peers   *peerTable
+	config      Config
+	servers     *serverList
+	peers       *peerTable
+	evacuations *evacuationTable
+	operator    operatorReader
 	// start is the origin of the clock readings sent to peers.
 	start time.Time
 
@@ -97,6 +109,8 @@
 	// knowsQuarantines is set once the quarantines in the store or those of a peer were
 	// read.
 	knowsQuarantines atomic.Bool
+	// knowsEntries is set once the rows of entries were read or a peer sent addresses.
+	knowsEntries atomic.Bool
 	// counts are the running requests as of countedAt.
 	counts    []*clemwire.Running
 	countedAt time.Time
@@ -110,11 +124,15 @@
 	if c.Quarantine == nil {
 		c.Quarantine = clemquarantine.New(clemquarantine.Config{})
 	}
-	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address), start: time.Now()}
+	if c.OnNewConnections == nil {
+		c.OnNewConnections = c.Store
+	}
+	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address), evacuations: newEvacuationTable(c), start: time.Now()}
 }
 
 // IsReady reports whether this entry has a configuration, a list of backend servers
-// and the quarantined prompt parts.
+// and the quarantined prompt parts. It then knows the evacuations too, since they are
+// applied before the configuration that comes with them.
 func (s *Syncer) IsReady() bool {
 	version, _ := s.servers.StoreVersion(time.Now())
 	return s.config.Table.Current() != nil && version > 0 && s.knowsQuarantines.Load()
@@ -128,7 +146,7 @@
 func (s *Syncer) Start(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){s.followConfiguration, s.followServers, s.registerAndDiscover, s.exchange, s.learnCachedParts, s.storeQuarantines} {
+	for _, loop := range []func(context.Context){s.followConfiguration, s.readOperatorChanges, s.followServers, s.registerAndDiscover, s.exchange, s.learnCachedParts, s.storeQuarantines} {
 		running.Go(func() { loop(ctx) })
 	}
 	go func() {
@@ -229,6 +247,10 @@
 			}
 			continue
 		}
+		if err != nil && s.operator.setRenewing(false) {
+			wait = 0
+			continue
+		}
 		s.recordStoreResult(err)
 		if err != nil {
 			wait = 0
@@ -241,18 +263,16 @@
 			reread = backoff{}
 		}
 		retry, wait = backoff{}, longPollWait
-		for _, change := range batch.Changes() {
-			if change.Key() == s.config.ConfigurationKey && !change.Removed() {
-				s.applyDocument(change.Value(), "store")
-			}
-		}
+		s.applyOperatorRows(batch, after == 0)
 		after = max(after, batch.Version())
+		s.operator.recordPoll(after)
 	}
 }
 
 func (s *Syncer) readOperatorRows(ctx context.Context, after uint64, wait time.Duration) (clementineturn.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.operator.setRenewing(false)
 	s.mu.Lock()
 	s.cancelLongPoll = cancel
 	s.mu.Unlock()
@@ -312,6 +332,7 @@
 			continue
 		}
 		retry, isStale = backoff{}, false
+		s.operator.recordListRead(now)
 		s.servers.Apply(batch, isComplete, now, time.Now())
 	}
 }
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemwire"
@@ -175,6 +177,8 @@
 	documents, rows, addresses, bytes int
 	// engineCalls counts the queries of engines by their address.
 	engineCalls map[string]int
+	// events is the log of the entries that start, or nil.
+	events *clemevent.Logger
 }
 
 // documentCount returns the number of documents sent.
@@ -252,10 +256,11 @@
 // start runs an entry with the store until the context ends.
 func (n *network) start(ctx context.Context, name string, store clementineturn.Store, seeds ...string) *Syncer {
 	syncer := New(Config{
-		Name: name, Address: name, Seeds: func() []string { return seeds }, Store: store, Peers: n,
+		Name: name, Address: name, Seeds: func() []string { return seeds }, Store: store, Peers: n, Events: n.events,
 		Table:     &clemroute.Table{},
 		Directory: clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }}),
 		Rand:      func() float64 { return 0.5 }, Inventory: n, ConfigurationKey: "config", DecodeConfiguration: decodeVersion, DecodeServer: decodeServer, IsDraining: func() bool { return false },
+		EvacuatedCentre: func(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") },
 	})
 	n.mu.Lock()
 	n.entries[name] = syncer
--- a/cmd/clementine-front/main.go
+++ b/cmd/clementine-front/main.go
@@ -57,7 +57,7 @@
 		NewStore: func(address func() string, onCall func()) clemfront.Store {
 			return platform.NewStore(platform.StoreConfig{Address: address, OnCall: onCall})
 		},
-		Dialect: platform.Dialect{}, ConfigurationKey: platform.ConfigurationKey,
+		Dialect: platform.Dialect{}, ConfigurationKey: platform.ConfigurationKey, EvacuatedCentre: platform.EvacuatedCentre,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeServer: platform.DecodeServer,
 	}
 }
