clempool: one place for the availability of backend servers; evacuated ones get nothing

Whether a server takes requests was decided in several places, and nothing stood for a data centre that is evacuated. A request that holds a lease is checked again when its connection is open, before the first byte is written, and tries another server if its own has closed. The load bound is not applied below the mean of the available servers and 3.

--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -60,6 +60,9 @@
 	MaxIdle time.Duration
 	// Match returns which request a response belongs to; nil means MatchOwn.
 	Match func(status int, header http.Header) Match
+	// BeforeSend, if set, is called once there is a connection, before the first byte is
+	// written. Its error ends the exchange, and the connection is kept.
+	BeforeSend func() error
 }
 
 // Response is a backend server's response. It must be closed.
@@ -81,12 +84,18 @@
 // not run, if there was no connection; KindMismatch if only responses to other
 // requests arrived; KindTooLarge if the head does not end within maxHeadBytes or a
 // response to another request within maxStrayBody; KindUnknown otherwise, with the
-// context's cause if it ended.
+// context's cause if it ended; that of BeforeSend.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.acquire(ctx, r.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.keep(c)
+			return nil, err
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response := &Response{pool: p, conn: c, stopCancel: stopCancel}
 	if response.written, err = c.writeRequest(r); err == nil {
--- a/clemconn/pool.go
+++ b/clemconn/pool.go
@@ -125,16 +125,25 @@
 	return c
 }
 
-// release keeps a connection for another request, or closes it if the pool is
-// closed or has enough.
+// release keeps a connection that was just used for another request, or closes it if the
+// pool is closed or has enough.
 func (p *Pool) release(c *conn) {
+	c.idleSince = time.Now()
+	p.keep(c)
+}
+
+// keep is release for a connection that was not used: it stays idle since its last use, at
+// the end of which the server began to count its own timeout.
+func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= maxIdleConns {
 		_ = c.Close()
 		return
 	}
-	c.idleSince = time.Now()
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
 	p.idle = append(p.idle, c)
 }
 
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -119,6 +119,9 @@
 			}
 			events.Emit(clemevent.ServerLimited, zap.String("server", id), zap.Float64("limit", *limit))
 		},
+		OnAvailability: func(id string, before, after clempool.Availability) {
+			logAvailability(events, id, before, after)
+		},
 		OnEjected: func(id string, outcome clempool.Outcome, failures float64, until time.Time) {
 			events.Emit(clemevent.ServerEjected, zap.String("server", id), zap.Stringer("outcome", outcome),
 				zap.Float64("failures", failures), zap.Duration("until", time.Until(until)))
@@ -126,6 +129,27 @@
 	})
 }
 
+// logAvailability logs a change of a server's state. The other states have events of their
+// own.
+func logAvailability(events *clemevent.Logger, id string, before, after clempool.Availability) {
+	isLogged := func(a clempool.Availability) bool {
+		switch a.State() {
+		case clempool.StateLeaving, clempool.StateEvacuated, clempool.StateResting, clempool.StateCold:
+			return true
+		}
+		return false
+	}
+	if !isLogged(before) && !isLogged(after) {
+		return
+	}
+	var left time.Duration
+	if !after.Until().IsZero() {
+		left = time.Until(after.Until())
+	}
+	events.Emit(clemevent.ServerStateChanged, zap.String("server", id), zap.Stringer("was", before.State()), zap.Stringer("state", after.State()),
+		zap.Stringer("source", after.Source()), zap.Duration("left", left))
+}
+
 func newQuarantine(events *clemevent.Logger) *clemquarantine.Tracker {
 	quarantineFields := func(v clemquarantine.Quarantine) []zap.Field {
 		return []zap.Field{
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -19,6 +19,7 @@
 	FirstEventTime       = "first_event_time"
 	StoreCalls           = "store_calls"
 	BackendServers       = "backend_servers"
+	ServerStates         = "server_states"
 	LogLinesDropped      = "log_lines_dropped"
 	ConfigurationVersion = "configuration_version"
 	AddedTime            = "added_time"
@@ -73,6 +74,7 @@
 	{FirstEventTime, kindSummary, "front", "route", "Time from the start of a request to the first event of its stream, in seconds."},
 	{StoreCalls, kindCounter, "front", "", "Calls to the platform's store."},
 	{BackendServers, kindGauge, "front", "", "Backend servers listed."},
+	{ServerStates, kindGauge, "front", "state", "Backend servers by the state that decides whether they take new requests; open servers take all."},
 	{LogLinesDropped, kindGauge, "front", "", "Log lines dropped because the reader of standard output stood still."},
 	{ConfigurationVersion, kindGauge, "front", "", "Version of the platform's configuration in force."},
 	{CPUSeconds, kindGauge, "", "", "Processor time that the process used, in seconds."},
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -47,6 +47,9 @@
 	}
 	candidates := d.candidates(svc, r, now)
 	if len(candidates.servers) == 0 {
+		if err := d.closedRefusal(svc, r, now); err != nil {
+			return nil, err
+		}
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server left to try", r.Service)
 	}
 	if svc.exceedsFairShare(candidates, r, now) {
@@ -98,8 +101,12 @@
 	// meanLoad is the mean load of all servers of the service, including draining
 	// ones, without those that state a limit unless all do.
 	meanLoad float64
-	// utilisation is the load of all servers of the service as a share of the slots
-	// of those that are neither draining nor ejected.
+	// minBound is the lowest load bound: with servers that take no requests, the others
+	// have more than the mean. It is 0 if there are none.
+	minBound float64
+	// utilisation is the load of the servers of the service as a share of the slots
+	// of those that are neither closed nor ejected. Closed servers count only if they
+	// drain.
 	utilisation float64
 	// slots is the number of the latter.
 	slots int
@@ -109,7 +116,7 @@
 // included while the healthy ones lack capacity without them.
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
 	var untried, reachable, healthy []*server
-	totalLoad, slots, unlimited, unlimitedLoad := 0, 0, 0, 0
+	totalLoad, slots, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
 		totalLoad += load
@@ -117,7 +124,11 @@
 			unlimited++
 			unlimitedLoad += load
 		}
-		if server.record.IsDraining() {
+		if closed := server.closed(now).state; closed != StateOpen {
+			if closed != StateDraining {
+				unavailable++
+				unavailableLoad += load
+			}
 			continue
 		}
 		isEjected := server.health.isEjected(now, server.running, r.Idempotent)
@@ -137,7 +148,10 @@
 	}
 	c := candidateSet{
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
-		utilisation: float64(totalLoad) / float64(max(slots, 1)), slots: slots,
+		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots,
+	}
+	if unavailable > 0 {
+		c.minBound = float64(totalLoad-unavailableLoad)/float64(max(len(svc.servers)-unavailable, 1)) + loadBoundSlack
 	}
 	if unlimited > 0 {
 		c.meanLoad = float64(unlimitedLoad) / float64(unlimited)
@@ -221,7 +235,7 @@
 	key := PartDigest(r.Service, r.Prefix[len(r.Prefix)-1].ID())
 	order := slices.Clone(c.servers)
 	clemrank.SortByRendezvous(order, key, func(s *server) uint64 { return s.digest })
-	bound := loadFactorMargin*d.config.MaxLoadFactor()*c.meanLoad + loadBoundSlack
+	bound := max(loadFactorMargin*d.config.MaxLoadFactor()*c.meanLoad+loadBoundSlack, c.minBound)
 	prefixTokens := 0
 	for _, part := range r.Prefix {
 		prefixTokens += part.Tokens()
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -51,6 +51,8 @@
 	// OnLimited, if set, is called when a server's stated limit begins, changes by
 	// minLimitChange or ends, which a nil limit means.
 	OnLimited func(id string, limit *float64)
+	// OnAvailability, if set, is called after a server's state changed.
+	OnAvailability func(id string, before, after Availability)
 	// OnEjected, if set, is called after a server was ejected.
 	OnEjected func(id string, outcome Outcome, failureRate float64, until time.Time)
 }
@@ -74,6 +76,10 @@
 	// reports.
 	reportedAt map[string]time.Time
 	reportLag  time.Duration
+	// evacuated holds the evacuated data centres, with the time since which they are.
+	evacuated map[string]time.Time
+	// sweptAt is when the states of all servers were last compared with those reported.
+	sweptAt time.Time
 }
 
 // peerStats is the latest report of a peer.
@@ -95,6 +101,10 @@
 	load                             clementineturn.Load
 	health                           health
 	limit                            rateLimit
+	// evacuatedSince is when the server's data centre was evacuated, or zero.
+	evacuatedSince time.Time
+	// reported is the state that was last reported to Config.OnAvailability.
+	reported Availability
 	// hasEnded is set once the server was found to have ended.
 	hasEnded bool
 	// cached holds the prompt parts that the server has read or will have read,
@@ -167,13 +177,17 @@
 	if old != nil && old.record.Address() == record.Address() && old.record.Service() == record.Service() &&
 		old.record.Incarnation() == record.Incarnation() {
 		old.record = record
+		old.evacuatedSince = d.evacuated[record.Centre()]
 		return true
 	}
 	d.remove(record.ID())
 	added := &server{
 		record: record, digest: xxhash.Sum64String(record.ID()),
 		pool:   clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
-		cached: map[uint64]time.Time{},
+		cached: map[uint64]time.Time{}, evacuatedSince: d.evacuated[record.Centre()],
+	}
+	if old != nil {
+		added.reported = old.reported
 	}
 	for _, stats := range d.peers {
 		added.addPeerStats(stats.servers[record.ID()], 1)
@@ -244,7 +258,11 @@
 // servers at which peers have failures.
 func (d *Directory) LocalStats(now time.Time) map[string]ServerStats {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	changes := d.sweepIfDue(now)
+	defer func() {
+		d.mu.Unlock()
+		d.notifyAvailability(changes)
+	}()
 	d.expirePeers(now)
 	stats := map[string]ServerStats{}
 	for id, s := range d.servers {
--- a/clempool/health.go
+++ b/clempool/health.go
@@ -70,7 +70,9 @@
 	peers struct{ successes, failures float64 }
 	// ejectedUntil is the end of the last ejection. Afterwards isProbing is set
 	// until requiredProbeSuccesses probe requests have succeeded.
-	ejectedUntil   time.Time
+	ejectedUntil time.Time
+	// ejectedAt is when the server was last ejected.
+	ejectedAt      time.Time
 	isProbing      bool
 	probeSuccesses int
 	// ejections counts the ejections since probe requests last returned the
@@ -111,7 +113,7 @@
 			h.isProbing, h.ejections = false, 0
 		}
 	case OutcomeMisdirected:
-		h.ejectedUntil = now.Add(misdirectedEjectionTime)
+		h.ejectedAt, h.ejectedUntil = now, now.Add(misdirectedEjectionTime)
 		return true
 	case OutcomeUnreached, OutcomeCrashed:
 		h.isUnreachable = true
@@ -131,7 +133,7 @@
 	if now.Before(h.ejectedUntil) {
 		return false
 	}
-	h.ejectedUntil = now.Add(min(baseEjectionTime<<min(h.ejections, 8), maxEjectionTime))
+	h.ejectedAt, h.ejectedUntil = now, now.Add(min(baseEjectionTime<<min(h.ejections, 8), maxEjectionTime))
 	h.ejections++
 	h.isProbing, h.probeSuccesses = true, 0
 	return true
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -44,12 +44,15 @@
 func (l *Lease) Incarnation() int64 { return l.incarnation }
 
 // ServerHasEnded reports whether the process of a server that broke off a response has
-// ended unplanned: the server is listed and not draining, and refuses connections. If
+// ended unplanned: the server is listed and neither
+// draining nor leaving nor evacuated, and refuses connections. If
 // it accepts one, the connection is kept for another request.
 func (l *Lease) ServerHasEnded(ctx context.Context) bool {
 	d := l.directory
 	d.mu.Lock()
-	isExpected, hasEnded := d.servers[l.id] == l.server && !l.server.record.IsDraining(), l.server.hasEnded
+	state := l.server.closed(time.Now()).state
+	isPlanned := state == StateDraining || state == StateLeaving || state == StateEvacuated
+	isExpected, hasEnded := d.servers[l.id] == l.server && !isPlanned, l.server.hasEnded
 	d.mu.Unlock()
 	if !isExpected || hasEnded || !l.pool.RefusesConnections(ctx) {
 		return isExpected && hasEnded
--- a/clempool/record.go
+++ b/clempool/record.go
@@ -69,9 +69,12 @@
 	OutcomeAbandoned
 	// OutcomeCrashed is a broken response of a server that has ended.
 	OutcomeCrashed
+	// OutcomeWithdrawn is a request that was not sent, since the server had stopped
+	// taking requests; it says nothing about the server.
+	OutcomeWithdrawn
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "unreached", "refused", "misdirected", "abandoned", "crashed"}[o]
+	return [...]string{"served", "failed", "unreached", "refused", "misdirected", "abandoned", "crashed", "withdrawn"}[o]
 }
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -274,6 +274,7 @@
 	if !q.route.IsIdempotent() {
 		maxIdle = nonIdempotentMaxIdle
 	}
+	var withdrawn error
 	response, err := lease.Pool().Exchange(stall.ctx, &clemconn.Request{
 		Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, MaxIdle: maxIdle,
 		Header: q.router.config.Dialect.EncodeRequest(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
@@ -281,7 +282,14 @@
 			LastEventID: q.lastEventID, CacheSource: lease.CacheSource(), Priority: q.priority,
 		})),
 		Match: q.matchResponse,
+		BeforeSend: func() error {
+			withdrawn = lease.CheckSend(time.Now())
+			return withdrawn
+		},
 	})
+	if withdrawn != nil {
+		return attemptResult{outcome: clempool.OutcomeWithdrawn, err: withdrawn}
+	}
 	if err != nil {
 		return q.exchangeFailed(err)
 	}
