--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -38,6 +38,12 @@
 	HTTPServerMessage     Event = 931
 	QuarantineInvalid     Event = 932
 	QuarantineNotLifted   Event = 933
+	ServerStateChanged    Event = 940
+	CentreEvacuated       Event = 950
+	EvacuationWithdrawn   Event = 951
+	EvacuationUnknown     Event = 952
+	AllCentresEvacuated   Event = 953
+	LongPollRenewed       Event = 954
 )
 
 var routerEvents = map[Event]Info{
@@ -62,6 +68,7 @@
 	PartReleased:          {zapcore.WarnLevel, "prompt part released", "No request had the part for some minutes, new evidence shows that it is sound, or an operator lifted the quarantine."},
 	QuarantineNotLifted:   {zapcore.WarnLevel, "quarantine row not lifted", "New evidence ended the quarantine of a part, but its row in the store could not be written. Entries that start within five minutes refuse requests with the part; lift it by hand if they must not."},
 	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
+	ServerStateChanged:    {zapcore.InfoLevel, "backend server state changed", "The server takes no new requests, only few, or all again. The state field names the new state, source where it is known from, left how much longer it holds; 0 if that is not known."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run, the parts field the shared parts of its prompt: if the attempts of many servers have one in common, it may crash them."},
@@ -74,5 +81,10 @@
 	ServerUnlimited:       {zapcore.InfoLevel, "backend server no longer limited", "A response to a request that was sent after the last statement of a limit states none."},
 	ServerLimitInvalid:    {zapcore.WarnLevel, "backend server limit invalid", "A response states a limit that is no number of requests a second. The last limit stays in force."},
 	LogLinesRateLimited:   {zapcore.WarnLevel, "log lines dropped", "More lines of the event in the of field were logged than the rate limit allows; count is the number of dropped lines."},
+	CentreEvacuated:       {zapcore.WarnLevel, "data centre evacuated", "The operator evacuates the data centre in the centre field: its backend servers get nothing new, what runs there ends. source is the store or the entry that reported it, version that of the operator's row."},
+	EvacuationWithdrawn:   {zapcore.WarnLevel, "evacuation withdrawn", "The operator's row is gone; the servers of the data centre get new work again. The lasted field is how long this entry knew of the evacuation."},
+	EvacuationUnknown:     {zapcore.WarnLevel, "evacuated data centre unknown", "No listed backend server is in the data centre that the operator evacuates, so that the evacuation has no effect. Compare the name in the key of the row with the listed field."},
+	AllCentresEvacuated:   {zapcore.ErrorLevel, "all data centres evacuated", "Every listed backend server is in an evacuated data centre. All requests are refused until an evacuation is withdrawn."},
+	LongPollRenewed:       {zapcore.WarnLevel, "long poll of the store renewed", "The long poll of the operator's rows did not deliver a change that another connection had a second before. It was ended and another one begun. Check what drops idle connections between entries and store."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -49,6 +49,8 @@
 type Store interface {
 	clementineturn.Store
 	clementineturn.Inventory
+	// OnNewConnections returns a client that opens a connection for each call.
+	OnNewConnections() clementineturn.Store
 }
 
 // Config describes a front to run.
@@ -58,9 +60,12 @@
 	ReadSettings func() (*clemsite.Settings, error)
 	// NewStore returns a client of the platform's store, whose address may change.
 	// The client calls onCall for each call to the store.
-	NewStore            func(address func() string, onCall func()) Store
-	Dialect             clementineturn.Dialect
-	ConfigurationKey    string
+	NewStore         func(address func() string, onCall func()) Store
+	Dialect          clementineturn.Dialect
+	ConfigurationKey string
+	// EvacuatedCentre returns the data centre that the operator's row with the key
+	// evacuates, and whether the key is that of an evacuation.
+	EvacuatedCentre     func(key string) (centre string, ok bool)
 	DecodeConfiguration func(document []byte) (*clemroute.Configuration, error)
 	DecodeServer        func(id string, value []byte) (clempool.Record, error)
 	// LogOutput receives the log lines.
@@ -119,6 +124,9 @@
 			}
 			events.Emit(clemevent.ServerLimited, zap.String("server", id), zap.Float64("limit", *limit))
 		},
+		OnAvailability: func(id string, before, after clempool.Availability) {
+			logAvailability(events, id, before, after)
+		},
 		OnEjected: func(id string, outcome clempool.Outcome, failures float64, until time.Time) {
 			events.Emit(clemevent.ServerEjected, zap.String("server", id), zap.Stringer("outcome", outcome),
 				zap.Float64("failures", failures), zap.Duration("until", time.Until(until)))
@@ -126,6 +134,27 @@
 	})
 }
 
+// logAvailability logs a change of a server's state. The other states have events of their
+// own.
+func logAvailability(events *clemevent.Logger, id string, before, after clempool.Availability) {
+	isLogged := func(a clempool.Availability) bool {
+		switch a.State() {
+		case clempool.StateLeaving, clempool.StateEvacuated, clempool.StateResting, clempool.StateCold:
+			return true
+		}
+		return false
+	}
+	if !isLogged(before) && !isLogged(after) {
+		return
+	}
+	var left time.Duration
+	if !after.Until().IsZero() {
+		left = time.Until(after.Until())
+	}
+	events.Emit(clemevent.ServerStateChanged, zap.String("server", id), zap.Stringer("was", before.State()), zap.Stringer("state", after.State()),
+		zap.Stringer("source", after.Source()), zap.Duration("left", left))
+}
+
 func newQuarantine(events *clemevent.Logger) *clemquarantine.Tracker {
 	quarantineFields := func(v clemquarantine.Quarantine) []zap.Field {
 		return []zap.Field{
@@ -197,6 +226,7 @@
 	syncer := clemspread.New(clemspread.Config{
 		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Seeds: func() []string { return active.Load().Seeds() },
 		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Quarantine: quarantine, Events: events,
+		OnNewConnections: store.OnNewConnections(), EvacuatedCentre: c.EvacuatedCentre,
 		ConfigurationKey: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		IsDraining: router.IsDraining,
 	})
