clempool: the time to read a prompt token is measured for each service

Waits were worked out from a constant, 14 us a token.

Each entry now measures it from the first events of long prompts, as a median in steps, and uses it where it differs by more than a quarter from the constant; deployments near the constant are served as before.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -83,6 +83,9 @@
 	}
 	lease.cachedTokens, lease.prefillWait = chosen.cachedTokens(r.Service, r.Prefix, farFuture(now)), chosen.prefillWait()
 	lease.pendingTokens = max(r.PromptTokens-lease.cachedTokens, 0)
+	if len(r.Prefix) > 0 {
+		lease.tokensAhead = chosen.pendingTokens + chosen.peerPendingTokens + lease.pendingTokens
+	}
 	chosen.pendingTokens += lease.pendingTokens
 	d.recordPrefix(chosen, rank, r, now)
 	chosen.running++
@@ -166,9 +169,6 @@
 }
 
 const (
-	// prefillTimePerToken is the time that an engine takes to read one prompt
-	// token.
-	prefillTimePerToken = 14 * time.Microsecond
 	// toleratedPrefillWait is how long a prompt may wait for others to be read
 	// without its response being late: a quarter of a usual latency target.
 	toleratedPrefillWait = 150 * time.Millisecond
@@ -240,7 +240,7 @@
 	for _, part := range r.Prefix {
 		prefixTokens += part.Tokens()
 	}
-	perToken := prefillTimePerToken
+	perToken := svc.prefill.tokenTime()
 	if svc.isPrefilling(r, now) {
 		perToken *= duplicatePrefillFactor
 	}
@@ -273,7 +273,7 @@
 		}
 		queueWait := svc.queueWait(s)
 		missing := time.Duration(r.PromptTokens - cached)
-		if wait := s.prefillWait() + queueWait + missing*prefillTimePerToken; maxWait > 0 && wait > maxWait {
+		if wait := s.prefillWait() + queueWait + missing*svc.prefill.tokenTime(); maxWait > 0 && wait > maxWait {
 			if best.shortestWait == 0 || wait < best.shortestWait {
 				best.shortestWait = wait
 			}
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -110,12 +110,14 @@
 	// cached holds the prompt parts that the server has read or will have read,
 	// by digest, with the time at which each becomes available.
 	cached map[uint64]time.Time
+	// prefill is that of the service.
+	prefill *prefillRate
 }
 
 // prefillWait returns the estimated time to read the prompts that are queued at
 // the server.
 func (s *server) prefillWait() time.Duration {
-	return time.Duration(s.pendingTokens+s.peerPendingTokens) * prefillTimePerToken
+	return time.Duration(s.pendingTokens+s.peerPendingTokens) * s.prefill.tokenTime()
 }
 
 type service struct {
@@ -127,6 +129,8 @@
 	lastPruned time.Time
 	// runTime is the smoothed time for which requests run.
 	runTime time.Duration
+	// prefill measures how fast the engines read prompts.
+	prefill prefillRate
 	// limit limits this entry's requests without a prefix.
 	limit concurrencyLimit
 	// returns spreads the returns of refused callers.
@@ -198,6 +202,7 @@
 		svc = &service{usage: map[string]*organisationUsage{}}
 		d.services[record.Service()] = svc
 	}
+	added.prefill = &svc.prefill
 	svc.servers = append(svc.servers, added)
 	return true
 }
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -26,11 +26,14 @@
 	minLimit      float64
 	cacheSource   string
 	pendingTokens int
-	cachedTokens  int
-	prefillWait   time.Duration
-	load          int
-	meanLoad      float64
-	rank          int
+	// tokensAhead is the number of prompt tokens that the server had to read before it could
+	// begin the response, those of this request included.
+	tokensAhead  int
+	cachedTokens int
+	prefillWait  time.Duration
+	load         int
+	meanLoad     float64
+	rank         int
 }
 
 // Pool returns the connection pool of the server.
@@ -106,6 +109,12 @@
 func (l *Lease) ResponseStarted() {
 	l.directory.mu.Lock()
 	defer l.directory.mu.Unlock()
+	l.promptRead()
+}
+
+// promptRead removes the prompt from those that the server has to read. The caller holds
+// the directory's lock.
+func (l *Lease) promptRead() {
 	l.server.pendingTokens -= l.pendingTokens
 	l.pendingTokens = 0
 }
@@ -119,8 +128,7 @@
 	s.running--
 	l.service.removeRunning(l.organisation)
 	l.service.observe(l, outcome, now)
-	s.pendingTokens -= l.pendingTokens
-	l.pendingTokens = 0
+	l.promptRead()
 	if load != nil {
 		s.load = *load
 	}
--- a/clempool/overload_test.go
+++ b/clempool/overload_test.go
@@ -102,7 +102,7 @@
 		e.refuse(l, arrived, now, 250*time.Millisecond)
 		return
 	}
-	s.queue = append(s.queue, &emulatedRequest{load: l, hasReturned: now.After(arrived), arrived: arrived, lease: lease, prefill: time.Duration(lease.pendingTokens) * prefillTimePerToken})
+	s.queue = append(s.queue, &emulatedRequest{load: l, hasReturned: now.After(arrived), arrived: arrived, lease: lease, prefill: time.Duration(lease.pendingTokens) * defaultPrefillTime})
 	e.startQueued(s, now)
 }
 
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -308,7 +308,7 @@
 			q.logResumed(lease.Server())
 		}
 		result = q.forwardStream(response, responseInfo, func(events eventSummary) {
-			lease.ResponseStarted()
+			lease.RecordFirstEvent(time.Now())
 			stall.progress(events.endsWithID)
 			watch.Progress(time.Now())
 		})
