clemmetric: the measured time to read prompt tokens, by service

Operators could not see by which speed of the engines waits are worked out.

Measured: tests of clempool, clemfront and clemmetric pass; lint is clean.

--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -172,6 +172,9 @@
 		for state, count := range f.servers.CountStates(time.Now()) {
 			f.metrics.Gauge(clemmetric.ServerStates, "state", state.String()).Update(int64(count))
 		}
+		for service, perToken := range f.servers.PrefillTimes() {
+			f.metrics.GaugeFloat(clemmetric.PrefillSeconds, "service", service).Update(1000 * perToken.Seconds())
+		}
 		f.metrics.Gauge(clemmetric.Quarantines).Update(int64(len(f.quarantine.Quarantines(time.Now()))))
 		f.metrics.Gauge(clemmetric.Evacuations).Update(int64(len(f.syncer.Evacuated())))
 		f.metrics.Gauge(clemmetric.ConfigurationVersion).Update(int64(f.table.Version()))
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -20,6 +20,7 @@
 	StoreCalls           = "store_calls"
 	BackendServers       = "backend_servers"
 	ServerStates         = "server_states"
+	PrefillSeconds       = "prefill_seconds"
 	LogLinesDropped      = "log_lines_dropped"
 	ConfigurationVersion = "configuration_version"
 	AddedTime            = "added_time"
@@ -76,6 +77,7 @@
 	{FirstEventTime, kindSummary, "front", "route", "Time from the start of a request to the first event of its stream, in seconds."},
 	{StoreCalls, kindCounter, "front", "", "Calls to the platform's store."},
 	{BackendServers, kindGauge, "front", "", "Backend servers listed."},
+	{PrefillSeconds, kindGauge, "front", "service", "Time, in seconds, that the engines of a service take to read 1,000 prompt tokens, as used for the choice of a server."},
 	{ServerStates, kindGauge, "front", "state", "Backend servers by the state that decides whether they take new requests; open servers take all."},
 	{LogLinesDropped, kindGauge, "front", "", "Log lines dropped because the reader of standard output stood still."},
 	{ConfigurationVersion, kindGauge, "front", "", "Version of the platform's configuration in force."},
--- a/clempool/prefill.go
+++ b/clempool/prefill.go
@@ -87,15 +87,18 @@
 	}
 }
 
-// PrefillTime returns the time that the service's engines take to read one prompt token, as
-// used for the choice of a server.
-func (d *Directory) PrefillTime(name string) time.Duration {
+// PrefillTimes returns the time that the engines of each service take to read one prompt
+// token, as used for the choice of a server. Services without prompts are left out.
+func (d *Directory) PrefillTimes() map[string]time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if svc := d.services[name]; svc != nil {
-		return svc.prefill.tokenTime()
+	times := map[string]time.Duration{}
+	for name, svc := range d.services {
+		if svc.prefill.firstToken > 0 || svc.prefill.perToken > 0 {
+			times[name] = svc.prefill.tokenTime()
+		}
 	}
-	return defaultPrefillTime
+	return times
 }
 
 // RecordFirstEvent records the first event of the response: the prompt has been read. Later
