Cold servers: each entry keeps its part of the requests that a cold server tolerates

A server that has just started is slow and crashes if requests come much faster than it tolerates; entries knew nothing of it, and up to 34 requests in one second reached a cold server where 27.5 are allowed. Rows, responses, failures and the end of an evacuation now tell that a server is cold. Every entry computes its own share of the allowance from the known entries in rendezvous order, counts what it sends in a sliding second, and checks again before the first byte is written. A row that only counts down is no change for peers.

The order leaves the incarnation out: while entries disagree about it, all of 29 would send. In the first heartbeat after it has learned of coldness, an entry uses a quarter of its allowance, as others may not know it yet.

--- a/clemconn/conn_test.go
+++ b/clemconn/conn_test.go
@@ -230,3 +230,40 @@
 		response.Close()
 	})
 }
+
+// A request that is no longer wanted by its server was written all the same. The connection
+// is kept, and one that the server closed at once shows that it may have restarted.
+func TestBeforeSendEndsTheExchange(t *testing.T) {
+	address, requests := startServer(t, "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n!", "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+	p := New(Config{Address: address})
+	exchange := func(refusal error) (lost bool, err error) {
+		r := newRequest("r1")
+		r.BeforeSend = func(wasLost bool) error {
+			lost = wasLost
+			return refusal
+		}
+		response, err := p.Exchange(t.Context(), r)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response)
+			response.Close()
+		}
+		return lost, err
+	}
+	refusal := errors.New("closed")
+	_, err := exchange(refusal)
+	require.ErrorIs(t, err, refusal)
+	_, err = exchange(nil)
+	require.NoError(t, err)
+	lost, err := exchange(nil)
+	require.NoError(t, err)
+	require.False(t, lost)
+	require.Equal(t, "connection", <-requests)
+	require.Contains(t, <-requests, "POST")
+	require.Contains(t, <-requests, "POST")
+	for len(p.idle) > 0 && !isClosed(p.idle[0].Conn) { //revive:disable-line:empty-block
+	}
+	lost, err = exchange(nil)
+	require.NoError(t, err)
+	require.True(t, lost)
+	require.Equal(t, "connection", <-requests)
+}
--- a/clemconn/dial.go
+++ b/clemconn/dial.go
@@ -51,19 +51,34 @@
 // neither closed it nor sent anything. A connection that is not a syscall.Conn
 // counts as usable.
 func isUsable(conn net.Conn) bool {
+	_, ok, err := readOne(conn)
+	return !ok || err == syscall.EAGAIN
+}
+
+// isClosed reports whether the peer has closed or reset the connection.
+func isClosed(conn net.Conn) bool {
+	n, ok, err := readOne(conn)
+	return ok && (err == nil && n == 0 || err == syscall.ECONNRESET)
+}
+
+// readOne reads a byte from the connection without waiting. It returns false if the
+// connection is not a syscall.Conn.
+func readOne(conn net.Conn) (n int, ok bool, failed error) {
 	system, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, false, nil
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return false
+		return 0, true, err
 	}
-	var failed error
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, failed = syscall.Read(int(fd), one[:])
+		n, failed = syscall.Read(int(fd), one[:])
 		return true
 	})
-	return err == nil && failed == syscall.EAGAIN
+	if err != nil {
+		failed = err
+	}
+	return n, true, failed
 }
--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -61,8 +61,10 @@
 	// Match returns which request a response belongs to; nil means MatchOwn.
 	Match func(status int, header http.Header) Match
 	// BeforeSend, if set, is called once there is a connection, before the first byte is
-	// written. Its error ends the exchange, and the connection is kept.
-	BeforeSend func() error
+	// written. Its error ends the exchange, and the connection is kept. wasLost is set if
+	// the server closed an idle connection too early for that to be a timeout: it may have
+	// ended and started again.
+	BeforeSend func(wasLost bool) error
 }
 
 // Response is a backend server's response. It must be closed.
@@ -86,12 +88,12 @@
 // response to another request within maxStrayBody; KindUnknown otherwise, with the
 // context's cause if it ended; that of BeforeSend.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.MaxIdle)
+	c, wasLost, err := p.acquire(ctx, r.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
 	if r.BeforeSend != nil {
-		if err := r.BeforeSend(); err != nil {
+		if err := r.BeforeSend(wasLost); err != nil {
 			p.keep(c)
 			return nil, err
 		}
--- a/clemconn/pool.go
+++ b/clemconn/pool.go
@@ -17,6 +17,9 @@
 // It is above the usual number of concurrent requests of one entry to a server.
 const maxIdleConns = 32
 
+// minIdleTimeout is shorter than the idle timeout of any server that announces none.
+const minIdleTimeout = time.Second
+
 // checkTimeout bounds the check of whether a server refuses connections: some round
 // trips between data centres, since a request waits for it.
 const checkTimeout = 100 * time.Millisecond
@@ -62,8 +65,9 @@
 }
 
 // acquire returns an idle connection that was used within the last maxIdle, or a
-// new one. Errors: KindUnavailable, not run.
-func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*conn, error) {
+// new one. wasLost is set if the server closed an idle connection before its timeout.
+// Errors: KindUnavailable, not run.
+func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (_ *conn, wasLost bool, _ error) {
 	now := time.Now()
 	for {
 		c := p.popIdle()
@@ -72,15 +76,18 @@
 		}
 		isFresh := now.Sub(c.idleSince) <= maxIdle && (c.usableUntil.IsZero() || now.Before(c.usableUntil))
 		if isFresh && c.reader.Buffered() == 0 && isUsable(c.Conn) {
-			return c, nil
+			return c, wasLost, nil
+		}
+		if now.Sub(c.idleSince) < minIdleTimeout || now.Before(c.usableUntil) {
+			wasLost = wasLost || isClosed(c.Conn)
 		}
 		_ = c.Close()
 	}
 	opened, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "backend server %s: %w", p.address, err)
+		return nil, wasLost, clementineturn.Refuse(clementineturn.KindUnavailable, "backend server %s: %w", p.address, err)
 	}
-	return newConn(opened), nil
+	return newConn(opened), wasLost, nil
 }
 
 func newConn(opened net.Conn) *conn {
--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -39,6 +39,7 @@
 	QuarantineInvalid     Event = 932
 	QuarantineNotLifted   Event = 933
 	ServerStateChanged    Event = 940
+	ServerColdInvalid     Event = 941
 )
 
 var routerEvents = map[Event]Info{
@@ -64,6 +65,7 @@
 	QuarantineNotLifted:   {zapcore.WarnLevel, "quarantine row not lifted", "New evidence ended the quarantine of a part, but its row in the store could not be written. Entries that start within five minutes refuse requests with the part; lift it by hand if they must not."},
 	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
 	ServerStateChanged:    {zapcore.InfoLevel, "backend server state changed", "The server takes no new requests, only few, or all again. The state field names the new state, source where it is known from, left how much longer it holds; 0 if that is not known."},
+	ServerColdInvalid:     {zapcore.WarnLevel, "cold time of backend server invalid", "A server's row or response states for how long it is cold, and the value cannot be used; the problem field names the field. It has no other effect. Find out what writes it."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run, the parts field the shared parts of its prompt: if the attempts of many servers have one in common, it may crash them."},
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -108,8 +108,10 @@
 
 func newTable() *clemroute.Table { return &clemroute.Table{} }
 
-func newDirectory(active *activeSettings, events *clemevent.Logger) *clempool.Directory {
+func newDirectory(active *activeSettings, table *clemroute.Table, v *peerView, events *clemevent.Logger) *clempool.Directory {
 	return clempool.New(clempool.Config{
+		Address: active.Load().ControlAddress(), Entries: v.entries, StartedAt: time.Now(),
+		ColdFigures:   func(service string) clempool.ColdFigures { return coldFigures(table.Current(), active.Load(), service) },
 		MaxLoadFactor: func() float64 { return active.Load().Bounds().MaxLoadFactor() },
 		Centre:        active.Load().Centre(), Rand: rand.Uint64,
 		OnLimited: func(id string, limit *float64) {
@@ -129,6 +131,20 @@
 	})
 }
 
+// coldFigures returns the figures for the cold servers of a service.
+func coldFigures(configuration *clemroute.Configuration, settings *clemsite.Settings, service string) clempool.ColdFigures {
+	if configuration == nil {
+		return clempool.ColdFigures{}
+	}
+	found, bounds := configuration.Service(service), settings.Bounds()
+	if found == nil || found.ColdRate() <= 0 || bounds.ColdFactor() <= 0 {
+		return clempool.ColdFigures{}
+	}
+	return clempool.ColdFigures{
+		Limit: found.ColdRate()*bounds.ColdFactor() + bounds.ColdSlack(), StartTime: found.ColdStart(), Heartbeat: settings.HeartbeatInterval(),
+	}
+}
+
 // logAvailability logs a change of a server's state. The other states have events of their
 // own.
 func logAvailability(events *clemevent.Logger, id string, before, after clempool.Availability) {
@@ -184,6 +200,19 @@
 	return 1
 }
 
+// entries returns the addresses of all known entries, and whether the list is complete.
+func (v *peerView) entries() ([]string, bool) {
+	syncer := v.syncer.Load()
+	if syncer == nil {
+		return nil, false
+	}
+	known, ok := any(syncer).(interface{ KnownEntries() ([]string, bool) })
+	if !ok {
+		return nil, false
+	}
+	return known.KnownEntries()
+}
+
 // noPeerServes reports whether no peer is known to serve requests.
 func (v *peerView) noPeerServes() bool {
 	syncer := v.syncer.Load()
--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -154,16 +154,27 @@
 		}
 		return Availability{state: StateLimited, source: source, since: limit.at}
 	}
-	return Availability{}
+	return d.coldAvailability(s, now)
 }
 
-// closed returns the state because of which the server gets no new request at all, or
+// closedState returns the state because of which the server gets no new request at all, or
 // StateOpen.
-func (s *server) closed(_ time.Time) Availability {
+func (s *server) closedState(_ time.Time) State {
 	switch {
 	case s.record.IsDraining():
-		return Availability{state: StateDraining, source: SourceList}
+		return StateDraining
 	case !s.evacuatedSince.IsZero():
+		return StateEvacuated
+	}
+	return StateOpen
+}
+
+// closed is closedState with the times and the source.
+func (s *server) closed(now time.Time) Availability {
+	switch s.closedState(now) {
+	case StateDraining:
+		return Availability{state: StateDraining, source: SourceList}
+	case StateEvacuated:
 		return Availability{state: StateEvacuated, source: SourceOperator, since: s.evacuatedSince}
 	}
 	return Availability{}
@@ -183,7 +194,12 @@
 		d.evacuated[centre] = since
 	}
 	for _, s := range d.servers {
-		s.evacuatedSince = d.evacuated[s.record.Centre()]
+		since := d.evacuated[s.record.Centre()]
+		if since.IsZero() && !s.evacuatedSince.IsZero() {
+			s.cold.suspect(SourceOperator, now)
+			s.cold.contactAt = now
+		}
+		s.evacuatedSince = since
 	}
 	changes := d.sweep(now)
 	d.mu.Unlock()
@@ -204,17 +220,26 @@
 	}
 	d.sweptAt = now
 	var changes []availabilityChange
-	for id, s := range d.servers {
-		after := d.availability(s, now)
-		if after.state != s.reported.state {
-			changes = append(changes, availabilityChange{id: id, before: s.reported, after: after})
-		}
-		s.reported = after
+	for _, s := range d.servers {
+		changes = d.note(s, changes, now)
 	}
 	slices.SortFunc(changes, func(a, b availabilityChange) int { return cmp.Compare(a.id, b.id) })
 	return changes
 }
 
+// note appends the change of the server's state since it was last reported, if any.
+func (d *Directory) note(s *server, changes []availabilityChange, now time.Time) []availabilityChange {
+	if d.config.OnAvailability == nil {
+		return nil
+	}
+	after := d.availability(s, now)
+	if after.state != s.reported.state {
+		changes = append(changes, availabilityChange{id: s.record.ID(), before: s.reported, after: after})
+	}
+	s.reported = after
+	return changes
+}
+
 // sweepIfDue is sweep at most once in each sweepInterval.
 func (d *Directory) sweepIfDue(now time.Time) []availabilityChange {
 	if now.Sub(d.sweptAt) < sweepInterval {
@@ -232,7 +257,8 @@
 
 // CheckSend reports whether the request of the lease may still be sent to its server. It
 // is called immediately before the request is written: the server may have stopped taking
-// requests while a connection was opened. Errors: KindUnavailable, not run.
+// requests, or become cold, while a connection was opened. Errors: KindUnavailable and
+// KindOverloaded, not run.
 func (l *Lease) CheckSend(now time.Time) error {
 	d := l.directory
 	d.mu.Lock()
@@ -245,7 +271,7 @@
 	if closed := s.closed(now); closed.state != StateOpen {
 		return clementineturn.Refuse(clementineturn.KindUnavailable, "server %s is %s", l.id, closed)
 	}
-	return nil
+	return l.checkCold(s, now)
 }
 
 // closedRefusal returns the refusal of a request for which every server that is left is
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -46,7 +46,10 @@
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server", r.Service)
 	}
 	candidates := d.candidates(svc, r, now)
-	if len(candidates.servers) == 0 {
+	if len(candidates.servers)+len(candidates.cold) == 0 {
+		if err := d.coldRefusal(svc, r, candidates.coldWait, now); err != nil {
+			return nil, err
+		}
 		if err := d.closedRefusal(svc, r, now); err != nil {
 			return nil, err
 		}
@@ -65,6 +68,9 @@
 		found = d.cheapest(svc, candidates, r, now)
 	case svc.limit.allows(svc.running, r.Rank):
 		found = d.leastLoaded(candidates, r, now)
+		if found.server == nil && len(candidates.cold) > 0 {
+			found = d.leastLoaded(candidateSet{servers: candidates.cold}, r, now)
+		}
 	}
 	chosen, rank := found.server, found.rank
 	if chosen == nil {
@@ -75,7 +81,7 @@
 		})
 	}
 	lease := &Lease{
-		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), acquiredAt: now,
+		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), acquiredAt: now, cold: chosen.cold,
 		load: chosen.running + chosen.peerRunning, meanLoad: candidates.meanLoad, rank: rank,
 	}
 	if source := d.cacheSource(svc, chosen, r, now); source != nil {
@@ -86,6 +92,10 @@
 	chosen.pendingTokens += lease.pendingTokens
 	d.recordPrefix(chosen, rank, r, now)
 	chosen.running++
+	if chosen.isCold {
+		chosen.cold.reserved++
+		lease.isReserved = true
+	}
 	chosen.limit.countSent(now)
 	svc.addRunning(r.Organisation)
 	if len(r.Prefix) == 0 {
@@ -98,6 +108,11 @@
 // candidateSet is the set of servers that a request can be sent to.
 type candidateSet struct {
 	servers []*server
+	// cold are the cold servers to which this entry may send a request now. They have no
+	// part in the figures below. coldWait is the shortest time until this entry may send
+	// to another one, or 0.
+	cold     []*server
+	coldWait time.Duration
 	// meanLoad is the mean load of all servers of the service, including draining
 	// ones, without those that state a limit unless all do.
 	meanLoad float64
@@ -115,7 +130,9 @@
 // candidates returns the servers that may take the request. Ejected servers are
 // included while the healthy ones lack capacity without them.
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
-	var untried, reachable, healthy []*server
+	var untried, reachable, healthy, cold []*server
+	var coldWait time.Duration
+	figures := d.coldFigures(r.Service)
 	totalLoad, slots, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
@@ -124,7 +141,7 @@
 			unlimited++
 			unlimitedLoad += load
 		}
-		if closed := server.closed(now).state; closed != StateOpen {
+		if closed := server.closedState(now); closed != StateOpen {
 			if closed != StateDraining {
 				unavailable++
 				unavailableLoad += load
@@ -132,6 +149,23 @@
 			continue
 		}
 		isEjected := server.health.isEjected(now, server.running, r.Idempotent)
+		if server.isCold = figures.Limit > 0 && server.cold.isCold(figures, now); server.isCold {
+			unavailable++
+			unavailableLoad += load
+			if slices.Contains(r.Tried, server.record.ID()) {
+				continue
+			}
+			if wait := server.cold.wait(d.coldShare(server, figures, now), now); wait != 0 {
+				if wait > 0 && (coldWait == 0 || wait < coldWait) {
+					coldWait = wait
+				}
+				continue
+			}
+			if !isEjected {
+				cold = append(cold, server)
+				continue
+			}
+		}
 		if !isEjected {
 			slots += server.record.Slots()
 		}
@@ -147,6 +181,7 @@
 		}
 	}
 	c := candidateSet{
+		cold: cold, coldWait: coldWait,
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
 		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots,
 	}
@@ -156,10 +191,10 @@
 	if unlimited > 0 {
 		c.meanLoad = float64(unlimitedLoad) / float64(unlimited)
 	}
-	if len(healthy) == 0 || c.utilisation > maxHealthyUtilisation {
+	if len(healthy)+len(cold) == 0 || c.utilisation > maxHealthyUtilisation {
 		c.servers = reachable
 	}
-	if len(c.servers) == 0 {
+	if len(c.servers)+len(cold) == 0 {
 		c.servers = untried
 	}
 	return c
@@ -233,7 +268,7 @@
 // least loaded server is returned.
 func (d *Directory) cheapest(svc *service, c candidateSet, r Request, now time.Time) choice {
 	key := PartDigest(r.Service, r.Prefix[len(r.Prefix)-1].ID())
-	order := slices.Clone(c.servers)
+	order := slices.Concat(c.servers, c.cold)
 	clemrank.SortByRendezvous(order, key, func(s *server) uint64 { return s.digest })
 	bound := max(loadFactorMargin*d.config.MaxLoadFactor()*c.meanLoad+loadBoundSlack, c.minBound)
 	prefixTokens := 0
@@ -251,13 +286,13 @@
 	var best choice
 	var leastLoaded *server
 	var priced []pricedServer
-	considered := 0
+	considered, consideredCold := 0, 0
 	for rank, s := range order {
 		load := float64(s.running + s.peerRunning)
 		if load >= engineRequestsPerSlot*float64(s.record.Slots()) {
 			continue
 		}
-		isLimited := s.isLimited()
+		isLimited := s.isLimited() || s.isCold
 		if !isLimited && (leastLoaded == nil || s.running+s.peerRunning < leastLoaded.running+leastLoaded.peerRunning) {
 			leastLoaded = s
 		}
@@ -265,12 +300,15 @@
 			continue
 		}
 		cached := s.cachedTokens(r.Service, r.Prefix, farFuture(now))
-		if considered >= preferredServers && cached == 0 {
+		if considered >= preferredServers && !s.isCold && cached == 0 || consideredCold >= preferredServers && s.isCold && cached == 0 {
 			continue
 		}
 		if !isLimited {
 			considered++
 		}
+		if s.isCold {
+			consideredCold++
+		}
 		queueWait := svc.queueWait(s)
 		missing := time.Duration(r.PromptTokens - cached)
 		if wait := s.prefillWait() + queueWait + missing*prefillTimePerToken; maxWait > 0 && wait > maxWait {
@@ -284,6 +322,9 @@
 			cost += time.Duration(rank) * rankPenalty
 		}
 		cost += time.Duration(max(load-c.meanLoad-1, 0) * float64(excessLoadPenalty))
+		if s.isCold {
+			cost += coldPenalty
+		}
 		priced = append(priced, pricedServer{s, rank, cost})
 	}
 	for len(priced) > 0 && best.server == nil {
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -51,6 +51,18 @@
 	// OnLimited, if set, is called when a server's stated limit begins, changes by
 	// minLimitChange or ends, which a nil limit means.
 	OnLimited func(id string, limit *float64)
+	// Address is the address of this entry among those of Entries.
+	Address string
+	// Entries returns the addresses of all known entries, and whether the list is complete;
+	// nil means that this is the only entry. It is called with the directory locked.
+	Entries func() (addresses []string, isComplete bool)
+	// ColdFigures returns the figures for the cold servers of a service; nil means that no
+	// server is ever cold. It is called with the directory locked.
+	ColdFigures func(service string) ColdFigures
+	// StartedAt is when this entry started. Within a second after it, no request is sent to
+	// a cold server, as the requests of the process before it are not known. Zero means
+	// that there was none.
+	StartedAt time.Time
 	// OnAvailability, if set, is called after a server's state changed.
 	OnAvailability func(id string, before, after Availability)
 	// OnEjected, if set, is called after a server was ejected.
@@ -78,6 +90,12 @@
 	reportLag  time.Duration
 	// evacuated holds the evacuated data centres, with the time since which they are.
 	evacuated map[string]time.Time
+	// entries are those that may send requests to cold servers, unlisted holds what is
+	// known of servers that were removed lately, and listReadAt is the last time at which
+	// the list of servers was known to be up to date.
+	entries    entryList
+	unlisted   map[string]*coldness
+	listReadAt time.Time
 	// sweptAt is when the states of all servers were last compared with those reported.
 	sweptAt time.Time
 }
@@ -105,6 +123,10 @@
 	evacuatedSince time.Time
 	// reported is the state that was last reported to Config.OnAvailability.
 	reported Availability
+	// cold is what is known of whether the server is cold, and isCold whether it is, as of
+	// the last choice among the service's servers.
+	cold   *coldness
+	isCold bool
 	// hasEnded is set once the server was found to have ended.
 	hasEnded bool
 	// cached holds the prompt parts that the server has read or will have read,
@@ -163,6 +185,7 @@
 func New(c Config) *Directory {
 	return &Directory{
 		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{},
+		unlisted: map[string]*coldness{},
 	}
 }
 
@@ -170,10 +193,17 @@
 func (d *Directory) Put(record Record) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.put(record, time.Time{})
+}
+
+// put is Put for callers that hold mu.
+func (d *Directory) put(record Record, now time.Time) bool {
+	record = record.withoutCold()
 	old := d.servers[record.ID()]
 	if old != nil && old.record == record {
 		return false
 	}
+	cold := d.coldnessOf(record.ID(), now)
 	if old != nil && old.record.Address() == record.Address() && old.record.Service() == record.Service() &&
 		old.record.Incarnation() == record.Incarnation() {
 		old.record = record
@@ -181,7 +211,9 @@
 		return true
 	}
 	d.remove(record.ID())
+	delete(d.unlisted, record.ID())
 	added := &server{
+		cold:   cold,
 		record: record, digest: xxhash.Sum64String(record.ID()),
 		pool:   clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
 		cached: map[uint64]time.Time{}, evacuatedSince: d.evacuated[record.Centre()],
@@ -215,6 +247,8 @@
 		return false
 	}
 	delete(d.servers, id)
+	old.cold.unlistedAt = time.Now()
+	d.unlisted[id] = old.cold
 	svc := d.services[old.record.Service()]
 	svc.servers = slices.DeleteFunc(svc.servers, func(o *server) bool { return o == old })
 	old.pool.Close()
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -20,6 +20,11 @@
 	id           string
 	incarnation  int64
 	acquiredAt   time.Time
+	// cold is that of the server. isReserved is set while the request has a place there as
+	// at a cold server and is not sent yet, sentAt is when it was sent.
+	cold       *coldness
+	isReserved bool
+	sentAt     time.Time
 	// slowAfter is the time from which on a request without a prefix counts as slow,
 	// and minLimit the lowest limit of this entry's requests to the service.
 	slowAfter     time.Duration
@@ -117,6 +122,10 @@
 	d.mu.Lock()
 	d.expirePeers(now)
 	s.running--
+	l.unreserve()
+	if outcome == OutcomeUnreached || outcome == OutcomeCrashed {
+		l.suspectCold(now)
+	}
 	l.service.removeRunning(l.organisation)
 	l.service.observe(l, outcome, now)
 	s.pendingTokens -= l.pendingTokens
--- a/clempool/record.go
+++ b/clempool/record.go
@@ -3,6 +3,8 @@
 // their prefix caches and their health, and ejects servers that fail.
 package clempool
 
+import "time"
+
 // RecordConfig describes a Record to construct.
 type RecordConfig struct {
 	// ID is the server's id.
@@ -19,6 +21,19 @@
 	Draining bool
 	// Incarnation distinguishes two starts of a server under one id.
 	Incarnation int64
+	// Cold is what the row states of how long the server is cold.
+	Cold ColdStatement
+}
+
+// ColdStatement is what a row states of how long the server is cold.
+type ColdStatement struct {
+	// IsStated is set if the row states it. Remaining is then how much longer the server is
+	// cold, as of the time at which the row was written.
+	IsStated  bool
+	Remaining time.Duration
+	// Problem describes a statement that cannot be used, with the name of its field. The
+	// statement has no other effect.
+	Problem string
 }
 
 // Record is a backend server's registration in the store.
@@ -49,6 +64,18 @@
 // one id.
 func (r Record) Incarnation() int64 { return r.config.Incarnation }
 
+// Cold returns what the row states of how long the server is cold.
+func (r Record) Cold() ColdStatement { return r.config.Cold }
+
+// withoutCold returns the record without the statement, which changes with each heartbeat.
+func (r Record) withoutCold() Record {
+	r.config.Cold = ColdStatement{}
+	return r
+}
+
+// EqualExceptCold reports whether two records differ at most in how long the server is cold.
+func EqualExceptCold(a, b Record) bool { return a.withoutCold() == b.withoutCold() }
+
 // Outcome is how a request to a backend server ended.
 type Outcome uint8
 
--- a/clemroute/route.go
+++ b/clemroute/route.go
@@ -195,6 +195,10 @@
 	MaxConnections int
 	// Engine describes the service's engines. It is nil for a plain service.
 	Engine *Engine
+	// ColdStart is how long a backend server is cold after its start, and ColdRate the
+	// number of requests a second that it tolerates meanwhile; 0 if servers are never cold.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Service is a set of backend servers that serve the same requests.
@@ -217,6 +221,13 @@
 // service.
 func (s *Service) Engine() *Engine { return s.config.Engine }
 
+// ColdStart returns how long a backend server is cold after its start.
+func (s *Service) ColdStart() time.Duration { return s.config.ColdStart }
+
+// ColdRate returns the number of requests a second that a cold backend server tolerates, or
+// 0 if servers are never cold.
+func (s *Service) ColdRate() float64 { return s.config.ColdRate }
+
 // LimitsConfig describes Limits to construct.
 type LimitsConfig struct {
 	// MaxHeaderBytes is the largest size of a request's header in bytes.
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -264,6 +264,9 @@
 	case watch != nil && result.outcome == clempool.OutcomeFailed && clemconn.IsBroken(result.err) && lease.ServerHasEnded(ctx):
 		result.outcome, ended = clempool.OutcomeCrashed, clemquarantine.ResultCrashed
 	}
+	if result.outcome == clempool.OutcomeFailed && clemconn.IsBroken(result.err) {
+		lease.ConnectionBroken(time.Now())
+	}
 	watch.End(ended, time.Now())
 }
 
@@ -282,7 +285,10 @@
 			LastEventID: q.lastEventID, CacheSource: lease.CacheSource(), Priority: q.priority,
 		})),
 		Match: q.matchResponse,
-		BeforeSend: func() error {
+		BeforeSend: func(wasLost bool) error {
+			if wasLost {
+				lease.ConnectionBroken(time.Now())
+			}
 			withdrawn = lease.CheckSend(time.Now())
 			return withdrawn
 		},
@@ -301,6 +307,7 @@
 	} else {
 		q.router.config.Events.Emit(clemevent.ServerLimitInvalid, zap.String("server", lease.Server()), zap.Error(err))
 	}
+	q.recordCold(lease, responseInfo)
 	var result attemptResult
 	switch {
 	case q.route.Kind() == clemroute.KindStream && response.StatusCode == http.StatusOK:
@@ -324,6 +331,17 @@
 	return result
 }
 
+// recordCold records what the response states of how long its server is cold.
+func (q *request) recordCold(lease *clempool.Lease, responseInfo clementineturn.ResponseInfo) {
+	remaining, err := responseInfo.Cold()
+	switch {
+	case err != nil:
+		q.router.config.Events.Emit(clemevent.ServerColdInvalid, zap.String("server", lease.Server()), zap.String("problem", err.Error()))
+	case remaining != nil && !responseInfo.Misdirected():
+		lease.RecordCold(*remaining, time.Now())
+	}
+}
+
 // matchResponse returns whether a server's response belongs to this request.
 func (q *request) matchResponse(status int, header http.Header) clemconn.Match {
 	switch q.router.config.Dialect.DecodeResponse(status, header).RequestID() {
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -64,6 +64,8 @@
 	received []*http.Request
 	// dials is the number of connections, failingDials that of dials that still fail.
 	dials, failingDials int
+	// onDial, if set, is called before each dial.
+	onDial func()
 	// runTime is how long the servers take before they respond.
 	runTime time.Duration
 }
@@ -211,6 +213,9 @@
 }
 
 func (f *fixture) dial(context.Context, string, string) (net.Conn, error) {
+	if f.onDial != nil {
+		f.onDial()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failingDials > 0 {
--- a/clemrouter/router_test.go
+++ b/clemrouter/router_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemroute"
 )
 
@@ -190,3 +191,22 @@
 	require.False(t, isNextEvent("7", "9"))
 	require.True(t, isNextEvent("a", "b"))
 }
+
+// A request whose connection was still being opened reached a server of a data centre that
+// was evacuated meanwhile. It is refused as not run; the servers are not ejected.
+func TestEvacuationWhileConnectionIsOpened(t *testing.T) {
+	f := newFixture(t, okResponse, okResponse)
+	directory := f.router.config.Directory
+	f.onDial = func() { directory.SetEvacuated([]string{""}, time.Now()) }
+	status, header, _, err := f.post("/unsafe/", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Empty(t, f.received)
+	f.onDial = nil
+	directory.SetEvacuated(nil, time.Now())
+	require.Equal(t, 3, directory.CountStates(time.Now())[clempool.StateOpen])
+	status, _, _, err = f.post("/unsafe/", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
--- a/clemsite/site.go
+++ b/clemsite/site.go
@@ -27,6 +27,10 @@
 	RetrySlack float64
 	// RetryWindow is the time over which requests and retries are counted.
 	RetryWindow time.Duration
+	// ColdFactor is the number of requests that a cold backend server may get in any
+	// second, as a multiple of those that it tolerates; 0 means no limit. ColdSlack is the
+	// number that it may get in addition.
+	ColdFactor, ColdSlack float64
 }
 
 // Bounds are the limits that the operators set for the deployment.
@@ -57,6 +61,14 @@
 // RetryWindow returns the time over which requests and retries are counted.
 func (b Bounds) RetryWindow() time.Duration { return b.config.RetryWindow }
 
+// ColdFactor returns the number of requests that a cold backend server may get in any
+// second, as a multiple of those that it tolerates. 0 means no limit.
+func (b Bounds) ColdFactor() float64 { return b.config.ColdFactor }
+
+// ColdSlack returns the number of requests that a cold backend server may get in any second
+// in addition.
+func (b Bounds) ColdSlack() float64 { return b.config.ColdSlack }
+
 // SettingsConfig describes Settings to construct.
 type SettingsConfig struct {
 	// Name is the name of the process, unique in the fleet.
--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -93,12 +93,12 @@
 	present := map[string]bool{}
 	for _, change := range batch.Changes() {
 		present[change.Key()] = true
-		l.applyChange(change, now)
+		l.applyChange(change, readAt, now)
 	}
 	if isComplete {
 		for _, id := range slices.Collect(maps.Keys(l.rows)) {
 			if !present[id] && !l.rows[id].change.Removed() {
-				l.applyChange(clementineturn.NewChange(clementineturn.ChangeConfig{Key: id, Version: batch.Version(), Removed: true}), now)
+				l.applyChange(clementineturn.NewChange(clementineturn.ChangeConfig{Key: id, Version: batch.Version(), Removed: true}), readAt, now)
 			}
 		}
 	}
@@ -109,9 +109,10 @@
 	if readAt.After(l.readAt) {
 		l.readAt = readAt
 	}
+	l.directory.ListRead(l.readAt)
 }
 
-func (l *serverList) applyChange(change clementineturn.Change, now time.Time) {
+func (l *serverList) applyChange(change clementineturn.Change, readAt, now time.Time) {
 	id := change.Key()
 	old, known := l.rows[id]
 	if known && old.change.Version() > change.Version() {
@@ -134,12 +135,21 @@
 		return
 	}
 	delete(l.pendingRemovals, id)
-	version := change.Version()
-	if known && old.record == record && !old.change.Removed() {
+	if problem := record.Cold().Problem; problem != "" && (!known || old.record.Cold().Problem != problem) {
+		l.events.Emit(clemevent.ServerColdInvalid, zap.String("server", id), zap.Uint64("version", change.Version()), zap.String("problem", problem))
+	}
+	version, isChanged, isColdMoved := change.Version(), false, false
+	if known && old.change.Version() == version && !old.change.Removed() {
+		// The same row as before: it counts from its first reading.
+		isChanged = l.directory.Put(record)
+	} else {
+		isChanged, isColdMoved = l.directory.PutRow(record, readAt, now)
+	}
+	if known && clempool.EqualExceptCold(old.record, record) && !isColdMoved && !old.change.Removed() {
 		version = old.version
 	}
 	l.rows[id] = serverRow{change: change, record: record, version: version}
-	if l.directory.Put(record) {
+	if isChanged {
 		l.events.Emit(clemevent.ServerListed, zap.String("server", id), zap.String("service", record.Service()),
 			zap.String("address", record.Address()), zap.Bool("leaving", record.IsDraining()), zap.Uint64("version", change.Version()))
 	}
--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -195,3 +195,30 @@
 		}
 	})
 }
+
+// A row that only counts down was sent to every peer in each exchange as a changed row. One
+// whose end moves by more than a heartbeat is a change.
+func TestRowThatOnlyCountsDownIsNotSentToPeers(t *testing.T) {
+	l := newTestServerList()
+	l.decode = func(id string, value []byte) (clempool.Record, error) {
+		remaining, err := time.ParseDuration(string(value))
+		return clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: "x", Slots: 1, Cold: clempool.ColdStatement{IsStated: true, Remaining: remaining}}), err
+	}
+	version := uint64(1)
+	apply := func(ms int, remaining string) int {
+		before := version
+		version++
+		l.Apply(newBatch(version, writtenRow("a", remaining, version)), false, atMillisecond(ms), atMillisecond(ms))
+		rows, _ := l.RowsSince(before)
+		return len(rows)
+	}
+	l.Apply(newBatch(1), true, atMillisecond(0), atMillisecond(0))
+	require.Equal(t, 1, apply(100, "5s"))
+	require.Zero(t, apply(1400, "3.8s"))
+	require.Zero(t, apply(2900, "2.6s"), "the row was read later than the one before")
+	require.Zero(t, apply(7000, "0s"))
+	require.Zero(t, apply(8200, "0s"))
+	require.Equal(t, 1, apply(9400, "15s"), "the server has become cold again")
+	l.Apply(newBatch(version, writtenRow("a", "15s", version)), true, atMillisecond(15_000), atMillisecond(15_000))
+	require.Zero(t, apply(16_000, "8.5s"), "a whole read of the list does not let the time count anew")
+}
--- a/dialect.go
+++ b/dialect.go
@@ -170,6 +170,11 @@
 	RateLimit *float64
 	// RateLimitError is set if the server states a limit that cannot be read.
 	RateLimitError error
+	// Cold is for how much longer the server is cold, that is tolerates few requests a
+	// second, or nil if it does not state it.
+	Cold *time.Duration
+	// ColdError is set if the server states a time that cannot be used.
+	ColdError error
 }
 
 // ResponseInfo holds the values decoded from the status and headers of a
@@ -201,6 +206,10 @@
 	return r.config.RateLimit, r.config.RateLimitError
 }
 
+// Cold returns for how much longer the server is cold, or nil if it does not state it.
+// Errors: KindInvalid, whose field is the header.
+func (r ResponseInfo) Cold() (*time.Duration, error) { return r.config.Cold, r.config.ColdError }
+
 // Dialect encodes and decodes the platform's HTTP headers. The platform package
 // provides one; an embedder with other headers supplies its own.
 type Dialect interface {
