clempool: evacuations keep the load bound

The bound was raised to the mean of the servers that are left, and beyond it the least loaded server was taken.

While servers are evacuated the bound now holds for the mean of all servers, for plain services too, and what exceeds it is refused as not run.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -122,6 +122,9 @@
 	// minBound is the lowest load bound: with servers that take no requests, the others
 	// have more than the mean. It is 0 if there are none.
 	minBound float64
+	// isBoundStrict is set if servers are evacuated. The load bound then holds for the mean
+	// of all servers, and what exceeds it is refused.
+	isBoundStrict bool
 	// utilisation is the load of the servers of the service as a share of the slots
 	// of those that are neither closed nor ejected. Closed servers count only if they
 	// drain.
@@ -137,6 +140,7 @@
 	var coldWait time.Duration
 	figures := d.coldFigures(r.Service)
 	totalLoad, slots, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0
+	isBoundStrict := false
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
 		totalLoad += load
@@ -149,6 +153,7 @@
 				unavailable++
 				unavailableLoad += load
 			}
+			isBoundStrict = isBoundStrict || closed == StateEvacuated
 			continue
 		}
 		isEjected := server.health.isEjected(now, server.running, r.Idempotent)
@@ -186,9 +191,9 @@
 	c := candidateSet{
 		cold: cold, coldWait: coldWait,
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
-		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots,
+		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, isBoundStrict: isBoundStrict,
 	}
-	if unavailable > 0 {
+	if unavailable > 0 && !isBoundStrict {
 		c.minBound = float64(totalLoad-unavailableLoad)/float64(max(len(svc.servers)-unavailable, 1)) + loadBoundSlack
 	}
 	if unlimited > 0 {
@@ -258,6 +263,11 @@
 	limitWait time.Duration
 }
 
+// loadBound returns the load below which a server of the set may get a request.
+func (d *Directory) loadBound(c candidateSet) float64 {
+	return max(loadFactorMargin*d.config.MaxLoadFactor()*c.meanLoad+loadBoundSlack, c.minBound)
+}
+
 // cheapest returns the server with the lowest estimated cost for the request, in
 // time. The cost is the expected wait at the server, beyond the tolerated wait for
 // the prompts queued there, and the penalties above. Ties go to the earlier server
@@ -265,12 +275,12 @@
 // servers below the load bound are considered, and in a busy service only those at
 // which the request is not expected to wait too long. If no server is below the
 // bound, which can happen while ejected servers with little load are left out, the
-// least loaded server is returned.
+// least loaded server is returned, unless the bound is strict.
 func (d *Directory) cheapest(svc *service, c candidateSet, r Request, now time.Time) choice {
 	key := PartDigest(r.Service, r.Prefix[len(r.Prefix)-1].ID())
 	order := slices.Concat(c.servers, c.cold)
 	clemrank.SortByRendezvous(order, key, func(s *server) uint64 { return s.digest })
-	bound := max(loadFactorMargin*d.config.MaxLoadFactor()*c.meanLoad+loadBoundSlack, c.minBound)
+	bound := d.loadBound(c)
 	prefixTokens := 0
 	for _, part := range r.Prefix {
 		prefixTokens += part.Tokens()
@@ -339,7 +349,7 @@
 		}
 		priced = slices.Delete(priced, cheapest, cheapest+1)
 	}
-	if best.server == nil && best.shortestWait == 0 {
+	if best.server == nil && best.shortestWait == 0 && !c.isBoundStrict {
 		best.server, best.rank = leastLoaded, len(order)
 	}
 	return best
@@ -358,6 +368,9 @@
 func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
 	var result choice
 	servers := slices.Clone(c.servers)
+	if bound := d.loadBound(c); c.isBoundStrict {
+		servers = slices.DeleteFunc(servers, func(s *server) bool { return float64(s.running+s.peerRunning) >= bound })
+	}
 	for len(servers) > 0 {
 		best := d.leastLoadedOf(servers)
 		if best == nil {
