clemsoak, clemstandin: the operator evacuates data centres

Cause: nothing played evacuations from outside.

Change: servers of the soak are in two data centres, one of which is evacuated for 8 s or more at a time; the soak checks that nothing new runs there from calm entries 5 s after the store took the evacuation. The front passes evacuations to the directory.

--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -227,6 +227,7 @@
 		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Seeds: func() []string { return active.Load().Seeds() },
 		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Quarantine: quarantine, Events: events,
 		OnNewConnections: store.OnNewConnections(), EvacuatedCentre: c.EvacuatedCentre,
+		OnEvacuated:      func(centres []string) { directory.SetEvacuated(centres, time.Now()) },
 		ConfigurationKey: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		IsDraining: router.IsDraining,
 	})
--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -72,6 +72,7 @@
 	{"configuration changed", 6, true, changeConfiguration},
 	{"configurations in series", 2, true, changeInSeries},
 	{"key taken away", 3, true, revokeKey},
+	{"data centre evacuated", 2, true, evacuateCentre},
 }
 
 // pickFault returns a random kind of fault.
@@ -304,3 +305,24 @@
 	s.recordError(s.env.addKey(name))
 	return func() { s.recordError(s.env.removeKey(name)) }
 }
+
+// evacuateCentre evacuates a data centre, one at a time: with none left every request
+// would be refused. The others have to carry the load meanwhile, so that the load bound
+// is not checked.
+func evacuateCentre(ctx context.Context, s *Soak, rng *rand.Rand) func() {
+	if !s.env.isEvacuating.CompareAndSwap(false, true) {
+		return nil
+	}
+	end := s.env.serversQuiet.beginFault()
+	withdraw, err := s.env.evacuate(centres[rng.IntN(len(centres))])
+	s.recordError(err)
+	if err != nil {
+		withdraw = func() {}
+	}
+	sleep(ctx, evacuationTime)
+	return func() {
+		withdraw()
+		end()
+		s.env.isEvacuating.Store(false)
+	}
+}
--- a/clemsoak/witness.go
+++ b/clemsoak/witness.go
@@ -27,6 +27,7 @@
 	PromiseTimelyConfiguration Promise = "configuration in time"
 	PromiseKeyRevocation       Promise = "keys taken away"
 	PromiseServerDrain         Promise = "leaving servers get nothing new"
+	PromiseEvacuation          Promise = "evacuated data centres get nothing new"
 	PromiseRetryBudget         Promise = "retry budget"
 	PromiseLoadBound           Promise = "no server over the bound"
 	PromiseFairness            Promise = "no organisation starves"
@@ -38,7 +39,7 @@
 // Promises lists all promises in the order of reports.
 var Promises = []Promise{
 	PromiseAtMostOnce, PromiseTrueRefusals, PromiseIntactResponses, PromiseStreamOrder, PromiseGenuineRequests, PromiseNoRollback, PromiseTimelyConfiguration, PromiseKeyRevocation,
-	PromiseServerDrain, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown,
+	PromiseServerDrain, PromiseEvacuation, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown,
 }
 
 const (
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -36,6 +36,11 @@
 	// maxDrainDelay is how long entries may still send new requests to a
 	// draining server.
 	maxDrainDelay = 2 * time.Second
+	// maxEvacuationDelay is how long entries may still send new requests to the servers
+	// of a data centre after the store took its evacuation, and evacuationTime how long
+	// it is evacuated at least, so that the delay passes.
+	maxEvacuationDelay = 5 * time.Second
+	evacuationTime     = 8 * time.Second
 	// boundQuietTime is how long servers must have been free of faults for the
 	// load bound to be checked.
 	boundQuietTime = 5 * time.Second
@@ -47,6 +52,7 @@
 	quietPeriod
 	link    *link
 	service string
+	centre  string
 	server  *clemstandin.Backend
 	http    *http.Server
 	// isBusy is set while the server is being replaced or restarted.
@@ -71,6 +77,8 @@
 	// replaced.
 	replaceLocks             [2]sync.Mutex
 	storeQuiet, serversQuiet quietPeriod
+	// isEvacuating is set while a data centre is evacuated.
+	isEvacuating atomic.Bool
 
 	mu          sync.Mutex
 	serverCount int
@@ -85,12 +93,17 @@
 	// drainingSince is when the store acknowledged that a server is draining, by
 	// the server's ID.
 	drainingSince map[string]time.Time
+	// evacuatedSince is when the store acknowledged the evacuation of a data centre.
+	evacuatedSince map[string]time.Time
 }
 
+// centres are the data centres of the servers. Each has servers of both services.
+var centres = []string{"west", "east"}
+
 func newEnvironment(c Config, o *observer, isQuiet func(time.Duration) bool, stall func() time.Duration) (*environment, error) {
 	e := &environment{
 		config: c, observer: o, isQuiet: isQuiet, stall: stall, store: clemstandin.NewProvider(), keys: map[string]string{probeOrganisation: "key-" + probeOrganisation},
-		revokedIn: map[string]int{}, drainingSince: map[string]time.Time{},
+		revokedIn: map[string]int{}, drainingSince: map[string]time.Time{}, evacuatedSince: map[string]time.Time{},
 	}
 	for n := range organisations {
 		e.keys[organisation(n)] = "key-" + organisation(n)
@@ -100,7 +113,7 @@
 		return nil, err
 	}
 	for n := range 2 * c.Servers {
-		s := &serverSlot{service: []string{serviceApp, serviceStream}[n%2]}
+		s := &serverSlot{service: []string{serviceApp, serviceStream}[n%2], centre: centres[n/2%len(centres)]}
 		if s.link, err = newLink(""); err != nil {
 			return nil, err
 		}
@@ -156,7 +169,7 @@
 	n := e.serverCount
 	e.mu.Unlock()
 	config := clemstandin.BackendConfig{
-		ID: fmt.Sprintf("i-%03d", n), Service: s.service, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
+		ID: fmt.Sprintf("i-%03d", n), Service: s.service, Centre: s.centre, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
 		OnRequest: e.observer.recordArrival, OnRunEnded: e.observer.recordRunEnd,
 	}
 	if s.service == serviceStream {
@@ -185,6 +198,7 @@
 	if isDraining && !e.config.SkipTimeBounds {
 		e.observer.check(PromiseServerDrain, !e.isDue(since, maxDrainDelay) || !e.isQuiet(minQuietTime), "%s runs at %s %s after its leaving was taken", run.RequestID, run.Server, time.Since(since))
 	}
+	e.checkEvacuation(run)
 	if run.Service == serviceStream && e.isQuiet(minQuietTime) && e.serversQuiet.isQuietFor(boundQuietTime) {
 		active, total, servers := 0, 0, 0
 		for _, b := range e.backends(serviceStream) {
@@ -197,6 +211,40 @@
 	}
 }
 
+// checkEvacuation checks that the run is not at a server of an evacuated data centre. A
+// link that holds requests back may deliver them later.
+func (e *environment) checkEvacuation(run clemstandin.Run) {
+	e.mu.Lock()
+	centre := ""
+	for _, s := range e.slots {
+		if s.server.ID() == run.Server {
+			centre = s.centre
+		}
+	}
+	since, isEvacuated := e.evacuatedSince[centre]
+	e.mu.Unlock()
+	if isEvacuated && !e.config.SkipTimeBounds && e.isServerQuietFor(run.Server, minQuietTime) {
+		e.observer.check(PromiseEvacuation, !e.isDue(since, maxEvacuationDelay) || !e.isQuiet(minQuietTime),
+			"%s runs at %s in %s %s after its evacuation was taken", run.RequestID, run.Server, centre, time.Since(since))
+	}
+}
+
+// evacuate evacuates a data centre until the returned function is called.
+func (e *environment) evacuate(centre string) (withdraw func(), err error) {
+	if err := e.store.Evacuate(centre); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	e.evacuatedSince[centre] = time.Now()
+	e.mu.Unlock()
+	return func() {
+		e.mu.Lock()
+		delete(e.evacuatedSince, centre)
+		e.mu.Unlock()
+		e.store.WithdrawEvacuation(centre)
+	}, nil
+}
+
 // isServerQuietFor reports whether the server is running and no fault of its own or of
 // the link to it was active within the given time before now.
 func (e *environment) isServerQuietFor(id string, span time.Duration) bool {
--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -1,6 +1,7 @@
 package clemstandin
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -20,6 +21,8 @@
 	// garbledResponse is what a faulty backend server sends instead of an HTTP
 	// response.
 	garbledResponse = "HTTQ/7 what is this\r\n\r\n"
+	// defaultCentre is the data centre of entries, and of servers without another one.
+	defaultCentre = "z"
 )
 
 // Run is one execution of a request at a backend server.
@@ -60,6 +63,8 @@
 // BackendConfig describes a Backend to construct.
 type BackendConfig struct {
 	ID, Service string
+	// Centre is the server's data centre; "" means that of the stand-in's entries.
+	Centre string
 	// Slots is the number of requests that run at once.
 	Slots int
 	// WorkTime is the time that a response takes, or each event of a stream.
@@ -129,7 +134,7 @@
 // Row returns the server's row in the store of a Provider.
 func (b *Backend) Row(address, state string) map[string]any {
 	return map[string]any{
-		"service": b.config.Service, "address": address, "zone": "z", "slots": b.config.Slots, "state": state, "seq": 1,
+		"service": b.config.Service, "address": address, "zone": cmp.Or(b.config.Centre, defaultCentre), "slots": b.config.Slots, "state": state, "seq": 1,
 	}
 }
 
--- a/clemstandin/provider_operator.go
+++ b/clemstandin/provider_operator.go
@@ -60,6 +60,17 @@
 	return p.Put("servers", b.ID(), b.Row(address, state))
 }
 
+// evacuationPrefix begins the keys of the operator's rows that evacuate a data centre.
+const evacuationPrefix = "evacuate/"
+
+// Evacuate writes the operator's row that evacuates a data centre.
+func (p *Provider) Evacuate(centre string) error {
+	return p.Put("op", evacuationPrefix+centre, map[string]any{})
+}
+
+// WithdrawEvacuation removes that row.
+func (p *Provider) WithdrawEvacuation(centre string) { p.Delete("op", evacuationPrefix+centre) }
+
 // DeleteServer removes the row of a backend server.
 func (p *Provider) DeleteServer(id string) { p.Delete("servers", id) }
 
@@ -83,7 +94,7 @@
 // Text returns the content of the settings file.
 func (s FrontSettings) Text() ([]byte, error) {
 	text, err := json.Marshal(map[string]any{
-		"node": s.Name, "ip": s.IP, "zone": "z", "heartbeat_ms": 1200, "seeds": s.Seeds, "comment": s.Comment,
+		"node": s.Name, "ip": s.IP, "zone": defaultCentre, "heartbeat_ms": 1200, "seeds": s.Seeds, "comment": s.Comment,
 		"listen":   map[string]string{"front": s.ListenAddress, "ready": s.ReadyAddress, "control": s.ControlAddress},
 		"provider": map[string]string{"address": s.StoreAddress},
 		"bounds": map[string]float64{
