clempool: leaving and resting backend servers

Cause: a server's announcement that it leaves, and the time for which its 503 asks for no requests, had no effect; requests followed them until its row changed.

Change: the head of any response marks the server's id and incarnation as leaving, for good and for peers too; a 503 with Retry-After makes it rest until the latest end that was named, after which it gets one request, a second one and then all. Both are states of clempool's availability, so that waiting and leased requests are checked again before they are sent. Values that say something else are logged and have no effect.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -44,6 +44,9 @@
 	EvacuationUnknown     Event = 952
 	AllCentresEvacuated   Event = 953
 	LongPollRenewed       Event = 954
+	ServerLeavingInvalid  Event = 955
+	ServerRestInvalid     Event = 956
+	ServerRestTooLong     Event = 957
 )
 
 var routerEvents = map[Event]Info{
@@ -86,5 +89,8 @@
 	EvacuationUnknown:     {zapcore.WarnLevel, "evacuated data centre unknown", "No listed backend server is in the data centre that the operator evacuates, so that the evacuation has no effect. Compare the name in the key of the row with the listed field."},
 	AllCentresEvacuated:   {zapcore.ErrorLevel, "all data centres evacuated", "Every listed backend server is in an evacuated data centre. All requests are refused until an evacuation is withdrawn."},
 	LongPollRenewed:       {zapcore.WarnLevel, "long poll of the store renewed", "The long poll of the operator's rows did not deliver a change that another connection had a second before. It was ended and another one begun. Check what drops idle connections between entries and store."},
+	ServerLeavingInvalid:  {zapcore.WarnLevel, "backend server announcement invalid", "A response of the server announces something else than that the server leaves; the error names the header. It has no effect, and is logged once for each server."},
+	ServerRestInvalid:     {zapcore.WarnLevel, "backend server rest invalid", "A refusal of the server names a time that is no positive number of seconds, or several; the error names the header. It has no effect, and is logged once for each server."},
+	ServerRestTooLong:     {zapcore.WarnLevel, "backend server rest too long", "A refusal of the server asks for no requests for the time in the asked field. A minute is used. Ask the owner of the service whether the unit is seconds."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -159,14 +159,16 @@
 
 // closed returns the state because of which the server gets no new request at all, or
 // StateOpen.
-func (s *server) closed(_ time.Time) Availability {
+func (s *server) closed(now time.Time) Availability {
 	switch {
 	case s.record.IsDraining():
 		return Availability{state: StateDraining, source: SourceList}
+	case s.isLeaving():
+		return Availability{state: StateLeaving, source: s.leaving.source, since: s.leaving.at}
 	case !s.evacuatedSince.IsZero():
 		return Availability{state: StateEvacuated, source: SourceOperator, since: s.evacuatedSince}
 	}
-	return Availability{}
+	return s.rest.state(now)
 }
 
 // SetEvacuated sets the data centres whose servers get no requests. Those that are not
@@ -241,11 +243,19 @@
 	s := d.servers[l.id]
 	if s == nil {
 		s = l.server
+		s.leaving, s.rest = d.leaving[l.id], d.rests[l.id]
 	}
-	if closed := s.closed(now); closed.state != StateOpen {
-		return clementineturn.Refuse(clementineturn.KindUnavailable, "server %s is %s", l.id, closed)
+	closed := s.closed(now)
+	if mark, ok := d.leaving[l.id]; ok && l.incarnation <= mark.incarnation {
+		closed = Availability{state: StateLeaving, source: mark.source, since: mark.at}
+	}
+	if closed.state == StateOpen || closed.state == StateResting {
+		if d.rests[l.id].mayReturn(l, now) {
+			return nil
+		}
+		closed = s.closed(now)
 	}
-	return nil
+	return clementineturn.Refuse(clementineturn.KindUnavailable, "server %s is %s", l.id, closed)
 }
 
 // closedRefusal returns the refusal of a request for which every server that is left is
@@ -274,6 +284,8 @@
 	switch {
 	case areEvacuated:
 		retry = evacuatedRetryDelay
+	case reason.state == StateResting && reason.until.IsZero():
+		retry = svc.returns.delay(r.Rank, fullRetryDelay, now)
 	case !reason.until.IsZero():
 		retry = svc.returns.delay(r.Rank, reason.until.Sub(now), now)
 	}
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -87,6 +87,7 @@
 	d.recordPrefix(chosen, rank, r, now)
 	chosen.running++
 	chosen.limit.countSent(now)
+	chosen.rest.beginReturn(lease, now)
 	svc.addRunning(r.Organisation)
 	if len(r.Prefix) == 0 {
 		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(len(d.peers)+1)
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -78,6 +78,10 @@
 	reportLag  time.Duration
 	// evacuated holds the evacuated data centres, with the time since which they are.
 	evacuated map[string]time.Time
+	// leaving holds the servers that announced that they leave, and rests those that asked
+	// for no new requests for a time, by id. Both outlast the servers' rows.
+	leaving map[string]leavingMark
+	rests   map[string]*rest
 	// sweptAt is when the states of all servers were last compared with those reported.
 	sweptAt time.Time
 }
@@ -103,6 +107,10 @@
 	limit                            rateLimit
 	// evacuatedSince is when the server's data centre was evacuated, or zero.
 	evacuatedSince time.Time
+	// leaving is the server's own announcement that it leaves, of this incarnation or an
+	// earlier one, and rest the time for which it asked for no new requests, or nil.
+	leaving leavingMark
+	rest    *rest
 	// reported is the state that was last reported to Config.OnAvailability.
 	reported Availability
 	// hasEnded is set once the server was found to have ended.
@@ -163,6 +171,7 @@
 func New(c Config) *Directory {
 	return &Directory{
 		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{},
+		leaving: map[string]leavingMark{}, rests: map[string]*rest{},
 	}
 }
 
@@ -185,6 +194,7 @@
 		record: record, digest: xxhash.Sum64String(record.ID()),
 		pool:   clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
 		cached: map[uint64]time.Time{}, evacuatedSince: d.evacuated[record.Centre()],
+		leaving: d.leaving[record.ID()], rest: d.rests[record.ID()],
 	}
 	if old != nil {
 		added.reported = old.reported
@@ -247,6 +257,10 @@
 	IsCounted bool
 	Sent      uint64
 	Demand    float64
+	// IsLeaving is set if the entry has seen a response in which the server announces that
+	// it takes no new requests any more, of the incarnation.
+	IsLeaving          bool
+	LeavingIncarnation int64
 }
 
 // minReportedOutcomes is the decayed number of outcomes below which they are
@@ -270,7 +284,8 @@
 		own := s.health.own
 		reported := ServerStats{Running: s.running, PendingTokens: s.pendingTokens, Successes: own.successes, Failures: own.failures}
 		hasLimit := s.limit.report(&reported, now)
-		if hasLimit || s.running > 0 || own.failures > minReportedOutcomes || own.successes > minReportedOutcomes && s.health.peers.failures > minReportedOutcomes {
+		isLeaving := s.reportLeaving(&reported)
+		if hasLimit || isLeaving || s.running > 0 || own.failures > minReportedOutcomes || own.successes > minReportedOutcomes && s.health.peers.failures > minReportedOutcomes {
 			stats[id] = reported
 		}
 	}
@@ -288,7 +303,9 @@
 	if d.peers[peer].expires.Before(d.nextExpiry) {
 		d.nextExpiry = d.peers[peer].expires
 	}
+	hasMark := false
 	for id, serverStats := range stats {
+		hasMark = d.recordPeerLeaving(id, serverStats, now) || hasMark
 		if s := d.servers[id]; s != nil {
 			s.addPeerStats(serverStats, 1)
 			if s.limit.recordPeer(peer, serverStats, now) {
@@ -303,7 +320,12 @@
 			ejected = append(ejected, s)
 		}
 	}
+	var changes []availabilityChange
+	if hasMark {
+		changes = d.sweep(now)
+	}
 	d.mu.Unlock()
+	d.notifyAvailability(changes)
 	for _, s := range ejected {
 		d.notifyEjected(s, OutcomeFailed, now)
 	}
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -121,6 +121,7 @@
 	l.service.observe(l, outcome, now)
 	s.pendingTokens -= l.pendingTokens
 	l.pendingTokens = 0
+	d.endReturn(l)
 	if load != nil {
 		s.load = *load
 	}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -142,6 +142,7 @@
 	}
 	lease, err := q.acquire(q.selection(), time.Now())
 	if err != nil {
+		q.returnDelay = clementineturn.AsError(err).RetryAfter()
 		return nil
 	}
 	return lease
@@ -229,7 +230,7 @@
 		return err
 	}
 	return clementineturn.NewError(clementineturn.ErrorConfig{
-		Kind: clementineturn.KindUnavailable, NotRun: true, RetryAfter: refusedRetryAfter,
+		Kind: clementineturn.KindUnavailable, NotRun: true, RetryAfter: max(refusedRetryAfter, q.returnDelay),
 		Message: "no backend server took the request", Cause: best.err,
 	})
 }
@@ -301,6 +302,7 @@
 	} else {
 		q.router.config.Events.Emit(clemevent.ServerLimitInvalid, zap.String("server", lease.Server()), zap.Error(err))
 	}
+	isResting := q.recordStates(lease, responseInfo, time.Now())
 	var result attemptResult
 	switch {
 	case q.route.Kind() == clemroute.KindStream && response.StatusCode == http.StatusOK:
@@ -319,6 +321,10 @@
 		stall.observeHead()
 		result = q.forwardResponse(response, responseInfo)
 	}
+	if isResting && result.outcome == clempool.OutcomeFailed {
+		// A server that asks for no requests for a while is not at fault.
+		result.outcome = clempool.OutcomeRefused
+	}
 	result.sent, result.load = true, responseInfo.Load()
 	result.isUndelimited = isUndelimited(response)
 	return result
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -44,7 +44,13 @@
 }
 
 func (testDialect) DecodeResponse(status int, header http.Header) clementineturn.ResponseInfo {
+	rest, _ := time.ParseDuration(header.Get("Rest"))
+	var leavingErr error
+	if text := header.Get("Leaving"); text != "" && text != "1" {
+		leavingErr = clementineturn.Invalid("Leaving", "it is %q", text)
+	}
 	return clementineturn.NewResponseInfo(clementineturn.ResponseInfoConfig{
+		Leaving: header.Get("Leaving") == "1", LeavingError: leavingErr, Rest: rest,
 		RequestID: header.Get("Id"), Signed: header.Get("Signed") != "",
 		NotRun: header.Get("Unrun") != "" || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest,
 	})
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -68,6 +68,9 @@
 	// runTimes holds how long the requests of each route run.
 	runTimes *clembudget.RunTimeTracker
 
+	// loggedStates holds what was logged of the servers' statements on their states.
+	loggedStates onceLog
+
 	active   atomic.Int64
 	drainEnd atomic.Pointer[time.Time]
 }
@@ -126,6 +129,8 @@
 	// runCount counts the servers that may have run the request, sentCount those
 	// that it was sent to.
 	runCount, sentCount int
+	// returnDelay is the time that was suggested when no other server was left, or 0.
+	returnDelay time.Duration
 	// isStarted is set once a byte of a response may have reached the client.
 	isStarted      bool
 	status         int
--- a/clemspread/evacuation_test.go
+++ b/clemspread/evacuation_test.go
@@ -52,13 +52,13 @@
 		time.Sleep(5 * time.Second)
 		cut.isCut.Store(true)
 		for range 2 {
-			store.set(clementineturn.SectionOperator, "evacuate/east", "{}")
-			store.set(clementineturn.SectionOperator, "evacuate/west", "{}")
+			store.set(clementineturn.SectionOperator, "away/east", "{}")
+			store.set(clementineturn.SectionOperator, "away/west", "{}")
 			time.Sleep(time.Second)
 			for _, e := range entries {
 				require.Equal(t, []string{"east", "west"}, e.Evacuated())
 			}
-			store.set(clementineturn.SectionOperator, "evacuate/east", "")
+			store.set(clementineturn.SectionOperator, "away/east", "")
 			time.Sleep(time.Second)
 			for _, e := range entries {
 				require.Equal(t, []string{"west"}, e.Evacuated(), "they apply independently")
@@ -80,13 +80,13 @@
 			time.Sleep(offset)
 			document := string(rune('2' + version))
 			store.set(clementineturn.SectionOperator, "config", document)
-			store.set(clementineturn.SectionOperator, "evacuate/east", "{}")
+			store.set(clementineturn.SectionOperator, "away/east", "{}")
 			time.Sleep(2 * time.Second)
 			for _, e := range entries {
 				require.Equal(t, document, string(e.config.Table.Current().Document()))
 				require.Equal(t, []string{"east"}, e.Evacuated())
 			}
-			store.set(clementineturn.SectionOperator, "evacuate/east", "")
+			store.set(clementineturn.SectionOperator, "away/east", "")
 			time.Sleep(2 * time.Second)
 			for _, e := range entries {
 				require.Empty(t, e.Evacuated())
@@ -137,7 +137,7 @@
 // peers, or it would send requests to an evacuated data centre.
 func TestStartingEntryIsReadyWithTheEvacuations(t *testing.T) {
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
-		store.set(clementineturn.SectionOperator, "evacuate/east", "{}")
+		store.set(clementineturn.SectionOperator, "away/east", "{}")
 		n.start(ctx, "a", store)
 		time.Sleep(5 * time.Second)
 		hanging := newFakeStore()
@@ -157,10 +157,10 @@
 	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
 		entries := []*Syncer{n.start(ctx, "a", store), n.start(ctx, "b", store)}
 		time.Sleep(5 * time.Second)
-		store.set(clementineturn.SectionOperator, "evacuate/east", "{}")
+		store.set(clementineturn.SectionOperator, "away/east", "{}")
 		time.Sleep(2 * time.Second)
 		store.setHanging(true)
-		store.set(clementineturn.SectionOperator, "evacuate/east", "")
+		store.set(clementineturn.SectionOperator, "away/east", "")
 		time.Sleep(time.Minute)
 		for _, e := range entries {
 			require.Equal(t, []string{"east"}, e.Evacuated())
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -258,6 +258,7 @@
 		running := &clemwire.Running{
 			Server: id, Count: uint32(own.Running), Unread: uint32(own.PendingTokens),
 			Good: uint32(own.Successes * outcomeScale), Failed: uint32(own.Failures * outcomeScale),
+			Leaving: own.IsLeaving, Born: own.LeavingIncarnation,
 			Limited: own.IsLimited, Limit: own.Limit, Counted: own.IsCounted, Sent: own.Sent, Demand: uint32(own.Demand * outcomeScale),
 		}
 		if !own.LimitStatedAt.IsZero() {
@@ -317,6 +318,7 @@
 		reported := clempool.ServerStats{
 			Running: int(r.GetCount()), PendingTokens: int(r.GetUnread()),
 			Successes: float64(r.GetGood()) / outcomeScale, Failures: float64(r.GetFailed()) / outcomeScale,
+			IsLeaving: r.GetLeaving(), LeavingIncarnation: r.GetBorn(),
 			IsLimited: r.GetLimited(), Limit: r.GetLimit(), IsCounted: r.GetCounted(), Sent: r.GetSent(), Demand: float64(r.GetDemand()) / outcomeScale,
 		}
 		if r.GetStated() != nil {
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -260,7 +260,7 @@
 		Table:     &clemroute.Table{},
 		Directory: clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }}),
 		Rand:      func() float64 { return 0.5 }, Inventory: n, ConfigurationKey: "config", DecodeConfiguration: decodeVersion, DecodeServer: decodeServer, IsDraining: func() bool { return false },
-		EvacuatedCentre: func(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") },
+		EvacuatedCentre: func(key string) (string, bool) { return strings.CutPrefix(key, "away/") },
 	})
 	n.mu.Lock()
 	n.entries[name] = syncer
--- a/clemstandin/provider_visitor.go
+++ b/clemstandin/provider_visitor.go
@@ -29,6 +29,8 @@
 	Body             string
 	// RetryAfter is the value of the Retry-After header, or 0.
 	RetryAfter time.Duration
+	// IsLeaving is set if the response announces that the server leaves.
+	IsLeaving bool
 	// Err is set if the response was not received whole.
 	Err error
 }
--- a/dialect.go
+++ b/dialect.go
@@ -170,6 +170,14 @@
 	RateLimit *float64
 	// RateLimitError is set if the server states a limit that cannot be read.
 	RateLimitError error
+	// Leaving is set if the server announces that it takes no new requests any more.
+	Leaving bool
+	// LeavingError is set if it announces something else in place of that.
+	LeavingError error
+	// Rest is the time for which the server asks for no new requests, or 0.
+	Rest time.Duration
+	// RestError is set if the server states such a time that cannot be used.
+	RestError error
 }
 
 // ResponseInfo holds the values decoded from the status and headers of a
@@ -201,6 +209,14 @@
 	return r.config.RateLimit, r.config.RateLimitError
 }
 
+// Leaving reports whether the server announces that it takes no new requests any more.
+// Errors: KindInvalid, whose field is the header; the announcement has no effect.
+func (r ResponseInfo) Leaving() (bool, error) { return r.config.Leaving, r.config.LeavingError }
+
+// Rest returns the time for which the server asks for no new requests, or 0. Errors:
+// KindInvalid, whose field is the header; the statement has no effect.
+func (r ResponseInfo) Rest() (time.Duration, error) { return r.config.Rest, r.config.RestError }
+
 // Dialect encodes and decodes the platform's HTTP headers. The platform package
 // provides one; an embedder with other headers supplies its own.
 type Dialect interface {
