clemsoak, clemstandin: servers that announce their end or rest

Cause: nothing played the two statements of servers from outside.

Change: the stand-in of a backend server announces its end in every response, or refuses requests for a time that it names. The soak replaces half of the servers with an announcement, makes servers rest, and checks both for each entry.

--- a/clemsoak/client.go
+++ b/clemsoak/client.go
@@ -111,7 +111,7 @@
 		request.PromptPrefix = fmt.Sprintf("%x:%d,%x:%d,%x:%d", 1+chat%3, sharedTokens, 100+chat, chatTokens, c.rng.Uint32(), chatTokens)
 		request.TokenCounts = fmt.Sprintf("%d,%d", sharedTokens+2*chatTokens, 8*k.events())
 	}
-	return &sentRequest{call: request, organisation: c.organisation, kind: k, sentAt: time.Now()}
+	return &sentRequest{call: request, organisation: c.organisation, kind: k, sentAt: time.Now(), entry: c.entry.Load}
 }
 
 // checkShutdown checks that an entry that is shutting down responded to a request
@@ -170,7 +170,7 @@
 	id := fmt.Sprintf("%x-%s-%d", p.soak.config.Seed, p.front.name, p.requestCount)
 	r := &sentRequest{
 		call:         clemstandin.ClientRequest{RequestID: id, Host: host, Path: versionPath(version), APIKey: "key-" + name, Timeout: kindProbe.timeout()},
-		organisation: name, kind: kindProbe, sentAt: time.Now(),
+		organisation: name, kind: kindProbe, sentAt: time.Now(), entry: func() *front { return p.front },
 	}
 	before := p.front.incarnation.Load()
 	p.soak.observer.recordSent(r)
--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -69,6 +69,7 @@
 	{"server crashed", 4, false, crashServer},
 	{"server replaced", 5, true, replaceServer},
 	{"server sick", 6, false, impairServer},
+	{"server rests", 4, true, restServer},
 	{"configuration changed", 6, true, changeConfiguration},
 	{"configurations in series", 2, true, changeInSeries},
 	{"key taken away", 3, true, revokeKey},
@@ -269,7 +270,7 @@
 	if slot := s.pickFreeSlot(rng); slot != nil {
 		lock := s.env.replaceLock(slot.service)
 		lock.Lock()
-		s.recordError(s.env.replace(ctx, slot))
+		s.recordError(s.env.replace(ctx, slot, rng.IntN(2) == 0))
 		lock.Unlock()
 		slot.isBusy.Store(false)
 	}
@@ -286,6 +287,18 @@
 	return s.env.serversQuiet.wrapFault(slot.wrapFault(func() { server.Inject(clemstandin.BackendFaults{}) }))
 }
 
+// restServer makes a server refuse requests for a time that it names. The others have to
+// carry its load meanwhile, so that the load bound is not checked.
+func restServer(ctx context.Context, s *Soak, rng *rand.Rand) func() {
+	slot := s.env.slots[rng.IntN(len(s.env.slots))]
+	end := s.env.serversQuiet.beginFault()
+	duration := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
+	s.env.backend(slot).Rest(duration)
+	sleep(ctx, duration)
+	end()
+	return nil
+}
+
 func changeConfiguration(_ context.Context, s *Soak, _ *rand.Rand) func() {
 	s.recordError(s.env.configure())
 	return nil
--- a/clemsoak/witness.go
+++ b/clemsoak/witness.go
@@ -28,6 +28,8 @@
 	PromiseKeyRevocation       Promise = "keys taken away"
 	PromiseServerDrain         Promise = "leaving servers get nothing new"
 	PromiseEvacuation          Promise = "evacuated data centres get nothing new"
+	PromiseAnnouncedEnd        Promise = "announced ends of servers are heeded"
+	PromiseRest                Promise = "resting servers are left alone"
 	PromiseRetryBudget         Promise = "retry budget"
 	PromiseLoadBound           Promise = "no server over the bound"
 	PromiseFairness            Promise = "no organisation starves"
@@ -39,7 +41,7 @@
 // Promises lists all promises in the order of reports.
 var Promises = []Promise{
 	PromiseAtMostOnce, PromiseTrueRefusals, PromiseIntactResponses, PromiseStreamOrder, PromiseGenuineRequests, PromiseNoRollback, PromiseTimelyConfiguration, PromiseKeyRevocation,
-	PromiseServerDrain, PromiseEvacuation, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown,
+	PromiseServerDrain, PromiseEvacuation, PromiseAnnouncedEnd, PromiseRest, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown,
 }
 
 const (
@@ -57,6 +59,13 @@
 	// than minFairRequests requests are not checked.
 	minFairShare    = 0.25
 	minFairRequests = 40
+	// announcedEndTime is how long after an entry passed on that a server leaves a request
+	// may be sent that still reaches the server from there.
+	announcedEndTime = 2 * time.Second
+	// restTime is how long after a refusal requests may reach a server that rests, and
+	// maxRestArrivals the number of those that may later.
+	restTime        = 500 * time.Millisecond
+	maxRestArrivals = 2
 	// minRecoveredShare is the share of requests that must be served after
 	// recovery from the last fault.
 	minRecoveredShare = 0.25
@@ -68,6 +77,8 @@
 	organisation string
 	kind         kind
 	sentAt       time.Time
+	// entry returns the entry that the request was sent to.
+	entry func() *front
 	// status is the status of the response, or 0 if there was none.
 	status int
 	served bool
@@ -96,11 +107,71 @@
 	// boundChecks are the times of arrivals that were compared with the load
 	// bound, boundViolations the times of those that exceeded it.
 	boundChecks, boundViolations []time.Time
+	announced, rested            map[pair]statement
+}
+
+// pair is a server, and one start of an entry that has a response of it.
+type pair struct {
+	server, entry string
+	incarnation   int64
+}
+
+// statement is what a server stated in a response: that it leaves, or that it rests until
+// a time.
+type statement struct {
+	at, until time.Time
+	// arrivals counts the requests that the server got against it.
+	arrivals int
+}
+
+// pairOf returns the pair of a request at a server. It returns false if the entry is not
+// known. The caller holds mu.
+func (o *observer) pairOf(request, server string) (pair, *sentRequest, bool) {
+	r := o.requests[request]
+	if r == nil || r.entry == nil {
+		return pair{}, nil, false
+	}
+	f := r.entry()
+	if f == nil {
+		return pair{}, nil, false
+	}
+	return pair{server: server, entry: f.name, incarnation: f.incarnation.Load()}, r, true
+}
+
+// recordRest records that a server refused a request because it rests.
+func (o *observer) recordRest(request, server string, until time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p, _, ok := o.pairOf(request, server); ok && !o.rested[p].until.Equal(until) {
+		o.rested[p] = statement{at: time.Now(), until: until}
+	}
+}
+
+// checkStatements checks an arrival at a server against what the server stated to the
+// entry before. Rests are checked if isCalm is set; restGrace is the time within which
+// the entry has the response.
+func (o *observer) checkStatements(request, server string, isCalm bool, restGrace time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p, r, ok := o.pairOf(request, server)
+	if !ok {
+		return
+	}
+	if s, isAnnounced := o.announced[p]; isAnnounced {
+		o.checkLocked(PromiseAnnouncedEnd, !r.sentAt.After(s.at.Add(announcedEndTime)), "%s, sent %s after %s passed on that %s leaves, reaches it",
+			request, r.sentAt.Sub(s.at), p.entry, server)
+	}
+	if s, isRested := o.rested[p]; isRested && isCalm && time.Since(s.at) > restGrace && time.Now().Before(s.until) {
+		s.arrivals++
+		o.rested[p] = s
+		o.checkLocked(PromiseRest, s.arrivals <= maxRestArrivals, "%s reaches %s from %s %s after the server asked for no requests, the %d. one", request, server, p.entry, time.Since(s.at), s.arrivals)
+	}
 }
 
 func newObserver() *observer {
 	return &observer{
 		requests: map[string]*sentRequest{}, runs: map[string][]clemstandin.Run{}, byStamp: map[string]clemstandin.Run{},
+		announced: map[pair]statement{}, rested: map[pair]statement{},
 		arrived: map[string]bool{}, checked: map[Promise]int{}, broken: map[Promise]int{},
 	}
 }
@@ -183,6 +254,9 @@
 		return
 	}
 	o.checkLocked(PromiseIntactResponses, response.RequestID == "" || response.RequestID == id, "%s got the answer of %s", id, response.RequestID)
+	if p, _, ok := o.pairOf(id, run.Server); ok && isKnown && response.IsLeaving && o.announced[p].at.IsZero() {
+		o.announced[p] = statement{at: time.Now()}
+	}
 	if response.Stamp != "" {
 		o.checkLocked(PromiseIntactResponses, isKnown && run.RequestID == id, "%s got the signature %s of %q", id, response.Stamp, run.RequestID)
 	}
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -36,6 +36,9 @@
 	// maxDrainDelay is how long entries may still send new requests to a
 	// draining server.
 	maxDrainDelay = 2 * time.Second
+	// announcedTime is how long a server announces in its responses that it leaves before
+	// its row says so.
+	announcedTime = 3 * time.Second
 	// maxEvacuationDelay is how long entries may still send new requests to the servers
 	// of a data centre after the store took its evacuation, and evacuationTime how long
 	// it is evacuated at least, so that the delay passes.
@@ -170,12 +173,18 @@
 	e.mu.Unlock()
 	config := clemstandin.BackendConfig{
 		ID: fmt.Sprintf("i-%03d", n), Service: s.service, Centre: s.centre, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
-		OnRequest: e.observer.recordArrival, OnRunEnded: e.observer.recordRunEnd,
+		OnRunEnded: e.observer.recordRunEnd,
 	}
 	if s.service == serviceStream {
 		config.Slots, config.WorkTime, config.SlowPrefix, config.EventCount = streamSlots, eventInterval, "", streamEvents
 	}
 	config.OnRunStarted = e.onRunStart
+	config.OnRequest = func(request, service string) {
+		e.observer.recordArrival(request, service)
+		isCalm := !e.config.SkipTimeBounds && e.isServerQuietFor(config.ID, minQuietTime) && e.isQuiet(minQuietTime)
+		e.observer.checkStatements(request, config.ID, isCalm, restTime+e.stall())
+	}
+	config.OnResting = func(request string, until time.Time) { e.observer.recordRest(request, config.ID, until) }
 	server := clemstandin.NewBackend(config)
 	listening, address, err := serveOn(server)
 	if err != nil {
@@ -364,12 +373,17 @@
 }
 
 // replace lists the slot's server as draining, removes it after a while and starts
-// another one at the same address.
-func (e *environment) replace(ctx context.Context, s *serverSlot) error {
+// another one at the same address. If announces is set, the server's responses say so
+// before its row does.
+func (e *environment) replace(ctx context.Context, s *serverSlot, announces bool) error {
 	e.serversQuiet.recordFault()
 	e.mu.Lock()
 	old, listening := s.server, s.http
 	e.mu.Unlock()
+	if announces {
+		old.Leave()
+		sleep(ctx, announcedTime)
+	}
 	old.Drain()
 	if err := e.store.PutServer(old, s.link.address(), true); err != nil {
 		return err
--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -81,6 +81,9 @@
 	OnRequest    func(request, service string)
 	OnRunStarted func(Run)
 	OnRunEnded   func(Run)
+	// OnResting, if set, is called for each request that the server refuses while it rests,
+	// before the refusal is sent, with the end of the rest that the refusal names.
+	OnResting func(request string, until time.Time)
 	// Seed seeds the choice of the requests that faults affect.
 	Seed uint64
 }
@@ -96,7 +99,10 @@
 	activeRequests int // running and waiting
 	runCount       int
 	draining       bool
-	slots          chan struct{}
+	isLeaving      bool
+	// restsUntil is the end of the rest, or zero.
+	restsUntil time.Time
+	slots      chan struct{}
 }
 
 // NewBackend returns the backend server that the configuration describes.
@@ -124,6 +130,50 @@
 	b.draining = true
 }
 
+// Leave makes every response announce that the server takes no new requests any more. It
+// goes on answering them.
+func (b *Backend) Leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isLeaving = true
+}
+
+// Rest makes the server refuse requests for the time, and name its end.
+func (b *Backend) Rest(duration time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.restsUntil = time.Now().Add(duration)
+}
+
+// announcement returns the value of the header that announces that the server leaves, or
+// "".
+func (b *Backend) announcement() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.isLeaving {
+		return "1"
+	}
+	return ""
+}
+
+// refuseResting refuses the request if the server rests, and reports whether it did.
+func (b *Backend) refuseResting(w http.ResponseWriter, id string) bool {
+	b.mu.Lock()
+	until := b.restsUntil
+	b.mu.Unlock()
+	left := time.Until(until)
+	if left <= 0 {
+		return false
+	}
+	if b.config.OnResting != nil {
+		b.config.OnResting(id, until)
+	}
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // ActiveRequests returns the number of running and waiting requests.
 func (b *Backend) ActiveRequests() int {
 	b.mu.Lock()
@@ -175,6 +225,13 @@
 	}
 	b.config.OnRequest(id, b.config.Service)
 	body, err := io.ReadAll(r.Body)
+	announcement := b.announcement()
+	if announcement != "" {
+		w.Header().Set("Server-Leaving", announcement)
+	}
+	if b.refuseResting(w, id) {
+		return
+	}
 	if err != nil || id == "" || !b.acquire(r) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -278,7 +335,11 @@
 		status = http.StatusInternalServerError
 	}
 	b.endRun(run, status)
-	head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Stamp: %s\r\nContent-Length: %d\r\n\r\n", status, run.RequestID, run.Stamp, len(run.Body))
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Stamp: %s\r\n", status, run.RequestID, run.Stamp)
+	if value := w.Header().Get("Server-Leaving"); value != "" {
+		head += "Server-Leaving: " + value + "\r\n"
+	}
+	head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(run.Body))
 	switch {
 	case drawn.ResetRatio > 0:
 		sendRawAndClose(w, "", true)
--- a/clemstandin/provider_visitor.go
+++ b/clemstandin/provider_visitor.go
@@ -62,7 +62,7 @@
 	body, err := io.ReadAll(response.Body)
 	result := ClientResponse{
 		Status: response.StatusCode, RequestID: response.Header.Get("X-Request-Id"), Stamp: response.Header.Get("X-Response-Stamp"),
-		Body: string(body), Err: err,
+		Body: string(body), Err: err, IsLeaving: response.Header.Get("Server-Leaving") == "1",
 	}
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		result.RetryAfter = time.Duration(seconds * float64(time.Second))
