clempool: the choice of a server uses its lists again and does not sort all servers

The checks for closed and cold servers made the choice among 3,000 servers about a third slower, most of which went into growing three lists for each request. The lists are used again; for a chat, only the servers that are considered are sorted, and their positions are counted.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -1,6 +1,7 @@
 package clempool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -127,10 +128,19 @@
 	slots int
 }
 
-// candidates returns the servers that may take the request. Ejected servers are
-// included while the healthy ones lack capacity without them.
+// scratch holds lists that are used again by the next choice of a server.
+type scratch struct {
+	untried, reachable, healthy, cold []*server
+	considered, order                 []consideredServer
+	priced                            []pricedServer
+	weights, digests                  []uint64
+}
+
+// candidates returns the servers that may take the request, in lists that are valid until
+// the next call. Ejected servers are included while the healthy ones lack capacity without
+// them.
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
-	var untried, reachable, healthy, cold []*server
+	untried, reachable, healthy, cold := d.scratch.untried[:0], d.scratch.reachable[:0], d.scratch.healthy[:0], d.scratch.cold[:0]
 	var coldWait time.Duration
 	figures := d.coldFigures(r.Service)
 	totalLoad, slots, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0
@@ -180,6 +190,7 @@
 			healthy = append(healthy, server)
 		}
 	}
+	d.scratch.untried, d.scratch.reachable, d.scratch.healthy, d.scratch.cold = untried, reachable, healthy, cold
 	c := candidateSet{
 		cold: cold, coldWait: coldWait,
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
@@ -268,8 +279,6 @@
 // least loaded server is returned.
 func (d *Directory) cheapest(svc *service, c candidateSet, r Request, now time.Time) choice {
 	key := PartDigest(r.Service, r.Prefix[len(r.Prefix)-1].ID())
-	order := slices.Concat(c.servers, c.cold)
-	clemrank.SortByRendezvous(order, key, func(s *server) uint64 { return s.digest })
 	bound := max(loadFactorMargin*d.config.MaxLoadFactor()*c.meanLoad+loadBoundSlack, c.minBound)
 	prefixTokens := 0
 	for _, part := range r.Prefix {
@@ -283,34 +292,13 @@
 	if c.utilisation < minRefusalUtilisation {
 		maxWait = 0
 	}
+	considered, leastLoaded := d.consider(c, r, key, bound, farFuture(now))
 	var best choice
-	var leastLoaded *server
-	var priced []pricedServer
-	considered, consideredCold := 0, 0
-	for rank, s := range order {
-		load := float64(s.running + s.peerRunning)
-		if load >= engineRequestsPerSlot*float64(s.record.Slots()) {
-			continue
-		}
-		isLimited := s.isLimited() || s.isCold
-		if !isLimited && (leastLoaded == nil || s.running+s.peerRunning < leastLoaded.running+leastLoaded.peerRunning) {
-			leastLoaded = s
-		}
-		if load >= bound {
-			continue
-		}
-		cached := s.cachedTokens(r.Service, r.Prefix, farFuture(now))
-		if considered >= preferredServers && !s.isCold && cached == 0 || consideredCold >= preferredServers && s.isCold && cached == 0 {
-			continue
-		}
-		if !isLimited {
-			considered++
-		}
-		if s.isCold {
-			consideredCold++
-		}
+	priced := d.scratch.priced[:0]
+	for _, o := range considered {
+		s := o.server
 		queueWait := svc.queueWait(s)
-		missing := time.Duration(r.PromptTokens - cached)
+		missing := time.Duration(r.PromptTokens - o.cached)
 		if wait := s.prefillWait() + queueWait + missing*prefillTimePerToken; maxWait > 0 && wait > maxWait {
 			if best.shortestWait == 0 || wait < best.shortestWait {
 				best.shortestWait = wait
@@ -318,15 +306,16 @@
 			continue
 		}
 		cost := max(s.prefillWait()-toleratedPrefillWait, 0) + queueWait + missing*perToken
-		if cached < prefixTokens {
-			cost += time.Duration(rank) * rankPenalty
+		if o.cached < prefixTokens {
+			cost += time.Duration(o.rank) * rankPenalty
 		}
-		cost += time.Duration(max(load-c.meanLoad-1, 0) * float64(excessLoadPenalty))
+		cost += time.Duration(max(float64(s.running+s.peerRunning)-c.meanLoad-1, 0) * float64(excessLoadPenalty))
 		if s.isCold {
 			cost += coldPenalty
 		}
-		priced = append(priced, pricedServer{s, rank, cost})
+		priced = append(priced, pricedServer{s, o.rank, cost})
 	}
+	d.scratch.priced = priced
 	for len(priced) > 0 && best.server == nil {
 		cheapest := 0
 		for i, p := range priced {
@@ -340,7 +329,7 @@
 		priced = slices.Delete(priced, cheapest, cheapest+1)
 	}
 	if best.server == nil && best.shortestWait == 0 {
-		best.server, best.rank = leastLoaded, len(order)
+		best.server, best.rank = leastLoaded, len(c.servers)+len(c.cold)
 	}
 	return best
 }
@@ -353,6 +342,128 @@
 	cost   time.Duration
 }
 
+// consideredServer is a server that is considered for a request, with its rendezvous weight
+// for the chat, its position in the chat's rendezvous order and the tokens of the prompt
+// that it has cached.
+type consideredServer struct {
+	server *server
+	weight uint64
+	rank   int
+	cached int
+}
+
+// preferred holds the first preferredServers servers of a chat's rendezvous order.
+type preferred struct {
+	servers [preferredServers]consideredServer
+	count   int
+}
+
+// add adds a server unless it comes after those that are held.
+func (p *preferred) add(o consideredServer) {
+	at := p.count
+	for at > 0 && p.servers[at-1].weight < o.weight {
+		at--
+	}
+	if at >= preferredServers {
+		return
+	}
+	p.count = min(p.count+1, preferredServers)
+	copy(p.servers[at+1:p.count], p.servers[at:])
+	p.servers[at] = o
+}
+
+// last returns the weight of the last server that is held, or 0 if there is room for more.
+func (p *preferred) last() uint64 {
+	if p.count < preferredServers {
+		return 0
+	}
+	return p.servers[preferredServers-1].weight
+}
+
+// consider returns the servers that are considered for the request, in rendezvous order:
+// below the load bound, those that have some of the prompt cached, the first
+// preferredServers of those without a limit, those with a limit before them, and the first
+// preferredServers of the cold ones. It also returns the least loaded server without a
+// limit. The whole order is not needed, and sorting thousands of servers for each request
+// took most of the time of the choice.
+func (d *Directory) consider(c candidateSet, r Request, key uint64, bound float64, by time.Time) (considered []consideredServer, leastLoaded *server) {
+	digests := d.scratch.digests[:0]
+	for _, part := range r.Prefix {
+		digests = append(digests, PartDigest(r.Service, part.ID()))
+	}
+	weights, others := d.scratch.weights[:0], d.scratch.considered[:0]
+	var open, cold preferred
+	var leastWeight uint64
+	for _, list := range [2][]*server{c.servers, c.cold} {
+		for _, s := range list {
+			weight := clemrank.Weight(key, s.digest)
+			weights = append(weights, weight)
+			load := s.running + s.peerRunning
+			if float64(load) >= engineRequestsPerSlot*float64(s.record.Slots()) {
+				continue
+			}
+			isLimited := s.isLimited()
+			if !isLimited && !s.isCold && (leastLoaded == nil || load < leastLoaded.running+leastLoaded.peerRunning || load == leastLoaded.running+leastLoaded.peerRunning && weight > leastWeight) {
+				leastLoaded, leastWeight = s, weight
+			}
+			if float64(load) >= bound {
+				continue
+			}
+			o := consideredServer{server: s, weight: weight, cached: s.cachedDigests(digests, r.Prefix, by)}
+			switch {
+			case s.isCold:
+				cold.add(o)
+			case !isLimited:
+				open.add(o)
+			}
+			if o.cached > 0 || isLimited && !s.isCold {
+				others = append(others, o)
+			}
+		}
+	}
+	d.scratch.digests, d.scratch.weights, d.scratch.considered = digests, weights, others
+	considered = append(d.scratch.order[:0], open.servers[:open.count]...)
+	considered = append(considered, cold.servers[:cold.count]...)
+	for _, o := range others {
+		if o.cached > 0 || o.weight > open.last() {
+			considered = append(considered, o)
+		}
+	}
+	d.scratch.order = considered
+	slices.SortFunc(considered, func(a, b consideredServer) int { return cmp.Compare(b.weight, a.weight) })
+	considered = slices.CompactFunc(considered, func(a, b consideredServer) bool { return a.server == b.server })
+	setRanks(considered, weights)
+	return considered, leastLoaded
+}
+
+// setRanks sets the positions of the servers among all candidates with the given weights.
+// The servers are sorted by weight, the highest first.
+func setRanks(considered []consideredServer, weights []uint64) {
+	if len(considered) == 0 {
+		return
+	}
+	lowest := considered[len(considered)-1].weight
+	for _, weight := range weights {
+		if weight <= lowest {
+			continue
+		}
+		// The candidate comes before the considered servers with a lower weight, the first
+		// of which is searched for.
+		first, end := 0, len(considered)-1
+		for first < end {
+			if middle := (first + end) / 2; considered[middle].weight < weight {
+				end = middle
+			} else {
+				first = middle + 1
+			}
+		}
+		considered[first].rank++
+	}
+	for i := 1; i < len(considered); i++ {
+		considered[i].rank += considered[i-1].rank
+	}
+}
+
 // leastLoaded returns the server with the least load for its speed that its limit admits,
 // or none if all are full or at their limit.
 func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -96,6 +96,7 @@
 	entries    entryList
 	unlisted   map[string]*coldness
 	listReadAt time.Time
+	scratch    scratch
 	// sweptAt is when the states of all servers were last compared with those reported.
 	sweptAt time.Time
 }
--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -90,6 +90,19 @@
 	return tokens
 }
 
+// cachedDigests is cachedTokens for parts whose digests are known.
+func (s *server) cachedDigests(digests []uint64, prefix []clementineturn.PromptPart, by time.Time) int {
+	tokens := 0
+	for i, digest := range digests {
+		available, known := s.cached[digest]
+		if !known || available.After(by) {
+			break
+		}
+		tokens += prefix[i].Tokens()
+	}
+	return tokens
+}
+
 // isPrefilling reports whether a server is reading the last part of the prefix
 // now.
 func (s *service) isPrefilling(r Request, now time.Time) bool {
@@ -105,11 +118,16 @@
 func (d *Directory) cacheSource(svc *service, chosen *server, r Request, now time.Time) *server {
 	minTokens := chosen.cachedTokens(r.Service, r.Prefix, farFuture(now)) + minFetchTokens
 	var best *server
+	digests := d.scratch.digests[:0]
+	for _, part := range r.Prefix {
+		digests = append(digests, PartDigest(r.Service, part.ID()))
+	}
+	d.scratch.digests = digests
 	for _, other := range svc.servers {
 		if other == chosen || other.health.isUnreachable {
 			continue
 		}
-		if tokens := other.cachedTokens(r.Service, r.Prefix, now); tokens >= minTokens {
+		if tokens := other.cachedDigests(digests, r.Prefix, now); tokens >= minTokens {
 			best, minTokens = other, tokens+1
 		}
 	}
