--- a/clemrouter/explain_test.go
+++ b/clemrouter/explain_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -36,7 +37,7 @@
 	return b.String()
 }
 
-// The three kinds of failed requests of docs/OPERATIONS.md can be explained from
+// The four kinds of failed requests of docs/OPERATIONS.md can be explained from
 // the logs with nothing but the request's id.
 func TestFailuresAreExplained(t *testing.T) {
 	cut := "HTTP/1.1 200 OK\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
@@ -45,9 +46,11 @@
 		path      string
 		responses []string
 		occupied  int
+		evacuated []string
 		lines     []string
 	}{
 		"refused under load": {path: "/unsafe/", occupied: 72, lines: []string{"request refused", "is full", "ran=false", "status=429"}},
+		"evacuated":          {path: "/unsafe/", evacuated: []string{""}, lines: []string{"request refused", "server s1 is evacuated", "ran=false", "status=503"}},
 		"unknown outcome":    {path: "/unsafe/", responses: []string{connectionReset}, lines: []string{"attempt failed", "request failed", "ran=true", "status=502", `"server":"s`}},
 		"cut midway":         {path: "/stream/", responses: []string{cut}, lines: []string{"answer cut", "broke off after 1 events", "events=1", `"server":"s`}},
 	} {
@@ -57,6 +60,7 @@
 			core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zapcore.InfoLevel)
 			f.router.config.Events = clemevent.New(zap.New(core)).With(zap.String("node", "front-1"))
 			occupySlots(t, f, c.occupied)
+			f.router.config.Directory.SetEvacuated(c.evacuated, time.Now())
 			_, _, _, _ = f.post(c.path, http.Header{"Id": {"the-request"}})
 			require.Eventually(t, func() bool { return f.router.ActiveRequests() == 0 }, waitLimit, waitInterval)
 			var report bytes.Buffer
