--- a/dialect.go
+++ b/dialect.go
@@ -178,6 +178,11 @@
 	Rest time.Duration
 	// RestError is set if the server states such a time that cannot be used.
 	RestError error
+	// Cold is for how much longer the server is cold, that is tolerates few requests a
+	// second, or nil if it does not state it.
+	Cold *time.Duration
+	// ColdError is set if the server states a time that cannot be used.
+	ColdError error
 }
 
 // ResponseInfo holds the values decoded from the status and headers of a
@@ -217,6 +222,10 @@
 // KindInvalid, whose field is the header; the statement has no effect.
 func (r ResponseInfo) Rest() (time.Duration, error) { return r.config.Rest, r.config.RestError }
 
+// Cold returns for how much longer the server is cold, or nil if it does not state it.
+// Errors: KindInvalid, whose field is the header.
+func (r ResponseInfo) Cold() (*time.Duration, error) { return r.config.Cold, r.config.ColdError }
+
 // Dialect encodes and decodes the platform's HTTP headers. The platform package
 // provides one; an embedder with other headers supplies its own.
 type Dialect interface {
