--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -159,14 +159,16 @@
 
 // closedState returns the state because of which the server gets no new request at all, or
 // StateOpen.
-func (s *server) closedState(_ time.Time) State {
+func (s *server) closedState(now time.Time) State {
 	switch {
 	case s.record.IsDraining():
 		return StateDraining
+	case s.isLeaving():
+		return StateLeaving
 	case !s.evacuatedSince.IsZero():
 		return StateEvacuated
 	}
-	return StateOpen
+	return s.rest.state(now).state
 }
 
 // closed is closedState with the times and the source.
@@ -174,10 +176,12 @@
 	switch s.closedState(now) {
 	case StateDraining:
 		return Availability{state: StateDraining, source: SourceList}
+	case StateLeaving:
+		return Availability{state: StateLeaving, source: s.leaving.source, since: s.leaving.at}
 	case StateEvacuated:
 		return Availability{state: StateEvacuated, source: SourceOperator, since: s.evacuatedSince}
 	}
-	return Availability{}
+	return s.rest.state(now)
 }
 
 // SetEvacuated sets the data centres whose servers get no requests. Those that are not
@@ -267,11 +271,19 @@
 	s := d.servers[l.id]
 	if s == nil {
 		s = l.server
+		s.leaving, s.rest = d.leaving[l.id], d.rests[l.id]
 	}
-	if closed := s.closed(now); closed.state != StateOpen {
-		return clementineturn.Refuse(clementineturn.KindUnavailable, "server %s is %s", l.id, closed)
+	closed := s.closed(now)
+	if mark, ok := d.leaving[l.id]; ok && l.incarnation <= mark.incarnation {
+		closed = Availability{state: StateLeaving, source: mark.source, since: mark.at}
+	}
+	if closed.state == StateOpen || closed.state == StateResting {
+		if d.rests[l.id].mayReturn(l, now) {
+			return l.checkCold(s, now)
+		}
+		closed = s.closed(now)
 	}
-	return l.checkCold(s, now)
+	return clementineturn.Refuse(clementineturn.KindUnavailable, "server %s is %s", l.id, closed)
 }
 
 // closedRefusal returns the refusal of a request for which every server that is left is
@@ -300,6 +312,8 @@
 	switch {
 	case areEvacuated:
 		retry = evacuatedRetryDelay
+	case reason.state == StateResting && reason.until.IsZero():
+		retry = svc.returns.delay(r.Rank, fullRetryDelay, now)
 	case !reason.until.IsZero():
 		retry = svc.returns.delay(r.Rank, reason.until.Sub(now), now)
 	}
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -138,6 +138,7 @@
 	l.service.removeRunning(l.organisation)
 	l.service.observe(l, outcome, now)
 	l.promptRead()
+	d.endReturn(l)
 	if load != nil {
 		s.load = *load
 	}
--- a/clemstandin/provider_visitor.go
+++ b/clemstandin/provider_visitor.go
@@ -29,6 +29,8 @@
 	Body             string
 	// RetryAfter is the value of the Retry-After header, or 0.
 	RetryAfter time.Duration
+	// IsLeaving is set if the response announces that the server leaves.
+	IsLeaving bool
 	// Err is set if the response was not received whole.
 	Err error
 }
@@ -60,7 +62,7 @@
 	body, err := io.ReadAll(response.Body)
 	result := ClientResponse{
 		Status: response.StatusCode, RequestID: response.Header.Get("X-Request-Id"), Stamp: response.Header.Get("X-Response-Stamp"),
-		Body: string(body), Err: err,
+		Body: string(body), Err: err, IsLeaving: response.Header.Get("Server-Leaving") == "1",
 	}
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		result.RetryAfter = time.Duration(seconds * float64(time.Second))
