Settings and configuration: limits on memory, descriptors and clients

The settings file states limits.memory_mb and limits.max_fds, which nothing read. A negative limit in the configuration is an error too; it counted as none.

go test -race -cpu 1 ./platform ./clemroute passes.

--- a/clemroute/configuration.go
+++ b/clemroute/configuration.go
@@ -42,6 +42,9 @@
 		services: map[string]*Service{}, byKey: map[string]*Organisation{},
 		limits: NewLimits(c.Limits), requiresKeys: len(c.Organisations) > 0, urgencies: map[string][]urgency{},
 	}
+	if err := c.Limits.validate(); err != nil {
+		return nil, err
+	}
 	for _, s := range c.Services {
 		configuration.services[s.Name] = NewService(s)
 	}
--- a/clemroute/route.go
+++ b/clemroute/route.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	clementineturn "github.com/clementineturn/clementineturn"
 )
 
 // Kind tells whether a route's requests may be retried and how they are answered.
@@ -229,6 +231,25 @@
 	IdleTimeout time.Duration
 }
 
+// validate returns an error for a negative limit; 0 means that none is stated.
+// Errors: KindInvalid, which names the field.
+func (c LimitsConfig) validate() error {
+	for _, limit := range []struct {
+		field string
+		value int64
+	}{
+		{"max_header_bytes", int64(c.MaxHeaderBytes)},
+		{"max_body_bytes", int64(c.MaxBodyBytes)},
+		{"header_timeout_ms", int64(c.HeaderTimeout)},
+		{"idle_timeout_ms", int64(c.IdleTimeout)},
+	} {
+		if limit.value < 0 {
+			return clementineturn.Invalid("limits."+limit.field, "it is negative")
+		}
+	}
+	return nil
+}
+
 // Limits are the limits on requests of clients.
 type Limits struct{ config LimitsConfig }
 
--- a/clemsite/site.go
+++ b/clemsite/site.go
@@ -77,6 +77,11 @@
 	Seeds []string
 	// HeartbeatInterval is the interval at which backend servers write their rows.
 	HeartbeatInterval time.Duration
+	// MemoryLimit is the memory in bytes that the process may use, 0 if none is stated.
+	MemoryLimit int64
+	// MaxDescriptors is the number of descriptors that the process may have open, 0 if
+	// none is stated.
+	MaxDescriptors int
 	// Bounds are the bounds of the deployment.
 	Bounds Bounds
 }
@@ -115,6 +120,14 @@
 // rows.
 func (s *Settings) HeartbeatInterval() time.Duration { return s.config.HeartbeatInterval }
 
+// MemoryLimit returns the memory in bytes that the process may use, 0 if none is
+// stated.
+func (s *Settings) MemoryLimit() int64 { return s.config.MemoryLimit }
+
+// MaxDescriptors returns the number of descriptors that the process may have open, 0
+// if none is stated.
+func (s *Settings) MaxDescriptors() int { return s.config.MaxDescriptors }
+
 // Bounds returns the bounds of the deployment.
 func (s *Settings) Bounds() Bounds { return s.config.Bounds }
 
