clemrouter: charge bodies and buffered responses to the memory budget

A body was read without regard to the others, and one that never ends was held for ever. A request that the budget has no room for is refused as not run and its body left unread. From then on it may be sent to a server and is kept; responses are charged and always delivered.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -38,6 +38,10 @@
 	HTTPServerMessage     Event = 931
 	QuarantineInvalid     Event = 932
 	QuarantineNotLifted   Event = 933
+	HeadRefused           Event = 960
+	ConnectionClosed      Event = 961
+	BodyRefused           Event = 962
+	IntakeLimits          Event = 963
 )
 
 var routerEvents = map[Event]Info{
@@ -74,5 +78,9 @@
 	ServerUnlimited:       {zapcore.InfoLevel, "backend server no longer limited", "A response to a request that was sent after the last statement of a limit states none."},
 	ServerLimitInvalid:    {zapcore.WarnLevel, "backend server limit invalid", "A response states a limit that is no number of requests a second. The last limit stays in force."},
 	LogLinesRateLimited:   {zapcore.WarnLevel, "log lines dropped", "More lines of the event in the of field were logged than the rate limit allows; count is the number of dropped lines."},
+	HeadRefused:           {zapcore.WarnLevel, "request head refused", "The head of a request was above the limits; its request never runs. The reason field says which: head for its size (431), time for the time until its end, memory for the budget (503)."},
+	ConnectionClosed:      {zapcore.WarnLevel, "connection closed at the limit", "The listener has as many connections as its limit allows. The one that waited longest without a complete request was closed, or the new one if all have one."},
+	BodyRefused:           {zapcore.WarnLevel, "request body left unread", "The memory budget has no room for the body. The request was refused as not run; event 920 has its id."},
+	IntakeLimits:          {zapcore.InfoLevel, "limits on clients in force", "The memory budget in bytes and the number of clients' connections, at the start and after a change of the settings; 0 means no limit."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clemrouter/answer.go
+++ b/clemrouter/answer.go
@@ -67,6 +67,14 @@
 // client unless it is a failure.
 func (q *request) forwardResponse(response *clemconn.Response, responseInfo clementineturn.ResponseInfo) attemptResult {
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, responseInfo: responseInfo}
+	var charged int64
+	q.chargeResponse(&charged, expectedSize(response))
+	defer func() {
+		// A failure response may be kept until the end of the request.
+		if buffered.status < http.StatusInternalServerError {
+			q.hold.Return(charged)
+		}
+	}()
 	if responseInfo.NotRun() {
 		result := attemptResult{outcome: clempool.OutcomeRefused, err: clementineturn.Refuse(clementineturn.KindOverloaded, "status %d, not run", buffered.status)}
 		if responseInfo.Misdirected() {
@@ -82,6 +90,7 @@
 		return failed
 	}
 	buffered.body = body
+	q.chargeResponse(&charged, int64(cap(body)))
 	switch {
 	case !responseInfo.Signed() || response.Header.Get("Content-Encoding") != "":
 		failed.err = clementineturn.Errorf(clementineturn.KindMismatch, "status %d without the server's signature or with an encoding", buffered.status)
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -18,6 +18,7 @@
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemroute"
 )
 
@@ -118,7 +119,9 @@
 	shortestTarget time.Duration
 	deadline       time.Time
 	body           []byte
-	target         string
+	// hold counts the request's memory; nil means that it is not counted.
+	hold   *clemquota.Hold
+	target string
 
 	// triedServers are the ids of the servers that were tried, attempts the results.
 	triedServers []string
@@ -207,26 +210,6 @@
 	return min(client, operator)
 }
 
-// readBody reads the whole body, so that the request can be retried and that
-// net/http detects from then on when the client disconnects.
-func (q *request) readBody(limit int) error {
-	if q.http.Body == nil || q.http.ContentLength == 0 {
-		return nil
-	}
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := readAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), q.http.ContentLength)
-	if err == nil {
-		q.body = body
-		return nil
-	}
-	if isTooLarge(err) {
-		return clementineturn.Refuse(clementineturn.KindTooLarge, "the body is larger than %d bytes", limit)
-	}
-	return clementineturn.Refuse(clementineturn.KindCancelled, "reading the body: %w", err)
-}
-
 // finish writes an error response if the client has none yet, and emits the
 // request's event. If the response broke off, it closes the connection.
 func (q *request) finish(err *clementineturn.Error) {
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -38,10 +38,13 @@
 		return result
 	}
 	var pending []byte
+	var charged int64
+	defer func() { q.hold.Return(charged) }()
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Read(chunk)
 		pending = append(pending, chunk[:n]...)
+		q.chargeResponse(&charged, int64(cap(pending)))
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
 			events := summarizeEvents(pending[:at+len(eventEnd)])
 			if events.hasContent {
