--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -86,7 +86,7 @@
 		func() Config { return c },
 		func() *activeSettings { active := &activeSettings{}; active.Store(settings); return active },
 		func() *clemevent.Sink { return clemevent.NewSink(c.LogOutput) },
-		newEventLogger, clemmetric.New, newTable, newDirectory, newQuarantine, newPeerView, newRetryBudget, newRouter, newStore, newPeers, newSyncer, newFront,
+		newEventLogger, clemmetric.New, newTable, newDirectory, newQuarantine, newPeerView, newRetryBudget, newRouter, newStore, newPeers, newSyncer, newBudget, newFront,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			return clementineturn.Errorf(clementineturn.KindInternal, "assembling: %w", dig.RootCause(err))
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -3,11 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
-	"log"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -18,6 +14,7 @@
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemrouter"
 	"github.com/clementineturn/clementineturn/clemrpc"
@@ -40,10 +37,6 @@
 	// readyPollInterval is the interval at which a starting front checks whether
 	// it is ready.
 	readyPollInterval = 20 * time.Millisecond
-	// headerTimeout and idleTimeout bound the connections of clients. They lie
-	// above the limits that configurations set, which clients observe themselves.
-	headerTimeout = 15 * time.Second
-	idleTimeout   = 90 * time.Second
 	// minClockJump is the smallest change between wall clock and monotonic clock
 	// that is logged.
 	minClockJump = 500 * time.Millisecond
@@ -65,16 +58,18 @@
 	metrics    *clemmetric.Registry
 	// wasReady is set once the front has been ready.
 	wasReady bool
-	// clientConns counts the open connections of clients.
-	clientConns atomic.Int64
+	// budget bounds the memory of requests.
+	budget *clemquota.Budget
+	// clientListener is the listener for clients.
+	clientListener *clemquota.Listener
 	// endRequests ends the requests of clients with a cause.
 	endRequests context.CancelCauseFunc
 }
 
-func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry) *front {
+func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry, budget *clemquota.Budget) *front {
 	return &front{
 		config: c, settings: settings, router: router, syncer: syncer, table: table, servers: servers, quarantine: quarantine, peers: peers,
-		events: events, sink: sink, metrics: metrics,
+		events: events, sink: sink, metrics: metrics, budget: budget,
 	}
 }
 
@@ -94,15 +89,26 @@
 	defer f.peers.Close()
 	failed := make(chan error, 4)
 	clients := f.clientServer()
-	for address, server := range map[string]*http.Server{
-		settings.ListenAddress(): clients, settings.ReadyAddress(): {Handler: http.HandlerFunc(f.handleReady)},
-		settings.ControlAddress(): {Handler: peerHandler(calls)}, settings.MetricsAddress(): {Handler: f.metricsHandler()},
+	f.applyLimits(settings)
+	for _, s := range []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{listenerClients, settings.ListenAddress(), clients},
+		{listenerReady, settings.ReadyAddress(), &http.Server{Handler: http.HandlerFunc(f.handleReady)}},
+		{listenerControl, settings.ControlAddress(), &http.Server{Handler: peerHandler(calls)}},
+		{listenerMetrics, settings.MetricsAddress(), &http.Server{Handler: f.metricsHandler()}},
 	} {
-		if err := serve(server, address, failed); err != nil {
-			f.events.Emit(clemevent.ProcessFailed, zap.String("listen", address), zap.Error(err))
+		listener, err := f.listen(s.name, s.address, s.server)
+		if err != nil {
+			f.events.Emit(clemevent.ProcessFailed, zap.String("listen", s.address), zap.Error(err))
 			return err
 		}
-		defer server.Close()
+		if s.server == clients {
+			f.clientListener = listener
+		}
+		serve(s.server, listener, failed)
+		defer s.server.Close()
 	}
 	synced := f.syncer.Start(ctx)
 	f.events.Emit(clemevent.ProcessStarted, zap.String("listen", settings.ListenAddress()), zap.String("control", settings.ControlAddress()))
@@ -116,25 +122,6 @@
 	return err
 }
 
-func (f *front) clientServer() *http.Server {
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	var base context.Context
-	base, f.endRequests = context.WithCancelCause(context.Background())
-	return &http.Server{
-		Handler: f.router, Protocols: protocols, BaseContext: func(net.Listener) context.Context { return base }, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: log.New(httpErrorWriter{f.events}, "", 0),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			switch state {
-			case http.StateNew:
-				f.clientConns.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				f.clientConns.Add(-1)
-			}
-		},
-	}
-}
-
 // httpErrorWriter logs the error messages of net/http as events.
 type httpErrorWriter struct{ events *clemevent.Logger }
 
@@ -144,19 +131,6 @@
 	return len(text), nil
 }
 
-func serve(server *http.Server, address string, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return clementineturn.Errorf(clementineturn.KindInvalid, "listening on %s: %w", address, err)
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return nil
-}
-
 func peerHandler(calls *clemrpc.Server) http.Handler {
 	router := chi.NewRouter()
 	calls.Mount(router)
@@ -171,6 +145,8 @@
 		f.metrics.Gauge(clemmetric.BackendServers).Update(int64(f.servers.Len()))
 		f.metrics.Gauge(clemmetric.Quarantines).Update(int64(len(f.quarantine.Quarantines(time.Now()))))
 		f.metrics.Gauge(clemmetric.ConfigurationVersion).Update(int64(f.table.Version()))
+		f.metrics.Gauge(clemmetric.IntakeBytes).Update(f.budget.Used())
+		f.metrics.Gauge(clemmetric.IntakeConnections).Update(int64(f.clientListener.Len()))
 		f.metrics.Gauge(clemmetric.LogLinesDropped).Update(int64(f.sink.Dropped()))
 	})
 	router := chi.NewRouter()
@@ -235,8 +211,8 @@
 	return now
 }
 
-// reloadSettings reads the settings again. Changes of the bounds, the store's
-// address and the seeds take effect; the others need a restart.
+// reloadSettings reads the settings again. Changes of the bounds, the
+// limits, the store's address and the seeds take effect; the others need a restart.
 func (f *front) reloadSettings() {
 	settings, err := f.config.ReadSettings()
 	old := f.settings.Load()
@@ -245,6 +221,9 @@
 		f.events.Emit(clemevent.SettingsRejected, zap.Error(err))
 	case !clemsite.Equal(settings, old):
 		f.settings.Store(settings)
+		if settings.MemoryLimit() != old.MemoryLimit() || settings.MaxDescriptors() != old.MaxDescriptors() {
+			f.applyLimits(settings)
+		}
 		f.events.Emit(clemevent.SettingsReloaded)
 	}
 }
@@ -256,7 +235,7 @@
 	started := time.Now()
 	end := started.Add(f.settings.Load().Bounds().GracePeriod() - exitMargin)
 	f.router.Drain(end)
-	f.events.Emit(clemevent.ProcessDraining, zap.Int("running", f.router.ActiveRequests()), zap.Int64("connections", f.clientConns.Load()))
+	f.events.Emit(clemevent.ProcessDraining, zap.Int("running", f.router.ActiveRequests()), zap.Int("connections", f.clientListener.Len()))
 	time.Sleep(min(shutdownDelay, time.Until(end)))
 	// Shutdown closes idle connections and waits for the others.
 	if err := shutdownUntil(clients, end); err == nil {
--- a/clemquota/listener.go
+++ b/clemquota/listener.go
@@ -89,8 +89,11 @@
 	}
 }
 
-// Len returns the number of open connections.
+// Len returns the number of open connections, 0 for a nil Listener.
 func (l *Listener) Len() int {
+	if l == nil {
+		return 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns)
--- a/cmd/clementine-front/intake_test.go
+++ b/cmd/clementine-front/intake_test.go
@@ -37,7 +37,7 @@
 
 // intakeHead returns the head of a legal request without its end.
 func intakeHead(contentLength int) string {
-	return fmt.Sprintf("POST /a/ HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer k1\r\nX-Request-Id: r2\r\nX-Deadline-Ms: 60000\r\nContent-Length: %d\r\n", contentLength)
+	return fmt.Sprintf("POST /a/ HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer k1\r\nX-Request-Id: r2\r\nContent-Length: %d\r\n", contentLength)
 }
 
 // shortLines returns header lines of different names up to the size.
@@ -113,12 +113,10 @@
 		"heartbeat_ms": 1200, "provider": {"address": %q}, "limits": {"memory_mb": %d, "max_fds": %d},
 		"bounds": {"grace_s": 8, "cap_x": 2, "retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_budget_slack": 20}}`,
 		metricsIP, f.frontAddress, f.readyAddress, f.controlAddress, strings.TrimPrefix(provider.URL, "http://"), intakeMemoryMB, maxDescriptors))
-	require.NoError(t, f.store.Put("op", "config", map[string]any{
-		"version":  1,
-		"routes":   []map[string]any{{"name": "r", "host": "shop.example", "prefix": "/a/", "route_type": "safe", "service": "app", "timeout_ms": 30000, "latency_target_ms": 1000, "attempts": 2}},
-		"services": []map[string]any{{"name": "app"}}, "tenants": []map[string]any{{"name": "acme", "api_keys": []string{"k1"}}},
-		"limits": map[string]any{"max_header_bytes": maxIntakeHead, "max_body_bytes": maxIntakeBody, "header_timeout_ms": 20000, "idle_timeout_ms": 60000},
-	}))
+	configuration := configurationOf(1, "/a/")
+	configuration["routes"].([]map[string]any)[0]["timeout_ms"] = 30000
+	configuration["limits"] = map[string]any{"max_header_bytes": maxIntakeHead, "max_body_bytes": maxIntakeBody, "header_timeout_ms": 20000, "idle_timeout_ms": 60000}
+	require.NoError(t, f.store.Put("op", "config", configuration))
 	f.putServer("i-1", startServer(t, "i-1"))
 	command := exec.Command(program)
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+f.settingsPath)
--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -110,6 +110,10 @@
 
 // putConfiguration writes a version of the configuration with the given routes.
 func (f *testFront) putConfiguration(version int, prefixes ...string) {
+	require.NoError(f.t, f.store.Put("op", "config", configurationOf(version, prefixes...)))
+}
+
+func configurationOf(version int, prefixes ...string) map[string]any {
 	var routes []map[string]any
 	for _, prefix := range prefixes {
 		routes = append(routes, map[string]any{
@@ -117,10 +121,10 @@
 			"timeout_ms": 5000, "latency_target_ms": 1000, "attempts": 2,
 		})
 	}
-	require.NoError(f.t, f.store.Put("op", "config", map[string]any{
+	return map[string]any{
 		"version": version, "routes": routes, "services": []map[string]any{{"name": "app"}},
 		"tenants": []map[string]any{{"name": "acme", "api_keys": []string{"k1"}}},
-	}))
+	}
 }
 
 func (f *testFront) putServer(id, at string) {
