clemconn, clemrpc, platform, clemhttp: bound the heads of responses

A head of 256 KiB from a backend server could have 87,000 lines, which take 17 MB; it is bounded to 8,192 lines too. The head of a peer's response to the request for a connection had no limit, and those of the store and of clemhttp's callers net/http's 10 MiB. A large request body is no longer copied beside its head, which doubled its memory.

go test -race -cpu 1 ./clemconn ./clemrpc ./clemhttp ./platform passes.

--- a/clemconn/endless_test.go
+++ b/clemconn/endless_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Guards against heads whose many short lines take far more memory than their bytes, and
+// against a limit that the lines of another response's body count towards.
+func TestHeadLinesAreBounded(t *testing.T) {
+	exchange := func(text string) (*Response, uint64, error) {
+		dial, _ := endless(text, "\n")
+		r := newRequest("1")
+		r.Body = nil
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		response, err := New(Config{Address: "x", Dial: dial}).Exchange(context.Background(), r)
+		runtime.ReadMemStats(&after)
+		return response, after.TotalAlloc - before.TotalAlloc, err
+	}
+	_, allocated, err := exchange("HTTP/1.1 200 OK\r\nId: 1\r\n" + strings.Repeat("A:\n", 64<<10) + "\r\n")
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindTooLarge), err)
+	require.Less(t, allocated, uint64(2<<20))
+	other := "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("\n", 100000)
+	response, _, err := exchange(other + "HTTP/1.1 200 OK\r\nId: 1\r\n" + strings.Repeat("A:\n", 4096) + "\r\n")
+	require.NoError(t, err)
+	require.Len(t, response.Header["A"], 4096)
+	response.Close()
+}
+
 // The parts of a body that are no content do not come without end either.
 func TestEndlessFramingEndsTheBody(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,9 @@
 	// maxHeadBytes is the size limit of the head of a response, with the interim
 	// responses before it.
 	maxHeadBytes = 256 << 10
+	// maxHeadLines is the limit of its lines, each of which takes up to 200 bytes: 1.6 MB
+	// in all.
+	maxHeadLines = 8192
 	// maxStrayBody is how many bytes of a response to another request are skipped.
 	maxStrayBody = 1 << 20
 	// maxStrayResponses is how many responses to other requests are skipped on a
@@ -79,7 +83,7 @@
 // Exchange sends the request once and returns the response after its head was
 // read. The connection is closed when the context ends. Errors: KindUnavailable,
 // not run, if there was no connection; KindMismatch if only responses to other
-// requests arrived; KindTooLarge if the head does not end within maxHeadBytes or a
+// requests arrived; KindTooLarge if the head does not end within maxHeadBytes and maxHeadLines or a
 // response to another request within maxStrayBody; KindUnknown otherwise, with the
 // context's cause if it ended.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (*Response, error) {
@@ -98,8 +102,8 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		if c.limit.isExceeded {
-			err = clementineturn.Errorf(clementineturn.KindTooLarge, "backend server %s: more than %d bytes of a head or %d of an answer to another request", p.address, maxHeadBytes, maxStrayBody)
+		if c.limit.IsExceeded() {
+			err = clementineturn.Errorf(clementineturn.KindTooLarge, "backend server %s: more than %d bytes or %d lines of a head or %d bytes of an answer to another request", p.address, maxHeadBytes, maxHeadLines, maxStrayBody)
 		}
 		var known *clementineturn.Error
 		if errors.As(err, &known) {
@@ -114,7 +118,12 @@
 // receives the result once the goroutine has written it.
 func (c *conn) writeRequest(r *Request) (chan error, error) {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	inline := r.Body
+	if len(r.Body) > maxInlineBody {
+		// The body is not copied, since that would double its memory.
+		inline = nil
+	}
+	b.Grow(1024 + len(inline))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -123,14 +132,15 @@
 		return nil, err
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	b.Write(inline)
 	if len(r.Body) <= maxInlineBody {
 		_, err := c.Write(b.Bytes())
 		return nil, err
 	}
 	written := make(chan error, 1)
 	go func() {
-		_, err := c.Write(b.Bytes())
+		text := net.Buffers{b.Bytes(), r.Body}
+		_, err := text.WriteTo(c.Conn)
 		written <- err
 	}()
 	return written, nil
@@ -138,8 +148,8 @@
 
 // readHead reads the head of the response to the request.
 func (r *Response) readHead(request *Request) error {
-	r.conn.limit.set(maxHeadBytes)
-	defer r.conn.limit.lift()
+	r.conn.limit.Set(maxHeadBytes, maxHeadLines)
+	defer r.conn.limit.Lift()
 	for range maxStrayResponses + 1 {
 		head, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -156,11 +166,11 @@
 			r.Response, r.isUnnamed = head, match == MatchUnnamed
 			return nil
 		}
-		r.conn.limit.set(maxStrayBody)
+		r.conn.limit.Set(maxStrayBody, maxStrayBody)
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
 			return err
 		}
-		r.conn.limit.set(maxHeadBytes)
+		r.conn.limit.Set(maxHeadBytes, maxHeadLines)
 	}
 	return clementineturn.Errorf(clementineturn.KindMismatch, "backend server %s: only answers to other requests", r.pool.address)
 }
--- a/clemconn/pool.go
+++ b/clemconn/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemquota"
 )
 
 // maxIdleConns is the maximum number of idle connections to one backend server.
@@ -53,7 +54,7 @@
 	net.Conn
 	reader *bufio.Reader
 	// limit limits what reader reads while a head is expected.
-	limit *readLimit
+	limit *clemquota.ReadLimit
 	// idleSince is when the connection was last used.
 	idleSince time.Time
 	// usableUntil is shortly before the server closes the idle connection; zero if
@@ -84,7 +85,7 @@
 }
 
 func newConn(opened net.Conn) *conn {
-	limit := &readLimit{from: opened}
+	limit := clemquota.NewReadLimit(opened)
 	return &conn{Conn: opened, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
 }
 
--- a/clemhttp/clemhttp.go
+++ b/clemhttp/clemhttp.go
@@ -19,6 +19,9 @@
 	dialTimeout         = 2 * time.Second
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerHost = 64
+	// maxHeadBytes is the size limit of a response's head: 9 MB of memory if it has lines
+	// of three bytes. net/http's own is 10 MiB.
+	maxHeadBytes = 256 << 10
 )
 
 // Config describes a client to construct.
@@ -71,7 +74,9 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-		Protocols:           protocols,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		Protocols:              protocols,
 	}
 }
 
--- a/clemrpc/client.go
+++ b/clemrpc/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -27,6 +28,10 @@
 	// callTimeout bounds calls whose context has no deadline.
 	callTimeout    = 10 * time.Second
 	maxIdlePerHost = 64
+	// maxHeadBytes and maxHeadLines bound the head of a peer's response, which has fewer
+	// than ten lines.
+	maxHeadBytes = 16 << 10
+	maxHeadLines = 256
 )
 
 // ClientConfig describes the Peers to construct.
@@ -56,7 +61,7 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	transport := &http.Transport{DialContext: c.Dial, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{DialContext: c.Dial, TLSClientConfig: c.TLS, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Peers{key: c.Key, tls: c.TLS, dial: c.Dial, http: &http.Client{Transport: transport}, peers: map[string]*peer{}}
 }
 
@@ -173,11 +178,14 @@
 	if err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	limit := clemquota.NewReadLimit(conn)
+	limit.Set(maxHeadBytes, maxHeadLines)
+	reader := bufio.NewReader(limit)
 	if err := p.upgrade(ctx, conn, reader); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
+	limit.Lift()
 	return rpc.NewClientWithCodec(&clientCodec{newStream(conn, reader)}), nil
 }
 
