clemnode: the limits on clients for entries with sidecars

The listeners of entries and sidecars use the listener of clemquota: heads of 64 KiB are bounded in memory as well, bodies of an entry are charged before they are read, and connections may be bounded. The settings memory and connections are new; their default 0 bounds nothing. The refusal of a request without TLS stays. A head that timed out stays so when net/http asks again for the rest of its line, and nothing follows a refusal.

Slack for the network is added to the configured header timeout of fronts only.

--- a/clementry/http.go
+++ b/clementry/http.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -20,6 +19,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemburn"
 	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -212,9 +212,17 @@
 	if c.r.ContentLength > e.config.MaxBodyBytes {
 		return nil, tooLarge(e.config.MaxBodyBytes)
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.config.MaxBodyBytes))
+	hold := clemquota.FromContext(c.r.Context())
+	data, err := hold.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.config.MaxBodyBytes), c.r.ContentLength)
+	if err == nil || hold.IsEvicted() {
+		// From now on the request may be dispatched and is not evicted.
+		err = hold.Pin()
+	}
 	var large *http.MaxBytesError
 	switch {
+	case hold.IsEvicted():
+		c.w.Header().Set("Connection", "close")
+		return nil, err
 	case errors.As(err, &large):
 		return nil, tooLarge(large.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/clemfront/intake.go
+++ b/clemfront/intake.go
@@ -7,8 +7,6 @@
 	"log"
 	"net"
 	"net/http"
-	"os"
-	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,20 +19,11 @@
 )
 
 const (
-	// budgetShare is the share of the process's memory that requests may hold, and
-	// connMemoryShare that for connections. The rest is for what the process knows of the
-	// fleet, 15 MiB for a small one, and for the garbage collector.
-	budgetShare     = 3.0 / 8
+	// connMemoryShare is the share of the process's memory for connections of clients.
 	connMemoryShare = 1.0 / 8
-	// minBudget is the smallest budget in bytes: room for a request with a body of 4 MiB
-	// and for ordinary ones beside it.
-	minBudget = 8 << 20
 	// connMemory is what an idle connection takes: two buffers of 4 KiB, a stack of 4
 	// to 8 KiB and the state of net/http.
 	connMemory = 16 << 10
-	// softLimitShare is the share of the process's memory from which on the garbage
-	// collector works harder.
-	softLimitShare = 0.85
 	// reservedDescriptors is the number of descriptors that are kept for files.
 	reservedDescriptors = 200
 	// clientConnShare is the share of the other descriptors for connections of clients:
@@ -52,7 +41,10 @@
 	defaultMaxHead      = 1 << 20
 	// headerTimeout and idleTimeout apply to clients if the configuration states none.
 	headerTimeout = 15 * time.Second
-	idleTimeout   = 90 * time.Second
+	// headerTimeSlack is how much later than the configured timeout a head may end, since
+	// the network adds to the client's time.
+	headerTimeSlack = time.Second
+	idleTimeout     = 90 * time.Second
 	// innerMaxHead, innerHeadTimeout and innerIdleTimeout apply to the other listeners.
 	// Monitoring may reuse its connection after some minutes.
 	innerMaxHead     = 8 << 10
@@ -69,15 +61,7 @@
 )
 
 func newBudget(active *activeSettings) *clemquota.Budget {
-	return clemquota.NewBudget(budgetOf(active.Load()))
-}
-
-// budgetOf returns the memory in bytes that requests may hold, 0 without a limit.
-func budgetOf(settings *clemsite.Settings) int64 {
-	if settings.MemoryLimit() == 0 {
-		return 0
-	}
-	return max(int64(budgetShare*float64(settings.MemoryLimit())), minBudget)
+	return clemquota.NewBudget(clemquota.BudgetFor(active.Load().MemoryLimit()))
 }
 
 // maxConnsOf returns the largest number of connections of clients, 0 without a limit.
@@ -101,10 +85,8 @@
 
 // applyLimits puts the limits of the settings in force.
 func (f *front) applyLimits(settings *clemsite.Settings) {
-	f.budget.SetLimit(budgetOf(settings))
-	if limit := settings.MemoryLimit(); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(softLimitShare * float64(limit)))
-	}
+	f.budget.SetLimit(clemquota.BudgetFor(settings.MemoryLimit()))
+	clemquota.LimitProcess(settings.MemoryLimit())
 	f.events.Emit(clemevent.IntakeLimits, zap.Int64("budget", f.budget.Limit()), zap.Int("connections", maxConnsOf(settings)))
 }
 
@@ -114,7 +96,9 @@
 	if configuration := f.table.Current(); configuration != nil {
 		stated := configuration.Limits()
 		limits.MaxHeadBytes = cmp.Or(stated.MaxHeaderBytes(), defaultMaxHead)
-		limits.HeadTimeout = cmp.Or(stated.HeaderTimeout(), headerTimeout)
+		if timeout := stated.HeaderTimeout(); timeout > 0 {
+			limits.HeadTimeout = timeout + headerTimeSlack
+		}
 		limits.IdleTimeout = cmp.Or(stated.IdleTimeout(), idleTimeout)
 	}
 	// Clients may open connections that they use later.
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -78,8 +78,8 @@
 	{BackendServers, kindGauge, "front", "", "Backend servers listed."},
 	{LogLinesDropped, kindGauge, "front", "", "Log lines dropped because the reader of standard output stood still."},
 	{ConfigurationVersion, kindGauge, "front", "", "Version of the platform's configuration in force."},
-	{IntakeRefused, kindCounter, "front", "listener,reason", "Heads, bodies and connections refused, by the limit: head (bytes), time, memory, connections."},
-	{IntakeBytes, kindGauge, "front", "", "Memory that requests hold of the budget, in bytes; 0 without a budget."},
+	{IntakeRefused, kindCounter, "", "listener,reason", "Heads, bodies and connections refused, by the limit: head (bytes), time, memory, connections."},
+	{IntakeBytes, kindGauge, "", "", "Memory that requests hold of the budget, in bytes; 0 without a budget."},
 	{IntakeConnections, kindGauge, "front", "", "Open connections of clients."},
 	{CPUSeconds, kindGauge, "", "", "Processor time that the process used, in seconds."},
 }
--- a/clemnode/entry.go
+++ b/clemnode/entry.go
@@ -61,6 +61,7 @@
 	Operators *clemops.Handler
 	Peers     *clemrpc.Peers
 	Metrics   *clemmetric.Registry
+	Intake    *intake
 }
 
 func newEntryProcess(deps entryDeps) (*process, error) {
@@ -70,7 +71,7 @@
 	deps.Entry.Mount(router)
 	calls := clemrpc.NewServer(clemrpc.ServerConfig{Context: deps.Context, Key: deps.Settings.FleetKey(), Peer: deps.Entry})
 	calls.Mount(router)
-	callers, err := listen(deps.Context, deps.Settings, deps.Settings.ListenAddress(), router)
+	callers, err := listen(deps.Context, deps.Settings, deps.Intake, deps.Settings.ListenAddress(), router)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +80,7 @@
 		adminRouter := chi.NewRouter()
 		deps.Operators.Mount(adminRouter)
 		mountMetrics(adminRouter, deps.Metrics)
-		admin, err := listen(deps.Context, deps.Settings, address, adminRouter)
+		admin, err := listen(deps.Context, deps.Settings, deps.Intake, address, adminRouter)
 		if err != nil {
 			return nil, err
 		}
--- a/clemnode/node.go
+++ b/clemnode/node.go
@@ -55,7 +55,7 @@
 	constructors := []any{
 		func() *clemsetting.Settings { return settings },
 		func() context.Context { return ctx },
-		newLogger, newSelf, newPlatform, newPeers, newLog, newLedger, newClaimRouter, newMemberController,
+		newLogger, newSelf, newPlatform, newPeers, newLog, newLedger, newClaimRouter, newMemberController, newIntake,
 		clemboard.New, clemmetric.New,
 		func(c *clemplatform.Client) clementineturn.Table { return c.Table() },
 		func(c *clemplatform.Client) clementineturn.Hosts { return c.Hosts() },
@@ -151,7 +151,7 @@
 
 // listen opens a listener and returns a server for it. It uses TLS if the
 // settings configure it.
-func listen(ctx context.Context, settings *clemsetting.Settings, address string, handler http.Handler) (*server, error) {
+func listen(ctx context.Context, settings *clemsetting.Settings, limits *intake, address string, handler http.Handler) (*server, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, clementineturn.Errorf(clementineturn.KindUnavailable, "listen: %w", err)
@@ -163,7 +163,7 @@
 		config.NextProtos = []string{"http/1.1"}
 		listener = tls.NewListener(listener, config)
 	}
-	return &server{Server: s, listener: listener}, nil
+	return &server{Server: s, listener: limits.limitListener(listener, s)}, nil
 }
 
 // start serves in the background. The channel delivers the error of Serve.
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -76,6 +76,7 @@
 	Backend  *clembackend.Backend
 	Sidecar  *clemsidecar.Sidecar
 	Peers    *clemrpc.Peers
+	Intake   *intake
 }
 
 func newSidecarProcess(deps sidecarDeps) (*process, error) {
@@ -85,7 +86,7 @@
 	calls := clemrpc.NewServer(clemrpc.ServerConfig{Context: deps.Context, Key: deps.Settings.FleetKey(), Peer: deps.Sidecar})
 	calls.Mount(router)
 	deps.mount(router)
-	s, err := listen(deps.Context, deps.Settings, deps.Settings.ListenAddress(), router)
+	s, err := listen(deps.Context, deps.Settings, deps.Intake, deps.Settings.ListenAddress(), router)
 	if err != nil {
 		return nil, err
 	}
--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -18,9 +19,6 @@
 	// headSlack is how much longer than the limit a head may be: the limit need not
 	// count the request line, and net/http allows as much.
 	headSlack = 4096
-	// headTimeSlack is how much later than the timeout a head may end: the client's time
-	// begins earlier, and the network adds to it.
-	headTimeSlack = time.Second
 	// lateReadTime is how long a head that is late may still be read: its bytes may have
 	// arrived while the process was suspended.
 	lateReadTime = 50 * time.Millisecond
@@ -95,13 +93,16 @@
 	// in its buffer when the next head begins.
 	bufferedLines int
 	isLate        bool
+	// headErr is the error that ended the head. net/http may ask again for the rest of a
+	// line.
+	headErr error
 	// deadline is what net/http last set while a head was read.
 	deadline time.Time
 }
 
 func (c *Conn) beginHead(timeout func(Limits) time.Duration) {
 	c.limits = c.listener.config.Limits()
-	c.inHead, c.isLate, c.headBytes, c.reads, c.deadline = true, false, 0, 0, time.Time{}
+	c.inHead, c.isLate, c.headErr, c.headBytes, c.reads, c.deadline = true, false, nil, 0, 0, time.Time{}
 	c.waitingSince.Store(time.Now().UnixNano())
 	c.hold.Release()
 	_ = c.setReadDeadline(time.Now().Add(timeout(c.limits)))
@@ -129,6 +130,15 @@
 	return n, err
 }
 
+// Write implements net.Conn. After a refusal nothing else is sent: net/http may take the
+// cut head for a malformed one.
+func (c *Conn) Write(from []byte) (int, error) {
+	if c.isRefused.Load() {
+		return 0, errRefused
+	}
+	return c.Conn.Write(from)
+}
+
 // countBuffered counts the line ends that net/http's buffer may have after a read. It
 // reads less than the size of its buffer only if there is something in it, and more only
 // past the buffer.
@@ -144,7 +154,10 @@
 }
 
 func (c *Conn) readHead(to []byte) (int, error) {
-	if c.isRefused.Load() || c.headBytes == 0 && c.hold.IsEvicted() {
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
+	if c.headBytes == 0 && c.hold.IsEvicted() {
 		return 0, errRefused
 	}
 	if c.headBytes >= c.limits.MaxHeadBytes+headSlack {
@@ -152,7 +165,7 @@
 	}
 	// Most heads arrive in one piece, and the time of the others runs from the first.
 	if c.reads == 1 {
-		_ = c.setReadDeadline(time.Now().Add(c.limits.HeadTimeout + headTimeSlack))
+		_ = c.setReadDeadline(time.Now().Add(c.limits.HeadTimeout))
 	}
 	n, err := c.Conn.Read(to)
 	if n == 0 && c.headBytes > 0 && !c.isLate && errors.Is(err, os.ErrDeadlineExceeded) && !c.hold.IsEvicted() {
@@ -180,9 +193,25 @@
 	case c.headBytes > 0 && errors.Is(err, os.ErrDeadlineExceeded):
 		c.listener.refused(ReasonTime, c)
 	}
+	answerPlain(err)
+	c.headErr = err
 	return n, err
 }
 
+// answerPlain answers a request without TLS to a listener with TLS. net/http does so
+// only if it sees the TLS connection itself.
+func answerPlain(err error) {
+	var record tls.RecordHeaderError
+	if !errors.As(err, &record) || record.Conn == nil {
+		return
+	}
+	switch string(record.RecordHeader[:]) {
+	case "GET /", "HEAD ", "POST ", "PUT /", "OPTIO":
+		_ = record.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(record.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nClient sent an HTTP request to an HTTPS server.\n")
+	}
+}
+
 // headLines counts the line ends up to an empty line, which ends a head. Empty lines at
 // the beginning may come before one.
 func headLines(text []byte) int {
@@ -203,6 +232,7 @@
 // refuse answers a head that is not complete, so that its request never runs, and ends
 // the connection.
 func (c *Conn) refuse(reason Reason, status int) error {
+	c.headErr = errRefused
 	c.isRefused.Store(true)
 	c.listener.refused(reason, c)
 	text := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n"
@@ -247,24 +277,23 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.isRefused.Load() {
-		time.AfterFunc(lingerTime, func() { _ = c.closeNow() })
+		time.AfterFunc(lingerTime, c.closeNow)
 		c.hold.Release()
 		return nil
 	}
-	return c.closeNow()
+	err := c.Conn.Close()
+	c.removeOnce.Do(func() { c.listener.remove(c) })
+	return err
 }
 
-// closeNow closes the connection without waiting for the client, as the close of a TLS
-// connection does.
-func (c *Conn) closeNow() error {
-	var err error
-	if secure, ok := c.Conn.(interface{ NetConn() net.Conn }); ok && c.waitingSince.Load() != 0 {
-		err = secure.NetConn().Close()
-	} else {
-		err = c.Conn.Close()
+// closeNow closes the connection without telling the client, which the close of a TLS
+// connection might wait for.
+func (c *Conn) closeNow() {
+	if secure, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		_ = secure.NetConn().Close()
 	}
+	_ = c.Conn.Close()
 	c.removeOnce.Do(func() { c.listener.remove(c) })
-	return err
 }
 
 type holdKey struct{}
--- a/clemquota/listener.go
+++ b/clemquota/listener.go
@@ -117,7 +117,7 @@
 			return false
 		}
 		l.refused(ReasonConnections, oldest)
-		_ = oldest.closeNow()
+		oldest.closeNow()
 	}
 }
 
--- a/clemquota/listener_test.go
+++ b/clemquota/listener_test.go
@@ -121,6 +121,9 @@
 				}()
 				status, _ := read(s.t, reader)
 				require.Equal(s.t, http.StatusRequestHeaderFieldsTooLarge, status)
+				rest, err := io.ReadAll(reader)
+				require.NoError(s.t, err)
+				require.Empty(s.t, rest, "one response")
 				require.Equal(s.t, []Reason{ReasonHead}, s.reasons())
 			})
 		})
@@ -145,7 +148,7 @@
 		require.NoError(s.t, err)
 		_, err = io.Copy(io.Discard, reader)
 		require.NoError(s.t, err)
-		require.Equal(s.t, testLimits.HeadTimeout+headTimeSlack+lateReadTime, time.Since(started))
+		require.Equal(s.t, testLimits.HeadTimeout+lateReadTime, time.Since(started))
 		require.Equal(s.t, []Reason{ReasonTime}, s.reasons())
 	})
 }
--- /dev/null
+++ b/clemquota/memory.go
@@ -0,0 +1,100 @@
+package clemquota
+
+import (
+	"io"
+	"os"
+	"runtime/debug"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
+
+const (
+	// budgetShare is the share of a process's memory that requests may hold. The rest is
+	// for connections, for what the process knows of the fleet and for the garbage
+	// collector.
+	budgetShare = 3.0 / 8
+	// minBudget is the smallest budget in bytes: room for a request with a body of 4 MiB
+	// and for ordinary ones beside it.
+	minBudget = 8 << 20
+	// softLimitShare is the share of a process's memory from which on the garbage
+	// collector works harder.
+	softLimitShare = 0.85
+	// firstBodySize is the size in bytes of the first buffer of a body: a client that
+	// only states a large body holds no more. unknownBodySize is that of a body without a
+	// stated length.
+	firstBodySize   = 64 << 10
+	unknownBodySize = 4 << 10
+	// bodyGrowth is the factor by which a full buffer grows.
+	bodyGrowth = 4
+)
+
+// BudgetFor returns the size of the budget of a process that may use the memory, in
+// bytes; 0 without a limit.
+func BudgetFor(memory int64) int64 {
+	if memory <= 0 {
+		return 0
+	}
+	return max(int64(budgetShare*float64(memory)), minBudget)
+}
+
+// LimitProcess makes the garbage collector of this process work harder before it uses
+// the memory, unless the environment sets Go's limit. 0 changes nothing.
+func LimitProcess(memory int64) {
+	if memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(softLimitShare * float64(memory)))
+	}
+}
+
+// ReadAll reads to the end and charges the memory before it is read. The length is the
+// expected one, or -1 if unknown. Errors: those of Charge and of the reader.
+func (h *Hold) ReadAll(from io.Reader, length int64) ([]byte, error) {
+	size := int64(unknownBodySize)
+	if length >= 0 {
+		size = min(firstBodySize, length)
+	}
+	if err := h.Charge(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			if int64(len(body)) == length {
+				return body, expectEnd(from)
+			}
+			size := bodyGrowth * int64(cap(body))
+			if length >= 0 {
+				size = min(size, length)
+			}
+			if err := h.Charge(size); err != nil {
+				return nil, err
+			}
+			h.Return(int64(cap(body)))
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// expectEnd reads the end of a body that has its expected length. The error of a body
+// above a limit comes with it.
+func expectEnd(from io.Reader) error {
+	var one [1]byte
+	for {
+		n, err := from.Read(one[:])
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		case n > 0:
+			return clementineturn.Errorf(clementineturn.KindInternal, "a body is longer than its stated length")
+		}
+	}
+}
--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -16,13 +15,8 @@
 	"github.com/clementineturn/clementineturn/clemquota"
 )
 
-const (
-	// firstBodySize is the size in bytes of the first buffer of a body: a client that
-	// only states a large body holds no more.
-	firstBodySize = 64 << 10
-	// bodyGrowth is the factor by which a full buffer grows.
-	bodyGrowth = 4
-)
+// smallResponse is the size in bytes up to which the memory of a response is not charged.
+const smallResponse = 64 << 10
 
 // readBody reads the whole body, so that the request can be retried and that
 // net/http detects from then on when the client disconnects. Its memory is charged
@@ -40,7 +34,7 @@
 	// are those of tests.
 	controller := http.NewResponseController(q.writer)
 	_ = controller.SetReadDeadline(q.deadline)
-	body, err := q.readCharged(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), min(q.http.ContentLength, int64(limit)+1))
+	body, err := q.hold.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), min(q.http.ContentLength, int64(limit)+1))
 	switch {
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
@@ -73,65 +67,10 @@
 	return err
 }
 
-// readCharged reads to the end. The length is the expected one, or -1 if unknown.
-func (q *request) readCharged(from io.Reader, length int64) ([]byte, error) {
-	size := int64(firstBodySize)
-	if length >= 0 {
-		size = min(size, length)
-	} else {
-		size /= bodyGrowth * bodyGrowth
-	}
-	if err := q.hold.Charge(size); err != nil {
-		return nil, err
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			if int64(len(body)) == length {
-				return body, expectEnd(from)
-			}
-			size := bodyGrowth * int64(cap(body))
-			if length >= 0 {
-				size = min(size, length)
-			}
-			if err := q.hold.Charge(size); err != nil {
-				return nil, err
-			}
-			q.hold.Return(int64(cap(body)))
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// expectEnd reads the end of a body that has its expected length. The error of a body
-// above the limit comes with it.
-func expectEnd(from io.Reader) error {
-	var one [1]byte
-	for {
-		n, err := from.Read(one[:])
-		switch {
-		case err == io.EOF:
-			return nil
-		case err != nil:
-			return err
-		case n > 0:
-			return clementineturn.Errorf(clementineturn.KindInternal, "a body is longer than its stated length")
-		}
-	}
-}
-
 // chargeResponse charges the memory of a response, which is delivered whatever the
 // budget, as it grows from the charged size. Small responses are left out.
 func (q *request) chargeResponse(charged *int64, size int64) {
-	if size > firstBodySize && size > *charged {
+	if size > smallResponse && size > *charged {
 		q.hold.Force(size - *charged)
 		*charged = size
 	}
--- a/clemsetting/setting.go
+++ b/clemsetting/setting.go
@@ -93,6 +93,13 @@
 // FleetKey returns the secret key shared by all processes of the fleet.
 func (s *Settings) FleetKey() string { return s.text("fleet") }
 
+// MemoryLimit returns the memory of the process in bytes; 0 means no limit.
+func (s *Settings) MemoryLimit() int64 { return s.integer("memory") }
+
+// MaxConnections returns the maximum number of open connections of a listener; 0 means
+// no limit.
+func (s *Settings) MaxConnections() int { return int(s.integer("connections")) }
+
 // LogLevel returns the lowest level of the events that are logged: "debug",
 // "info", "warn" or "error".
 func (s *Settings) LogLevel() string { return s.text("level") }
