clemrouter: answer requests whose body this entry stopped reading

net/http cancels a request's context when a read of its connection fails, so that a request that was evicted or whose body was late looked like one whose client had left, and its connection was closed without the 429 or 504.

--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -45,6 +45,7 @@
 	case isTooLarge(err):
 		return clementineturn.Refuse(clementineturn.KindTooLarge, "the body is larger than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.isUnread = true
 		return clementineturn.Refuse(clementineturn.KindExpired, "the body was not complete within the request's time limit")
 	}
 	return clementineturn.Refuse(clementineturn.KindCancelled, "reading the body: %w", err)
@@ -61,6 +62,7 @@
 // overMemory records that the request was refused because of the memory budget. Its
 // connection carries no further request.
 func (q *request) overMemory(err error) error {
+	q.isUnread = true
 	q.writer.Header().Set("Connection", "close")
 	q.router.config.Metrics.Counter(clemmetric.IntakeRefused, "listener", "clients", "reason", string(clemquota.ReasonMemory)).Inc(1)
 	q.router.config.Events.Emit(clemevent.BodyRefused, zap.String("request", q.requestInfo.RequestID()), zap.Int64("length", q.http.ContentLength))
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -120,8 +120,11 @@
 	deadline       time.Time
 	body           []byte
 	// hold counts the request's memory; nil means that it is not counted.
-	hold   *clemquota.Hold
-	target string
+	hold *clemquota.Hold
+	// isUnread is set if this entry ended the reading of the body, which net/http takes
+	// for the client's end.
+	isUnread bool
+	target   string
 
 	// triedServers are the ids of the servers that were tried, attempts the results.
 	triedServers []string
@@ -217,7 +220,7 @@
 	switch {
 	case err == nil:
 		q.log(clemevent.RequestAnswered, nil)
-	case q.hasClientLeft() || err.Kind() == clementineturn.KindCancelled:
+	case q.hasClientLeft() && !q.isUnread || err.Kind() == clementineturn.KindCancelled:
 		q.log(clemevent.ClientDisconnected, err)
 		panic(http.ErrAbortHandler)
 	case q.isStarted:
--- a/cmd/clementine-front/intake_test.go
+++ b/cmd/clementine-front/intake_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -98,9 +100,12 @@
 // detector of the test, and waits until it serves.
 func startProgram(t *testing.T, maxDescriptors int) (*testFront, int) {
 	dir := t.TempDir()
-	program := filepath.Join(dir, "clementine-front")
-	output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	require.NoError(t, err, string(output))
+	program := os.Getenv(programVariable)
+	if program == "" {
+		program = filepath.Join(dir, "clementine-front")
+		output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+		require.NoError(t, err, string(output))
+	}
 	f := &testFront{
 		t: t, store: clemstandin.NewProvider(), frontAddress: freeAddress(t), readyAddress: freeAddress(t), controlAddress: freeAddress(t),
 		settingsPath: filepath.Join(dir, "settings.json"),
@@ -197,3 +202,37 @@
 		})
 	}
 }
+
+// Guards against limits that the largest legal request does not pass while the entry is
+// not under load, and against limits of the configuration that apply only after a
+// restart.
+func TestLargestLegalRequestIsServed(t *testing.T) {
+	f, _ := startProgram(t, intakeDescriptors)
+	head := intakeHead(maxIntakeBody)
+	head += shortLines(maxIntakeHead-len(head)-2) + "\r\n"
+	post := func() int {
+		conn, err := net.Dial("tcp", f.frontAddress)
+		require.NoError(t, err)
+		defer conn.Close()
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			_, _ = io.WriteString(conn, head+strings.Repeat("\n", maxIntakeBody))
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		_ = conn.Close()
+		<-sent
+		return response.StatusCode
+	}
+	for range 3 {
+		require.Equal(t, http.StatusOK, post())
+	}
+	configuration := configurationOf(2, "/a/")
+	configuration["limits"] = map[string]any{"max_header_bytes": maxIntakeHead / 4, "max_body_bytes": maxIntakeBody}
+	require.NoError(t, f.store.Put("op", "config", configuration))
+	f.eventually(func() bool { return post() == http.StatusRequestHeaderFieldsTooLarge })
+	status, _ := f.get("/a/x", "k1")
+	require.Equal(t, http.StatusOK, status)
+}
