--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -65,7 +65,7 @@
 	q.isUnread = true
 	q.writer.Header().Set("Connection", "close")
 	q.router.config.Metrics.Counter(clemmetric.IntakeRefused, "listener", "clients", "reason", string(clemquota.ReasonMemory)).Inc(1)
-	q.router.config.Events.Emit(clemevent.BodyRefused, zap.String("request", q.requestInfo.RequestID()), zap.Int64("length", q.http.ContentLength))
+	q.router.config.Events.Emit(clemevent.BodyRefused, zap.String("request", q.requestInfo.RequestID()), zap.String("client", q.http.RemoteAddr), zap.Int64("length", q.http.ContentLength))
 	return err
 }
 
