clemfront: room for the connections of all known entries; tests of the limits

In a fleet of several hundred entries a quarter of the descriptors may be fewer than the entries that call this one. The limit of the control listener is at least two connections for each known entry.

--- a/clemfront/intake.go
+++ b/clemfront/intake.go
@@ -28,9 +28,11 @@
 	reservedDescriptors = 200
 	// clientConnShare is the share of the other descriptors for connections of clients:
 	// each of their requests may need a connection to a backend server. peerConnShare is
-	// that for calls of other entries, who need one connection each.
+	// that for calls of other entries, and peerConns the number of connections that an
+	// entry may need beyond it: one, and another while it replaces one that broke.
 	clientConnShare = 0.5
 	peerConnShare   = 0.25
+	peerConns       = 2
 	// minConns is the smallest limit of connections.
 	minConns = 16
 	// probeConns is the limit of connections for readiness checks and for metrics.
@@ -83,6 +85,16 @@
 	return max(int(share*float64(settings.MaxDescriptors()-reservedDescriptors)), minConns)
 }
 
+// maxPeerConns returns the largest number of connections of other entries, 0 without a
+// limit. All known entries have room.
+func (f *front) maxPeerConns() int {
+	limit := shareOfDescriptors(f.settings.Load(), peerConnShare)
+	if limit == 0 {
+		return 0
+	}
+	return max(limit, peerConns*f.syncer.EntryCount()+minConns)
+}
+
 // applyLimits puts the limits of the settings in force.
 func (f *front) applyLimits(settings *clemsite.Settings) {
 	f.budget.SetLimit(clemquota.BudgetFor(settings.MemoryLimit()))
@@ -137,7 +149,7 @@
 	case listenerClients:
 		config.Limits, config.MaxConns = f.clientLimits, func() int { return maxConnsOf(f.settings.Load()) }
 	case listenerControl:
-		config.MaxConns = func() int { return shareOfDescriptors(f.settings.Load(), peerConnShare) }
+		config.MaxConns = f.maxPeerConns
 	}
 	listener := clemquota.NewListener(config)
 	server.ConnState, server.ConnContext = listener.ConnState, clemquota.ConnContext
--- /dev/null
+++ b/clemfront/intake_test.go
@@ -0,0 +1,43 @@
+package clemfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/clementineturn/clementineturn/clemquota"
+	"github.com/clementineturn/clementineturn/clemroute"
+	"github.com/clementineturn/clementineturn/clemsite"
+)
+
+// Guards against limits of a deployment that states none, and against ones that leave no
+// descriptors for files and backend servers.
+func TestLimitsFollowTheSettings(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB            int64
+		descriptors         int
+		connections, budget int
+	}{
+		{0, 0, 0, 0}, {0, 4100, 1950, 0}, {0, 100, minConns, 0}, {184, 0, 1472, 69 << 20}, {184, 4100, 1472, 69 << 20}, {536, 4100, 1950, 201 << 20}, {1, 0, minConns, 8 << 20},
+	} {
+		settings := clemsite.NewSettings(clemsite.SettingsConfig{MemoryLimit: c.memoryMB << 20, MaxDescriptors: c.descriptors})
+		require.Equal(t, c.connections, maxConnsOf(settings), c)
+		require.Equal(t, int64(c.budget), clemquota.BudgetFor(settings.MemoryLimit()), c)
+	}
+}
+
+// Guards against limits of a configuration that do not apply, or only after a restart.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	f := &front{table: &clemroute.Table{}}
+	require.Equal(t, clemquota.Limits{MaxHeadBytes: 64 << 10, HeadTimeout: 15 * time.Second, FirstTimeout: 90 * time.Second, IdleTimeout: 90 * time.Second}, f.clientLimits())
+	apply := func(version uint64, limits clemroute.LimitsConfig) {
+		configuration, err := clemroute.New(clemroute.Config{Version: version, Limits: limits})
+		require.NoError(t, err)
+		f.table.Apply(configuration)
+	}
+	apply(1, clemroute.LimitsConfig{})
+	require.Equal(t, clemquota.Limits{MaxHeadBytes: 1 << 20, HeadTimeout: 15 * time.Second, FirstTimeout: 90 * time.Second, IdleTimeout: 90 * time.Second}, f.clientLimits())
+	apply(2, clemroute.LimitsConfig{MaxHeaderBytes: 16384, HeaderTimeout: 3 * time.Second, IdleTimeout: 2 * time.Second})
+	require.Equal(t, clemquota.Limits{MaxHeadBytes: 16384, HeadTimeout: 4 * time.Second, FirstTimeout: 4 * time.Second, IdleTimeout: 2 * time.Second}, f.clientLimits())
+}
