clemrouter: end responses that their clients do not read

A client that stops reading held its response, its connection and a goroutine for ever, and connections with a request in progress are not closed for others. A response may be written until 5 s after the deadline of its request.

TestUnreadResponseEnds fails without it. go test -race -cpu 1 ./clemrouter passes.

--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -15,8 +15,14 @@
 	"github.com/clementineturn/clementineturn/clemquota"
 )
 
-// smallResponse is the size in bytes up to which the memory of a response is not charged.
-const smallResponse = 64 << 10
+const (
+	// smallResponse is the size in bytes up to which the memory of a response is not
+	// charged.
+	smallResponse = 64 << 10
+	// writeGrace is how long after its deadline a request's response may still be
+	// written: some round trips on a slow link.
+	writeGrace = 5 * time.Second
+)
 
 // readBody reads the whole body, so that the request can be retried and that
 // net/http detects from then on when the client disconnects. Its memory is charged
@@ -24,6 +30,10 @@
 // evicted.
 func (q *request) readBody(limit int) error {
 	q.hold = clemquota.FromContext(q.http.Context())
+	// A client that does not read would hold its response and its connection for ever.
+	// net/http lifts the deadline after the request.
+	controller := http.NewResponseController(q.writer)
+	_ = controller.SetWriteDeadline(q.deadline.Add(writeGrace))
 	if q.http.Body == nil || q.http.ContentLength == 0 {
 		return q.pin()
 	}
@@ -32,7 +42,6 @@
 	}
 	// A body that never ends would hold its memory for ever. Writers without deadlines
 	// are those of tests.
-	controller := http.NewResponseController(q.writer)
 	_ = controller.SetReadDeadline(q.deadline)
 	body, err := q.hold.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), min(q.http.ContentLength, int64(limit)+1))
 	switch {
--- a/clemrouter/intake_test.go
+++ b/clemrouter/intake_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+// Guards against clients that do not read their responses and hold their connections for
+// ever, and against a write deadline that ends a later request.
+func TestUnreadResponseEnds(t *testing.T) {
+	withConnection(t, func(f *fixture, _ *clemquota.Budget, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		_, err := io.WriteString(conn, slowPost+"body")
+		require.NoError(t, err)
+		time.Sleep(2*time.Second + writeGrace - time.Millisecond)
+		status, _ := readStatus(t, reader)
+		require.Equal(t, http.StatusOK, status, "it is still delivered")
+		time.Sleep(20 * time.Second)
+		_, err = io.WriteString(conn, slowPost+"body")
+		require.NoError(t, err)
+		time.Sleep(2*time.Second + writeGrace + time.Millisecond)
+		_, err = reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "the connection is closed")
+		require.Equal(t, 2, f.arrivals())
+	})
+}
+
 // Guards against a refusal because of memory that another status than that of a request
 // that was not run goes with, or after which the request is sent.
 func TestEvictedBodyIsNotSent(t *testing.T) {
