--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -48,6 +48,10 @@
 	ServerLeavingInvalid  Event = 955
 	ServerRestInvalid     Event = 956
 	ServerRestTooLong     Event = 957
+	HeadRefused           Event = 960
+	ConnectionClosed      Event = 961
+	BodyRefused           Event = 962
+	IntakeLimits          Event = 963
 )
 
 var routerEvents = map[Event]Info{
@@ -94,5 +98,9 @@
 	ServerLeavingInvalid:  {zapcore.WarnLevel, "backend server announcement invalid", "A response of the server announces something else than that the server leaves; the error names the header. It has no effect, and is logged once for each server."},
 	ServerRestInvalid:     {zapcore.WarnLevel, "backend server rest invalid", "A refusal of the server names a time that is no positive number of seconds, or several; the error names the header. It has no effect, and is logged once for each server."},
 	ServerRestTooLong:     {zapcore.WarnLevel, "backend server rest too long", "A refusal of the server asks for no requests for the time in the asked field. A minute is used. Ask the owner of the service whether the unit is seconds."},
+	HeadRefused:           {zapcore.WarnLevel, "request head refused", "The head of a request was above the limits; its request never runs. The reason field says which: head for its size (431), time for the time until its end, memory for the budget (503)."},
+	ConnectionClosed:      {zapcore.WarnLevel, "connection closed at the limit", "The listener has as many connections as its limit allows. The one that waited longest without a complete request was closed, or the new one if all have one."},
+	BodyRefused:           {zapcore.WarnLevel, "request body left unread", "The memory budget has no room for the body. The request was refused as not run; event 920 has its id."},
+	IntakeLimits:          {zapcore.InfoLevel, "limits on clients in force", "The memory budget in bytes and the number of clients' connections, at the start and after a change of the settings; 0 means no limit."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -27,6 +27,9 @@
 	ReadySeconds         = "ready_seconds"
 	Quarantines          = "quarantines"
 	Evacuations          = "evacuations"
+	IntakeRefused        = "intake_refused"
+	IntakeBytes          = "intake_bytes"
+	IntakeConnections    = "intake_connections"
 )
 
 // Info describes a metric.
@@ -81,6 +84,9 @@
 	{ServerStates, kindGauge, "front", "state", "Backend servers by the state that decides whether they take new requests; open servers take all."},
 	{LogLinesDropped, kindGauge, "front", "", "Log lines dropped because the reader of standard output stood still."},
 	{ConfigurationVersion, kindGauge, "front", "", "Version of the platform's configuration in force."},
+	{IntakeRefused, kindCounter, "", "listener,reason", "Heads, bodies and connections refused, by the limit: head (bytes), time, memory, connections."},
+	{IntakeBytes, kindGauge, "", "", "Memory that requests hold of the budget, in bytes; 0 without a budget."},
+	{IntakeConnections, kindGauge, "front", "", "Open connections of clients."},
 	{CPUSeconds, kindGauge, "", "", "Processor time that the process used, in seconds."},
 }
 
--- /dev/null
+++ b/clemrouter/intake.go
@@ -0,0 +1,94 @@
+package clemrouter
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemconn"
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemquota"
+)
+
+const (
+	// smallResponse is the size in bytes up to which the memory of a response is not
+	// charged.
+	smallResponse = 64 << 10
+	// writeGrace is how long after its deadline a request's response may still be
+	// written: some round trips on a slow link.
+	writeGrace = 5 * time.Second
+)
+
+// readBody reads the whole body, so that the request can be retried and that
+// net/http detects from then on when the client disconnects. Its memory is charged
+// before it is read. Afterwards the request may be sent to a server and is no longer
+// evicted.
+func (q *request) readBody(limit int) error {
+	q.hold = clemquota.FromContext(q.http.Context())
+	// A client that does not read would hold its response and its connection for ever.
+	// net/http lifts the deadline after the request.
+	controller := http.NewResponseController(q.writer)
+	_ = controller.SetWriteDeadline(q.deadline.Add(writeGrace))
+	if q.http.Body == nil || q.http.ContentLength == 0 {
+		return q.pin()
+	}
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	// A body that never ends would hold its memory for ever. Writers without deadlines
+	// are those of tests.
+	_ = controller.SetReadDeadline(q.deadline)
+	body, err := q.hold.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), min(q.http.ContentLength, int64(limit)+1))
+	switch {
+	case err == nil:
+		_ = controller.SetReadDeadline(time.Time{})
+		q.body, q.http.Trailer = body, nil
+		return q.pin()
+	case q.hold.IsEvicted():
+		return q.overMemory(q.hold.Pin())
+	case isTooLarge(err):
+		return clementineturn.Refuse(clementineturn.KindTooLarge, "the body is larger than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.isUnread = true
+		return clementineturn.Refuse(clementineturn.KindExpired, "the body was not complete within the request's time limit")
+	}
+	return clementineturn.Refuse(clementineturn.KindCancelled, "reading the body: %w", err)
+}
+
+// pin protects the request from eviction, since it may be sent to a server from now on.
+func (q *request) pin() error {
+	if err := q.hold.Pin(); err != nil {
+		return q.overMemory(err)
+	}
+	return nil
+}
+
+// overMemory records that the request was refused because of the memory budget. Its
+// connection carries no further request.
+func (q *request) overMemory(err error) error {
+	q.isUnread = true
+	q.writer.Header().Set("Connection", "close")
+	q.router.config.Metrics.Counter(clemmetric.IntakeRefused, "listener", "clients", "reason", string(clemquota.ReasonMemory)).Inc(1)
+	q.router.config.Events.Emit(clemevent.BodyRefused, zap.String("request", q.requestInfo.RequestID()), zap.String("client", q.http.RemoteAddr), zap.Int64("length", q.http.ContentLength))
+	return err
+}
+
+// chargeResponse charges the memory of a response, which is delivered whatever the
+// budget, as it grows from the charged size. Small responses are left out.
+func (q *request) chargeResponse(charged *int64, size int64) {
+	if size > smallResponse && size > *charged {
+		q.hold.Force(size - *charged)
+		*charged = size
+	}
+}
+
+// expectedSize returns the memory that a buffered response will take, as far as it is
+// known before it is read.
+func expectedSize(response *clemconn.Response) int64 {
+	return min(max(response.ContentLength, 0), maxBufferedBody)
+}
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -18,6 +18,7 @@
 	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemroute"
 )
 
@@ -121,7 +122,12 @@
 	shortestTarget time.Duration
 	deadline       time.Time
 	body           []byte
-	target         string
+	// hold counts the request's memory; nil means that it is not counted.
+	hold *clemquota.Hold
+	// isUnread is set if this entry ended the reading of the body, which net/http takes
+	// for the client's end.
+	isUnread bool
+	target   string
 
 	// triedServers are the ids of the servers that were tried, attempts the results.
 	triedServers []string
@@ -212,26 +218,6 @@
 	return min(client, operator)
 }
 
-// readBody reads the whole body, so that the request can be retried and that
-// net/http detects from then on when the client disconnects.
-func (q *request) readBody(limit int) error {
-	if q.http.Body == nil || q.http.ContentLength == 0 {
-		return nil
-	}
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := readAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), q.http.ContentLength)
-	if err == nil {
-		q.body = body
-		return nil
-	}
-	if isTooLarge(err) {
-		return clementineturn.Refuse(clementineturn.KindTooLarge, "the body is larger than %d bytes", limit)
-	}
-	return clementineturn.Refuse(clementineturn.KindCancelled, "reading the body: %w", err)
-}
-
 // finish writes an error response if the client has none yet, and emits the
 // request's event. If the response broke off, it closes the connection.
 func (q *request) finish(err *clementineturn.Error) {
@@ -239,7 +225,7 @@
 	switch {
 	case err == nil:
 		q.log(clemevent.RequestAnswered, nil)
-	case q.hasClientLeft() || err.Kind() == clementineturn.KindCancelled:
+	case q.hasClientLeft() && !q.isUnread || err.Kind() == clementineturn.KindCancelled:
 		q.log(clemevent.ClientDisconnected, err)
 		panic(http.ErrAbortHandler)
 	case q.isStarted:
