--- /dev/null
+++ b/clemspread/old_test.go
@@ -0,0 +1,6 @@
+package clemspread
+
+import "github.com/clementineturn/clementineturn/clemroute"
+
+func setCentre(*Config, string)      {}
+func newTestTable() *clemroute.Table { return &clemroute.Table{} }
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -175,6 +175,13 @@
 	documents, rows, addresses, bytes int
 	// engineCalls counts the queries of engines by their address.
 	engineCalls map[string]int
+	// observe, if set, is called with each message and the addresses that it goes
+	// between.
+	observe func(from, to string, message *clemwire.Share)
+	// isBlocked, if set, reports whether calls from one address to another fail.
+	isBlocked func(from, to string) bool
+	// latency is the time that a message takes; 0 means 1 ms for a call.
+	latency func(from, to string) time.Duration
 }
 
 // documentCount returns the number of documents sent.
@@ -220,14 +227,24 @@
 
 func (p *fakePeer) Share(ctx context.Context, share *clemwire.Share) (*clemwire.Share, error) {
 	p.network.mu.Lock()
-	to := p.network.entries[p.address]
+	to, isBlocked := p.network.entries[p.address], p.network.isBlocked
 	p.network.mu.Unlock()
+	from := share.GetAddress()
 	if to == nil {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "no connection")
 	}
-	time.Sleep(time.Millisecond)
+	if isBlocked != nil && isBlocked(from, p.address) {
+		<-ctx.Done()
+		return nil, clementineturn.Errorf(clementineturn.KindUnknown, "peer: %w", ctx.Err())
+	}
+	p.network.delay(from, p.address)
 	answer, err := to.Share(ctx, share)
+	p.network.delay(p.address, from)
 	p.network.mu.Lock()
+	if p.network.observe != nil {
+		p.network.observe(from, p.address, share)
+		p.network.observe(p.address, from, answer)
+	}
 	defer p.network.mu.Unlock()
 	for _, message := range []*clemwire.Share{share, answer} {
 		if len(message.GetDocument()) > 0 {
@@ -240,6 +257,16 @@
 	return answer, err
 }
 
+// delay waits for the time that a message takes. Without a latency the request takes 1 ms.
+func (n *network) delay(from, to string) {
+	switch {
+	case n.latency != nil:
+		time.Sleep(n.latency(from, to))
+	case from < to:
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // decodeVersion uses the document's first byte, a digit, as the version.
 func decodeVersion(document []byte) (*clemroute.Configuration, error) {
 	engine := clemroute.NewEngine(clemroute.EngineConfig{Slots: 128, KVTokens: 1000})
