--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -195,7 +195,7 @@
 
 func newSyncer(c Config, active *activeSettings, store Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, quarantine *clemquarantine.Tracker, router *clemrouter.Router, v *peerView, events *clemevent.Logger) *clemspread.Syncer {
 	syncer := clemspread.New(clemspread.Config{
-		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Seeds: func() []string { return active.Load().Seeds() },
+		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Centre: active.Load().Centre(), Seeds: func() []string { return active.Load().Seeds() },
 		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Quarantine: quarantine, Events: events,
 		ConfigurationKey: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		IsDraining: router.IsDraining,
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -86,7 +86,7 @@
 	chosen.limit.countSent(now)
 	svc.addRunning(r.Organisation)
 	if len(r.Prefix) == 0 {
-		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(len(d.peers)+1)
+		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(d.entryCount())
 		svc.limit.started(svc.running)
 	}
 	return lease, nil
@@ -234,6 +234,7 @@
 	if c.utilisation < minRefusalUtilisation {
 		maxWait = 0
 	}
+	unknown := d.unknownShare()
 	var best choice
 	var leastLoaded *server
 	var priced []pricedServer
@@ -247,7 +248,7 @@
 		if !isLimited && (leastLoaded == nil || s.running+s.peerRunning < leastLoaded.running+leastLoaded.peerRunning) {
 			leastLoaded = s
 		}
-		if load >= bound {
+		if load+unknown*max(load, c.meanLoad) >= bound {
 			continue
 		}
 		cached := s.cachedTokens(r.Service, r.Prefix, farFuture(now))
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -74,11 +74,14 @@
 	// reports.
 	reportedAt map[string]time.Time
 	reportLag  time.Duration
+	// fleet is what is known of a fleet of several groups.
+	fleet fleet
 }
 
-// peerStats is the latest report of a peer.
+// peerStats is the latest report of a peer, or of the number of entries given.
 type peerStats struct {
 	expires time.Time
+	entries int
 	servers map[string]ServerStats
 }
 
@@ -175,6 +178,7 @@
 		pool:   clemconn.New(clemconn.Config{Address: record.Address(), Dial: d.config.Dial}),
 		cached: map[uint64]time.Time{},
 	}
+	d.fleet.byName = nil
 	for _, stats := range d.peers {
 		added.addPeerStats(stats.servers[record.ID()], 1)
 	}
@@ -201,6 +205,7 @@
 		return false
 	}
 	delete(d.servers, id)
+	d.fleet.byName = nil
 	svc := d.services[old.record.Service()]
 	svc.servers = slices.DeleteFunc(svc.servers, func(o *server) bool { return o == old })
 	old.pool.Close()
@@ -233,6 +238,9 @@
 	IsCounted bool
 	Sent      uint64
 	Demand    float64
+	// Origin is 0 in the report of one entry. In a sum it identifies the entries whose
+	// requests Sent counts.
+	Origin uint64
 }
 
 // minReportedOutcomes is the decayed number of outcomes below which they are
@@ -262,11 +270,17 @@
 // SetPeerStats applies the report of a peer in place of its last one, for at
 // most the given time. It ejects servers that the report shows to be outliers.
 func (d *Directory) SetPeerStats(peer string, stats map[string]ServerStats, now time.Time, ttl time.Duration) {
-	var changed []*server
 	d.mu.Lock()
-	d.dropPeer(peer)
 	d.recordReportInterval(peer, now)
-	d.peers[peer] = peerStats{expires: now.Add(ttl), servers: stats}
+	d.setPeerStats(peer, 1, stats, now, ttl)
+}
+
+// setPeerStats is SetPeerStats for the report of a number of entries. The caller holds
+// mu, which is released.
+func (d *Directory) setPeerStats(peer string, entries int, stats map[string]ServerStats, now time.Time, ttl time.Duration) {
+	var changed []*server
+	d.dropPeer(peer)
+	d.peers[peer] = peerStats{expires: now.Add(ttl), entries: entries, servers: stats}
 	if d.peers[peer].expires.Before(d.nextExpiry) {
 		d.nextExpiry = d.peers[peer].expires
 	}
--- a/clempool/kept.go
+++ b/clempool/kept.go
@@ -15,8 +15,8 @@
 	maxCachedPerServer = 4096
 	maxCachedTotal     = 1 << 17
 	minCachedPerServer = 64
-	// LargeFleetSize is the number of peers from which a fleet counts as large.
-	// To limit the traffic, entries of a large fleet report a part only if it
+	// LargeFleetSize is the number of peers from which a fleet counts as large and
+	// has several groups. To limit the traffic, entries of a large fleet report a part only if it
 	// went to a server other than the first in the chat's rendezvous order,
 	// which peers find by themselves. An entry that starts gets no cache
 	// state from its peers there: each of them would send some 40 kB.
@@ -122,7 +122,7 @@
 // recordPrefix records that the chosen server will have read the prefix. rank
 // is its position in the chat's rendezvous order.
 func (d *Directory) recordPrefix(chosen *server, rank int, r Request, now time.Time) {
-	isLogged := rank > 0 || len(d.peers) < LargeFleetSize
+	isLogged := rank > 0 || d.entryCount() <= LargeFleetSize
 	available := now.Add(chosen.prefillWait() + firstTokenLatency)
 	for _, part := range r.Prefix {
 		digest := PartDigest(r.Service, part.ID())
--- a/clempool/rate.go
+++ b/clempool/rate.go
@@ -52,7 +52,7 @@
 	// sent counts the requests that this entry sent, peerSent those that its peers
 	// reported last.
 	sent     uint64
-	peerSent map[string]uint64
+	peerSent map[string]peerCount
 	// demand is the decayed number of requests of this entry for which the server would
 	// have been chosen, as of demandAt. peerDemand is the sum of the peers' rates.
 	demand     float64
@@ -60,6 +60,10 @@
 	peerDemand float64
 }
 
+// peerCount is the number of requests that a peer, or the entries that the origin
+// identifies, reported last.
+type peerCount struct{ sent, origin uint64 }
+
 // current returns the last statement to any entry.
 func (l *rateLimit) current() limitStatement {
 	if l.peers.at.After(l.own.at) {
@@ -95,16 +99,19 @@
 	}
 	isChanged := l.changed(before, now)
 	if l.peerSent == nil {
-		l.peerSent = map[string]uint64{}
+		l.peerSent = map[string]peerCount{}
 	}
 	last, isKnown := l.peerSent[peer]
-	l.peerSent[peer] = stats.Sent
+	l.peerSent[peer] = peerCount{stats.Sent, stats.Origin}
 	switch {
 	case !isKnown:
-	case stats.Sent < last: // The peer has restarted.
+	case stats.Origin != last.origin: // The growth of a sum over other entries is unknown.
+	case stats.Sent < last.sent && stats.Origin != 0: // Another delegate's sum is older.
+		l.peerSent[peer] = last
+	case stats.Sent < last.sent: // The peer has restarted.
 		l.add(float64(stats.Sent), now)
 	default:
-		l.add(float64(stats.Sent-last), now)
+		l.add(float64(stats.Sent-last.sent), now)
 	}
 	return isChanged
 }
@@ -200,11 +207,11 @@
 // passes reports whether the server's limit admits the request. It records in the
 // choice that the server was left out otherwise.
 func (d *Directory) passes(s *server, r Request, now time.Time, result *choice) bool {
-	if !s.isLimited() || s.limit.admits(r.Rank, d.reportLag, float64(d.config.Rand()%randomSteps)/randomSteps, now) {
+	if !s.isLimited() || s.limit.admits(r.Rank, d.lag(), float64(d.config.Rand()%randomSteps)/randomSteps, now) {
 		return true
 	}
 	// A server with room was left out by chance, and may admit the next request.
-	wait := max(s.limit.wait(now), d.reportLag, time.Millisecond)
+	wait := max(s.limit.wait(now), d.lag(), time.Millisecond)
 	if result.limitWait == 0 || wait < result.limitWait {
 		result.limitWait = wait
 	}
--- /dev/null
+++ b/clemspread/delegate.go
@@ -0,0 +1,567 @@
+package clemspread
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+const (
+	// mergeInterval is how long the sum over the other groups is reused.
+	mergeInterval = 50 * time.Millisecond
+	// fullRateSize is the size of the sum over the other groups up to which each message
+	// to a member has it. A larger one is sent less often, in proportion.
+	fullRateSize = 2048
+	// sumGapMargin is the part of an interval by which an exchange may be early and still
+	// carries a sum.
+	sumGapMargin = 0.5
+	// maxRelayedFindings bounds the findings kept for other entries, maxSentRelayed those
+	// in a message. relayTime is how long a finding is passed on: longer than a takeover.
+	maxRelayedFindings = 1024
+	maxSentRelayed     = 128
+	relayTime          = 30 * time.Second
+)
+
+// sumTable holds the reports of this entry's group and the sums of the other groups.
+type sumTable struct {
+	ownAddress string
+
+	// mu guards the fields below. No other lock is taken while it is held.
+	mu sync.Mutex
+	// reports holds the last report of each member of the group, by address.
+	reports map[string]memberReport
+	groups  map[groupID]*groupState
+	// own is the sum of the group as of ownAt, and merged that of the other groups as
+	// of mergedAt.
+	own, merged     *clemwire.Sum
+	ownAt, mergedAt time.Time
+	// delegateSince is zero unless this entry is its group's delegate.
+	delegateSince time.Time
+	// rest is the last sum over the other groups that was applied, with its sender.
+	rest     *clemwire.Sum
+	restFrom string
+	// restAt is when it came, restOldest the time of its oldest report.
+	restAt, restOldest time.Time
+	// isFailing holds the servers at which other groups have failures.
+	isFailing map[string]bool
+	// outward holds the findings of the group for other groups, inward the other way round.
+	outward, inward findingRelay
+}
+
+// memberReport is the report of a member of the group.
+type memberReport struct {
+	name    string
+	running []*clemwire.Running
+	at      time.Time
+}
+
+// groupState is what is known of another group.
+type groupState struct {
+	// sum is the last one, which came at receivedAt and whose oldest report is of
+	// reportedAt.
+	sum                    *clemwire.Sum
+	receivedAt, reportedAt time.Time
+	calledAt               time.Time
+	isCalling              bool
+}
+
+func newSumTable(address string) *sumTable {
+	return &sumTable{ownAddress: address, reports: map[string]memberReport{}, groups: map[groupID]*groupState{}}
+}
+
+// setReport records the report of a member.
+func (t *sumTable) setReport(share *clemwire.Share, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reports[share.GetAddress()] = memberReport{share.GetName(), share.GetRunning(), now}
+}
+
+// memberNames returns the names of the members that have reported.
+func (t *sumTable) memberNames(l *layout) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make(map[string]bool, len(t.reports))
+	for address, report := range t.reports {
+		if l.isMember(address) {
+			names[report.name] = true
+		}
+	}
+	return names
+}
+
+// setSum records the sum of another group in place of those that it overlaps: a group is
+// never counted twice while entries disagree about the groups.
+func (t *sumTable) setSum(l *layout, sum *clemwire.Sum, transit time.Duration, now time.Time) {
+	group, ok := sumGroup(sum)
+	if !ok || group.overlaps(l.own) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for other, state := range t.groups {
+		if other != group && other.overlaps(group) {
+			state.sum = nil
+		}
+	}
+	state := t.group(group)
+	state.sum, state.receivedAt, state.reportedAt = sum, now, now.Add(-sum.GetAge().AsDuration()-transit)
+}
+
+// group returns the state of a group. The caller holds mu.
+func (t *sumTable) group(id groupID) *groupState {
+	if t.groups[id] == nil {
+		t.groups[id] = &groupState{}
+	}
+	return t.groups[id]
+}
+
+// lastReceived returns when a sum last came of the group or of one that overlaps it. The
+// caller holds mu.
+func (t *sumTable) lastReceived(id groupID) time.Time {
+	var last time.Time
+	for other, state := range t.groups {
+		if state.receivedAt.After(last) && other.overlaps(id) {
+			last = state.receivedAt
+		}
+	}
+	return last
+}
+
+// hasFreshSum reports whether a sum of the group, or of one that overlaps it, is used. The
+// caller holds mu.
+func (t *sumTable) hasFreshSum(id groupID, ttl time.Duration, now time.Time) bool {
+	for other, state := range t.groups {
+		if state.sum != nil && other.overlaps(id) && now.Sub(state.reportedAt) <= ttl {
+			return true
+		}
+	}
+	return false
+}
+
+// setRole records whether this entry is its group's delegate.
+func (t *sumTable) setRole(isDelegate bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !isDelegate:
+		t.delegateSince = time.Time{}
+	case t.delegateSince.IsZero():
+		t.delegateSince = now
+	}
+}
+
+// takeDue returns the groups to call now and marks them as being called. Of two delegates
+// the one of the later group calls; the other one calls only if it has received nothing
+// from that group for takeoverDelay.
+func (t *sumTable) takeDue(l *layout, now time.Time) []groupID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []groupID
+	for _, id := range l.order {
+		if id == l.own {
+			continue
+		}
+		state := t.group(id)
+		isCaller := id.compare(l.own) < 0 || now.Sub(t.lastReceived(id)) > takeoverDelay
+		if !isCaller || state.isCalling || now.Sub(state.calledAt) < l.groupInterval() {
+			continue
+		}
+		state.isCalling, state.calledAt = true, now
+		due = append(due, id)
+	}
+	return due
+}
+
+// endCall records that the call to the group has ended.
+func (t *sumTable) endCall(id groupID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.group(id).isCalling = false
+}
+
+// knownDelegate returns the address of a group's delegate as of its last sum, or "".
+func (t *sumTable) knownDelegate(id groupID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if state := t.groups[id]; state != nil {
+		return state.sum.GetDelegate()
+	}
+	return ""
+}
+
+// isLost reports whether this entry has been a delegate for as long as rows of entries
+// that do not answer are kept, and has had no sum of the group in that time.
+func (t *sumTable) isLost(id groupID) bool {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.delegateSince.IsZero() && now.Sub(t.delegateSince) > rowExpiry && now.Sub(t.lastReceived(id)) > rowExpiry
+}
+
+// activeBefore returns the number of groups before this entry's in order, those without
+// a recent sum left out at a delegate.
+func (t *sumTable) activeBefore(l *layout, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, id := range l.order[:slices.Index(l.order, l.own)] {
+		if t.delegateSince.IsZero() || now.Sub(t.lastReceived(id)) < max(activeTimeout, 2*l.groupInterval()) {
+			n++
+		}
+	}
+	return n
+}
+
+// groupSum returns the sum of this entry's group. reportTTL is how long reports are used.
+func (t *sumTable) groupSum(l *layout, own []*clemwire.Running, reportTTL time.Duration, now time.Time) *clemwire.Sum {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.own != nil && now.Sub(t.ownAt) < countInterval {
+		return t.own
+	}
+	sum := &clemwire.Sum{Centre: l.own.centre, Bits: l.own.bits, Index: l.own.index, Entries: 1, Digest: xxhash.Sum64String(t.ownAddress)}
+	total := newTally()
+	total.addReport(own, now)
+	oldest := now
+	for address, report := range t.reports {
+		if !l.isMember(address) || now.Sub(report.at) > reportTTL {
+			delete(t.reports, address)
+			continue
+		}
+		total.addReport(report.running, report.at)
+		sum.Entries++
+		sum.Digest ^= xxhash.Sum64String(address)
+		if report.at.Before(oldest) {
+			oldest = report.at
+		}
+	}
+	sum.Age = durationpb.New(now.Sub(oldest))
+	encodeLoads(sum, total.loads)
+	total.encodeOutcomes(sum, t.isFailing, now)
+	t.own, t.ownAt = sum, now
+	return sum
+}
+
+// restTally is the sum over the other groups before it is encoded.
+type restTally struct {
+	*tally
+	sum *clemwire.Sum
+}
+
+// addUp adds up the sums of the other groups. It returns nil if this entry is not the
+// delegate, or became it lately and still lacks the sum of a group: the sum that the last
+// delegate sent contains more.
+func (t *sumTable) addUp(l *layout, now time.Time) *restTally {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.delegateSince.IsZero() {
+		return nil
+	}
+	total := &restTally{newTally(), &clemwire.Sum{Centre: l.own.centre, Bits: l.own.bits, Index: l.own.index}}
+	oldest, isNew := now, now.Sub(t.delegateSince) < takeoverDelay
+	for id, state := range t.groups {
+		if state.sum == nil || id.overlaps(l.own) || now.Sub(state.receivedAt) > liveTimeout {
+			continue
+		}
+		total.sum.Live += state.sum.GetLive()
+		if now.Sub(state.reportedAt) > l.sumTTL() {
+			continue
+		}
+		total.addSum(state.sum, state.receivedAt)
+		total.sum.Serving += state.sum.GetServing()
+		total.sum.Entries += state.sum.GetEntries()
+		total.sum.Digest ^= state.sum.GetDigest()
+		if state.reportedAt.Before(oldest) {
+			oldest = state.reportedAt
+		}
+	}
+	for _, id := range l.order {
+		if id == l.own {
+			continue
+		}
+		if isNew && !t.hasFreshSum(id, l.sumTTL(), now) {
+			return nil
+		}
+		if now.Sub(t.lastReceived(id)) > liveTimeout && now.Sub(t.delegateSince) < liveTimeout {
+			// The group may have entries that have not answered yet.
+			total.sum.Live += uint32(len(l.members[id]))
+		}
+	}
+	total.sum.Age = durationpb.New(now.Sub(oldest))
+	return total
+}
+
+// recentMerged returns the last sum over the other groups if it is younger than the time.
+func (t *sumTable) recentMerged(maxAge time.Duration, now time.Time) *clemwire.Sum {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.delegateSince.IsZero() || t.merged == nil || now.Sub(t.mergedAt) >= maxAge {
+		return nil
+	}
+	return t.merged
+}
+
+func (t *sumTable) setMerged(sum *clemwire.Sum, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merged, t.mergedAt = sum, now
+}
+
+// setRest records the sum over the other groups, and reports whether it is to be applied:
+// of two delegates at once the one that knows more entries or newer reports counts.
+func (t *sumTable) setRest(rest *clemwire.Sum, from string, age time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	oldest := now.Add(-age)
+	if from != t.restFrom && now.Sub(t.restAt) < takeoverDelay &&
+		(rest.GetEntries() < t.rest.GetEntries() || rest.GetEntries() == t.rest.GetEntries() && oldest.Before(t.restOldest)) {
+		return false
+	}
+	t.rest, t.restFrom, t.restAt, t.restOldest = rest, from, now, oldest
+	t.isFailing = map[string]bool{}
+	for _, r := range rest.GetOutcomes() {
+		if r.GetFailed() > 0 {
+			t.isFailing[r.GetServer()] = true
+		}
+	}
+	return true
+}
+
+// outside returns the numbers of live and of serving entries of other groups, and false
+// if no sum tells them.
+func (t *sumTable) outside(now time.Time) (live, serving int, isKnown bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	age := now.Sub(t.restAt)
+	if t.rest == nil || age > liveTimeout {
+		return 0, 0, false
+	}
+	if age < activeTimeout+minCountTTL {
+		serving = int(t.rest.GetServing())
+	}
+	return int(t.rest.GetLive()), serving, true
+}
+
+// findingRelay is a bounded log of findings of other entries to pass on, numbered from 1.
+type findingRelay struct {
+	findings []clemquarantine.Finding
+	addedAt  []time.Time
+	end      uint64
+}
+
+// add adds findings that are not in the log yet.
+func (r *findingRelay) add(findings []clemquarantine.Finding, now time.Time) {
+	for _, f := range findings {
+		if slices.ContainsFunc(r.findings, func(o clemquarantine.Finding) bool { return isSameFinding(o, f) }) {
+			continue
+		}
+		if len(r.findings) >= maxRelayedFindings {
+			r.findings = slices.Delete(r.findings, 0, maxRelayedFindings/2)
+			r.addedAt = slices.Delete(r.addedAt, 0, maxRelayedFindings/2)
+		}
+		r.findings, r.addedAt = append(r.findings, f), append(r.addedAt, now)
+		r.end++
+	}
+}
+
+// isSameFinding reports whether two findings are the same but for the error of their times.
+func isSameFinding(a, b clemquarantine.Finding) bool {
+	return a.Service == b.Service && a.Server == b.Server && a.Incarnation == b.Incarnation && a.HasBegun == b.HasBegun &&
+		a.IsServed == b.IsServed && slices.Equal(a.Parts, b.Parts) && a.At.Sub(b.At).Abs() < relayTime
+}
+
+// since returns the findings after the number that were added lately, as many as fit into
+// a message, and the number to continue from.
+func (r *findingRelay) since(number uint64, now time.Time) ([]clemquarantine.Finding, uint64) {
+	number = max(min(number, r.end), r.end-uint64(len(r.findings)))
+	from := len(r.findings) - int(r.end-number)
+	for from < len(r.findings) && now.Sub(r.addedAt[from]) > relayTime {
+		from, number = from+1, number+1
+	}
+	to := min(from+maxSentRelayed, len(r.findings))
+	return slices.Clone(r.findings[from:to]), number + uint64(to-from)
+}
+
+// relayFindings records findings of a peer to pass on: those of members to other groups,
+// and those of other groups to members. Findings that were passed on within a group go no
+// further.
+func (t *sumTable) relayFindings(isMember bool, findings, relayed []clemquarantine.Finding, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if isMember {
+		t.outward.add(findings, now)
+		return
+	}
+	t.inward.add(findings, now)
+	t.inward.add(relayed, now)
+}
+
+// relayedSince returns the findings to pass on to a peer after the number.
+func (t *sumTable) relayedSince(isMember bool, number uint64, now time.Time) ([]clemquarantine.Finding, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if isMember {
+		return t.inward.since(number, now)
+	}
+	return t.outward.since(number, now)
+}
+
+// exchangeGroups does the part of this entry in a fleet of several groups: it determines
+// its role, and as the delegate calls other groups and applies their sums.
+func (s *Syncer) exchangeGroups(ctx context.Context, calls *sync.WaitGroup, now time.Time) {
+	l := s.peers.layout()
+	if l == nil {
+		if s.wasGrouped {
+			s.config.Directory.DropFleetStats()
+		}
+		s.wasGrouped = false
+		return
+	}
+	s.wasGrouped = true
+	isDelegate := s.peers.delegate(l, now) == s.config.Address
+	s.sums.setRole(isDelegate, now)
+	s.config.Directory.SetFleetSize(s.EntryCount())
+	if !isDelegate {
+		return
+	}
+	if s.sums.recentMerged(mergeInterval, now) == nil {
+		if rest := s.mergeSums(l, now); rest != nil {
+			s.applyRest(l, rest, s.config.Address, 0, now)
+		}
+	}
+	for _, group := range s.sums.takeDue(l, now) {
+		calls.Go(func() {
+			defer s.sums.endCall(group)
+			s.call(ctx, s.groupTarget(l, group, now))
+		})
+	}
+}
+
+// groupTarget returns the entry of another group to call: its delegate, as far as known
+// and reachable. Each member can answer for its group.
+func (s *Syncer) groupTarget(l *layout, group groupID, now time.Time) string {
+	members := l.members[group]
+	if delegate := s.sums.knownDelegate(group); slices.Contains(members, delegate) {
+		members = slices.Concat([]string{delegate}, members)
+	}
+	return s.peers.firstReachable(members, now)
+}
+
+// mergeSums returns the sum over the other groups, or nil if this entry has none to send.
+func (s *Syncer) mergeSums(l *layout, now time.Time) *clemwire.Sum {
+	total := s.sums.addUp(l, now)
+	if total == nil {
+		return nil
+	}
+	above, others := s.config.Directory.SplitLoads(total.loads)
+	encodeLoads(total.sum, above)
+	for service, load := range others {
+		total.sum.Others = append(total.sum.Others, &clemwire.ServiceLoad{Service: service, Count: uint32(load.Running), Unread: encodeTokens(load.PendingTokens)})
+	}
+	total.encodeOutcomes(total.sum, nil, now)
+	s.sums.setMerged(total.sum, now)
+	return total.sum
+}
+
+// applyRest applies the sum over the other groups, from the delegate or by itself.
+func (s *Syncer) applyRest(l *layout, rest *clemwire.Sum, from string, transit time.Duration, now time.Time) {
+	group, ok := sumGroup(rest)
+	// A sum that leaves out less than the own group would count members twice.
+	age := rest.GetAge().AsDuration() + transit
+	if !ok || !group.contains(l.own) || !s.sums.setRest(rest, from, age, now) {
+		return
+	}
+	// One old sum in it must not take the others away: the delegate leaves it out next time.
+	ttl := max(l.sumTTL()-age, 2*s.peers.interval())
+	stats := fleetStats(rest, age, now)
+	stats.Members = s.sums.memberNames(l)
+	s.config.Directory.SetFleetStats(stats, now, ttl)
+}
+
+// addSums adds to a message what an entry in a fleet of several groups sends: its own
+// report and, from the delegate, the sum over the other groups to a member; the sum of
+// its group to an entry of another one.
+func (s *Syncer) addSums(share *clemwire.Share, l *layout, address string, peer peerState, now time.Time) {
+	share.Grouped, share.Centre = true, s.config.Centre
+	if len(share.GetEntries()) > 0 {
+		share.Centres = s.peers.centres(share.GetEntries())
+	}
+	if l.isMember(address) {
+		share.Running, share.Kept = s.runningCounts(now), s.takeCacheUpdates(address)
+		if rest := s.sums.recentMerged(2*mergeInterval, now); rest != nil && s.peers.takeSumTurn(address, s.peers.restGap(sumSize(rest)), now) {
+			share.Rest = rest
+		}
+	} else {
+		if s.peers.takeSumTurn(address, time.Duration((1-sumGapMargin)*float64(l.groupInterval())), now) {
+			share.Sum = s.groupSum(l, now)
+		}
+		if !peer.isGrouped {
+			// The peer does not know of groups yet, or its version does not.
+			share.Running = s.runningCounts(now)
+		}
+	}
+	findings, last := s.sums.relayedSince(l.isMember(address), peer.relayedSeen, now)
+	share.Relayed, share.RelayedLast, share.RelayedSeen = encodeFindings(findings, now), last, peer.relayedApplied
+}
+
+// groupSum returns the sum of this entry's group.
+func (s *Syncer) groupSum(l *layout, now time.Time) *clemwire.Sum {
+	sum := s.sums.groupSum(l, s.runningCounts(now), s.reportTTL(), now)
+	live, serving := s.peers.groupCounts(l, now)
+	if s.config.Table.Version() > 0 && !s.config.IsDraining() {
+		serving++
+	}
+	return &clemwire.Sum{
+		Centre: sum.GetCentre(), Bits: sum.GetBits(), Index: sum.GetIndex(), Entries: sum.GetEntries(), Digest: sum.GetDigest(), Age: sum.GetAge(),
+		Servers: sum.GetServers(), Counts: sum.GetCounts(), Unread: sum.GetUnread(), Outcomes: sum.GetOutcomes(),
+		Live: uint32(live + 1), Serving: uint32(serving), Delegate: s.peers.delegate(l, now),
+	}
+}
+
+// reportTTL returns how long the report of a peer is used.
+func (s *Syncer) reportTTL() time.Duration {
+	return max(minCountTTL, countTTLExchanges*s.peers.interval())
+}
+
+// applySums applies the sums in a peer's message. Sums that were too long in transit are
+// dropped.
+func (s *Syncer) applySums(share *clemwire.Share, l *layout, now time.Time) {
+	transit, ok := s.maxTransitTime(share, now)
+	if !ok && share.GetEcho().AsDuration() > 0 {
+		return
+	}
+	if sum := share.GetSum(); sum != nil {
+		s.sums.setSum(l, sum, transit, now)
+	}
+	if rest := share.GetRest(); rest != nil && l.isMember(share.GetAddress()) {
+		s.applyRest(l, rest, share.GetAddress(), transit, now)
+	}
+}
+
+// restGap returns the shortest time between two sums over the other groups, of the given
+// size, that are sent to a member: small ones are sent with each exchange, larger ones less
+// often, in proportion.
+func (t *peerTable) restGap(size int) time.Duration {
+	exchanges := max(float64(size)/fullRateSize, 1)
+	return time.Duration((exchanges - sumGapMargin) * float64(t.interval()))
+}
+
+// takeSumTurn reports whether a sum is to be sent to the peer now: if none was for the
+// given time, so that a second call for rows does not repeat it.
+func (t *peerTable) takeSumTurn(address string, gap time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.byAddress[address]
+	if p == nil || now.Sub(p.sumSentAt) < gap {
+		return false
+	}
+	p.sumSentAt = now
+	return true
+}
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -22,6 +22,9 @@
 	// entryReadInterval is the interval at which the rows of entries are read
 	// again, in case no peer sent the address of a new one.
 	entryReadInterval = time.Minute
+	// minCentreWait is the first interval of the same while the data centre of an entry is
+	// not known: while a fleet of one group grows, addresses come without.
+	minCentreWait = time.Second
 	// documentRequestDelay is how long an entry waits for the store to deliver a
 	// configuration version that a peer holds before it requests the document
 	// from the peer: documents are large for the links of the smallest entries.
@@ -52,6 +55,8 @@
 // entryRow is an entry's row in the store.
 type entryRow struct {
 	Address string `json:"address"`
+	// Centre is absent in the rows of older versions.
+	Centre string `json:"centre,omitempty"`
 }
 
 // registerAndDiscover writes this entry's row to the store and reads those of
@@ -61,7 +66,7 @@
 		s.peers.add(seed, time.Now())
 	}
 	var retry backoff
-	isWritten := false
+	isWritten, centreWait := false, minCentreWait
 	for ctx.Err() == nil {
 		// The row is written before those of peers are read, so that of two entries
 		// that start at once at least one sees the other.
@@ -81,12 +86,29 @@
 			continue
 		}
 		retry = backoff{}
-		if !sleep(ctx, entryReadInterval) {
+		if !s.waitForEntryRead(ctx, &centreWait) {
 			return
 		}
 	}
 }
 
+// waitForEntryRead waits until the rows of entries are to be read again: after the given
+// time, which then doubles, if the data centre of an entry is not known. It returns false
+// when the context ends.
+func (s *Syncer) waitForEntryRead(ctx context.Context, centreWait *time.Duration) bool {
+	end := time.Now().Add(entryReadInterval)
+	for time.Now().Before(end) {
+		if !sleep(ctx, min(*centreWait, time.Until(end))) {
+			return false
+		}
+		if s.peers.lacksCentres() {
+			*centreWait = min(2**centreWait, entryReadInterval)
+			return true
+		}
+	}
+	return true
+}
+
 func (s *Syncer) readEntries(ctx context.Context) error {
 	batch, err := s.config.Store.Read(ctx, clementineturn.SectionEntries)
 	if err != nil {
@@ -98,18 +120,19 @@
 			s.config.Events.Emit(clemevent.EntryInvalid, zap.String("entry", change.Key()), zap.Error(err))
 			continue
 		}
-		if s.peers.addAndCheckExpired(r.Address, time.Now()) {
+		if s.peers.addAndCheckExpired(r.Address, r.Centre, s.sums.isLost, time.Now()) {
 			if err := s.config.Store.Remove(ctx, clementineturn.SectionEntries, change.Key()); err != nil {
 				return err
 			}
 			s.config.Events.Emit(clemevent.EntryRemoved, zap.String("entry", r.Address), zap.String("name", change.Key()))
 		}
 	}
+	s.peers.setListRead(time.Now())
 	return nil
 }
 
 func (s *Syncer) writeEntry(ctx context.Context) error {
-	value, err := json.Marshal(entryRow{Address: s.config.Address})
+	value, err := json.Marshal(entryRow{Address: s.config.Address, Centre: s.config.Centre})
 	if err != nil {
 		return clementineturn.Errorf(clementineturn.KindInternal, "encoding the entry's row: %w", err)
 	}
@@ -128,14 +151,18 @@
 			return
 		case <-ticker.C:
 		}
-		for _, address := range s.peers.takeDue(time.Now()) {
-			calls.Go(func() { s.exchangeWith(ctx, address) })
+		now := time.Now()
+		for _, address := range s.peers.takeDue(now) {
+			calls.Go(func() {
+				defer s.peers.endCall(address)
+				s.call(ctx, address)
+			})
 		}
+		s.exchangeGroups(ctx, &calls, now)
 	}
 }
 
-func (s *Syncer) exchangeWith(ctx context.Context, address string) {
-	defer s.peers.endCall(address)
+func (s *Syncer) call(ctx context.Context, address string) {
 	answer, err := s.exchangeOnce(ctx, address)
 	if err != nil {
 		if s.peers.recordFailure(address) {
@@ -191,7 +218,14 @@
 
 // NoPeerServes reports whether no other entry is known that holds a configuration and
 // is not leaving.
-func (s *Syncer) NoPeerServes() bool { return !s.peers.hasServingPeer(time.Now()) }
+func (s *Syncer) NoPeerServes() bool {
+	now := time.Now()
+	if s.peers.hasServingPeer(now) {
+		return false
+	}
+	_, serving, _ := s.sums.outside(now)
+	return serving == 0 || s.peers.layout() == nil
+}
 
 // newShare returns this entry's next report to the peer.
 func (s *Syncer) newShare(address string) *clemwire.Share {
@@ -215,8 +249,12 @@
 			share.Rows, share.Since = s.servers.RowsSince(peer.storeVersion)
 		}
 	}
-	share.Running = s.runningCounts(now)
-	share.Kept = s.takeCacheUpdates(address)
+	if l := s.peers.layout(); l != nil {
+		s.addSums(share, l, address, peer, now)
+	} else {
+		share.Running = s.runningCounts(now)
+		share.Kept = s.takeCacheUpdates(address)
+	}
 	s.addQuarantine(share, peer, now)
 	return share
 }
@@ -253,15 +291,7 @@
 	}
 	s.countedAt, s.counts = now, []*clemwire.Running{}
 	for id, own := range s.config.Directory.LocalStats(now) {
-		running := &clemwire.Running{
-			Server: id, Count: uint32(own.Running), Unread: uint32(own.PendingTokens),
-			Good: uint32(own.Successes * outcomeScale), Failed: uint32(own.Failures * outcomeScale),
-			Limited: own.IsLimited, Limit: own.Limit, Counted: own.IsCounted, Sent: own.Sent, Demand: uint32(own.Demand * outcomeScale),
-		}
-		if !own.LimitStatedAt.IsZero() {
-			running.Stated = durationpb.New(now.Sub(own.LimitStatedAt))
-		}
-		s.counts = append(s.counts, running)
+		s.counts = append(s.counts, encodeStats(id, own, now))
 	}
 	return s.counts
 }
@@ -299,8 +329,11 @@
 	if s.peers.recordShare(share, now) {
 		s.config.Events.Emit(clemevent.PeerAvailable, zap.String("entry", share.GetAddress()), zap.String("name", share.GetName()))
 	}
-	for _, address := range share.GetEntries() {
+	for i, address := range share.GetEntries() {
 		s.peers.add(address, now)
+		if i < len(share.GetCentres()) && share.GetCentres()[i] != "" {
+			s.peers.setCentre(address, share.GetCentres()[i])
+		}
 	}
 	if len(share.GetDocument()) > 0 && share.GetVersion() > s.config.Table.Version() {
 		s.applyDocument(share.GetDocument(), share.GetName())
@@ -308,21 +341,21 @@
 	if transit, ok := s.maxTransitTime(share, now); ok {
 		s.servers.ApplyShare(share, transit, now)
 	}
-	stats := make(map[string]clempool.ServerStats, len(share.GetRunning()))
-	for _, r := range share.GetRunning() {
-		reported := clempool.ServerStats{
-			Running: int(r.GetCount()), PendingTokens: int(r.GetUnread()),
-			Successes: float64(r.GetGood()) / outcomeScale, Failures: float64(r.GetFailed()) / outcomeScale,
-			IsLimited: r.GetLimited(), Limit: r.GetLimit(), IsCounted: r.GetCounted(), Sent: r.GetSent(), Demand: float64(r.GetDemand()) / outcomeScale,
-		}
-		if r.GetStated() != nil {
-			reported.LimitStatedAt = now.Add(-r.GetStated().AsDuration())
-		}
-		stats[r.GetServer()] = reported
-	}
 	s.applyQuarantine(share, now)
 	for _, k := range share.GetKept() {
 		s.config.Directory.AddPeerCacheUpdates(k.GetServer(), k.GetParts(), now)
 	}
-	s.config.Directory.SetPeerStats(share.GetName(), stats, now, max(minCountTTL, countTTLExchanges*s.peers.interval()))
+	if l := s.peers.layout(); l != nil {
+		s.applySums(share, l, now)
+		if !l.isMember(share.GetAddress()) {
+			// The sum of the sender's group contains its report.
+			return
+		}
+		s.sums.setReport(share, now)
+	}
+	stats := make(map[string]clempool.ServerStats, len(share.GetRunning()))
+	for _, r := range share.GetRunning() {
+		stats[r.GetServer()] = decodeStats(r, now)
+	}
+	s.config.Directory.SetPeerStats(share.GetName(), stats, now, s.reportTTL())
 }
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -167,7 +167,7 @@
 			clear(lacking)
 			continue
 		}
-		delay := time.Duration(s.peers.readPosition(now)) * (quarantineWriteInterval + 2*s.peers.interval())
+		delay := time.Duration(s.readPosition(now)) * (quarantineWriteInterval + 2*(s.peers.interval()+s.peers.layout().groupInterval()))
 		for _, v := range quarantines {
 			since, known := lacking[v.Part]
 			if !known {
@@ -196,7 +196,7 @@
 // entry reads them when it starts. The first entry in order does it.
 func (s *Syncer) liftRefuted(ctx context.Context, now time.Time) error {
 	refuted := s.config.Quarantine.TakeRefuted()
-	if s.peers.readPosition(now) > 0 {
+	if s.readPosition(now) > 0 {
 		return nil
 	}
 	var failed error
@@ -226,11 +226,7 @@
 func (s *Syncer) addQuarantine(share *clemwire.Share, peer peerState, now time.Time) {
 	findings, last := s.config.Quarantine.Findings(peer.findingsSeen)
 	share.Last, share.Seen, share.Synced = last, peer.findingsApplied, s.knowsQuarantines.Load()
-	for _, f := range findings {
-		share.Findings = append(share.Findings, &clemwire.Finding{
-			Service: f.Service, Parts: f.Parts, Age: durationpb.New(now.Sub(f.At)), Server: f.Server, Born: f.Incarnation, Begun: f.HasBegun,
-		})
-	}
+	share.Findings = encodeFindings(findings, now)
 	for _, v := range s.config.Quarantine.Quarantines(now) {
 		quarantine := &clemwire.Quarantine{
 			Service: v.Service, Part: v.ID, Crashes: uint32(v.Crashes), Age: durationpb.New(now.Sub(v.At)), Idle: durationpb.New(now.Sub(v.LastSeen)),
@@ -244,15 +240,13 @@
 
 // applyQuarantine applies a peer's findings and quarantines.
 func (s *Syncer) applyQuarantine(share *clemwire.Share, now time.Time) {
-	findings := make([]clemquarantine.Finding, len(share.GetFindings()))
-	for i, f := range share.GetFindings() {
-		findings[i] = clemquarantine.Finding{
-			Service: f.GetService(), Parts: f.GetParts(), At: now.Add(-f.GetAge().AsDuration()), IsServed: f.GetServer() == "",
-			Server: f.GetServer(), Incarnation: f.GetBorn(), HasBegun: f.GetBegun(),
-		}
-	}
+	findings, relayed := decodeFindings(share.GetFindings(), now), decodeFindings(share.GetRelayed(), now)
 	s.config.Quarantine.AddPeerFindings(findings, now)
-	s.peers.setFindingsApplied(share.GetAddress(), share.GetLast())
+	s.config.Quarantine.AddPeerFindings(relayed, now)
+	if l := s.peers.layout(); l != nil && len(findings)+len(relayed) > 0 {
+		s.sums.relayFindings(l.isMember(share.GetAddress()), findings, relayed, now)
+	}
+	s.peers.setFindingsApplied(share.GetAddress(), share.GetLast(), share.GetRelayedLast())
 	for _, q := range share.GetQuarantines() {
 		v := clemquarantine.Quarantine{
 			Part: clemquarantine.Part{Service: q.GetService(), ID: q.GetPart()}, Crashes: int(q.GetCrashes()),
@@ -268,12 +262,33 @@
 	}
 }
 
-// setFindingsApplied records the number up to which the findings of the peer were
-// applied.
-func (t *peerTable) setFindingsApplied(address string, number uint64) {
+func encodeFindings(findings []clemquarantine.Finding, now time.Time) []*clemwire.Finding {
+	var encoded []*clemwire.Finding
+	for _, f := range findings {
+		encoded = append(encoded, &clemwire.Finding{
+			Service: f.Service, Parts: f.Parts, Age: durationpb.New(now.Sub(f.At)), Server: f.Server, Born: f.Incarnation, Begun: f.HasBegun,
+		})
+	}
+	return encoded
+}
+
+func decodeFindings(encoded []*clemwire.Finding, now time.Time) []clemquarantine.Finding {
+	findings := make([]clemquarantine.Finding, len(encoded))
+	for i, f := range encoded {
+		findings[i] = clemquarantine.Finding{
+			Service: f.GetService(), Parts: f.GetParts(), At: now.Add(-f.GetAge().AsDuration()), IsServed: f.GetServer() == "",
+			Server: f.GetServer(), Incarnation: f.GetBorn(), HasBegun: f.GetBegun(),
+		}
+	}
+	return findings
+}
+
+// setFindingsApplied records the numbers up to which the findings that the peer sent were
+// applied, its own and those that it passed on.
+func (t *peerTable) setFindingsApplied(address string, number, relayed uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.byAddress[address]; p != nil {
-		p.findingsApplied = max(p.findingsApplied, number)
+		p.findingsApplied, p.relayedApplied = max(p.findingsApplied, number), max(p.relayedApplied, relayed)
 	}
 }
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -30,16 +30,24 @@
 	takeoverDelay = 400 * time.Millisecond
 	// unreachableInterval is the interval of calls to a peer that does not answer.
 	unreachableInterval = time.Second
+	// failedTargetTime is how long after a failed call to an entry of another group the
+	// next one there is called instead.
+	failedTargetTime = 5 * time.Second
 )
 
 // peerTable holds the state of the other entries, the peers, by address.
 type peerTable struct {
-	ownAddress string
+	ownAddress, ownCentre string
 
 	mu        sync.Mutex
 	byAddress map[string]*peer
 	// addresses holds the addresses in the order in which they were added.
 	addresses []string
+	// listReadAt is when the rows of entries were last read.
+	listReadAt time.Time
+	// currentLayout holds the groups, if isLayoutCurrent is set.
+	currentLayout   *layout
+	isLayoutCurrent bool
 }
 
 // peerState is what a peer's last message said about the peer.
@@ -61,24 +69,39 @@
 	// findingsSeen is the number of the last finding of this entry that the peer has,
 	// findingsApplied that of the last one of the peer that this entry has.
 	findingsSeen, findingsApplied uint64
+	// relayedSeen and relayedApplied are the same for findings of other entries.
+	relayedSeen, relayedApplied uint64
+	// isGrouped is set if the peer's fleet has several groups.
+	isGrouped bool
 }
 
 // peer is another entry.
 type peer struct {
 	// lastSeenAt is when the last message came, addedAt when the peer was added.
 	lastSeenAt, addedAt time.Time
-	calledAt            time.Time
-	isCalling           bool
-	isUnreachable       bool
+	// listedAt is when its row was last read, failedAt when a call to it last failed.
+	listedAt, failedAt time.Time
+	calledAt           time.Time
+	isCalling          bool
+	isUnreachable      bool
 	peerState
 	// cacheUpdatesSent is the sequence number up to which cache updates were sent
 	// to the peer, addressesSent the number of peerTable.addresses sent to it.
 	cacheUpdatesSent uint64
 	addressesSent    int
+	centre           string
+	isCentreKnown    bool
+	// sumSentAt is when a sum was last sent to the peer.
+	sumSentAt time.Time
 }
 
-func newPeerTable(own string) *peerTable {
-	return &peerTable{ownAddress: own, byAddress: map[string]*peer{}}
+// isServing reports whether the peer is active, holds a configuration and is not leaving.
+func (p *peer) isServing(now time.Time) bool {
+	return p.version > 0 && !p.isLeaving && now.Sub(p.lastSeenAt) < activeTimeout
+}
+
+func newPeerTable(address, centre string) *peerTable {
+	return &peerTable{ownAddress: address, ownCentre: centre, byAddress: map[string]*peer{}}
 }
 
 // add adds the peer at the address unless it is known.
@@ -91,18 +114,49 @@
 	if t.byAddress[address] == nil {
 		t.byAddress[address] = &peer{addedAt: now}
 		t.addresses = append(t.addresses, address)
+		t.isLayoutCurrent = false
 	}
 }
 
 // addAndCheckExpired adds the peer of a row in the store, and reports whether it
 // has not answered for so long that the row may be removed. A live entry writes
-// its row again when it starts, and its peers know it until then.
-func (t *peerTable) addAndCheckExpired(address string, now time.Time) bool {
+// its row again when it starts, and its peers know it until then. An entry of another
+// group is judged by its own group, or if none of that is left by the time for which its
+// sum is missing.
+func (t *peerTable) addAndCheckExpired(address, centre string, isGroupLost func(groupID) bool, now time.Time) bool {
 	t.add(address, now)
+	t.setCentre(address, centre)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.byAddress[address]
-	return p != nil && now.Sub(p.lastSeen()) > rowExpiry
+	if p == nil {
+		return false
+	}
+	p.listedAt = now
+	if l := t.layoutLocked(); l != nil && !l.isMember(address) && !isGroupLost(l.groupOf[address]) {
+		return false
+	}
+	return now.Sub(p.lastSeen()) > rowExpiry
+}
+
+// setListRead records that the rows of entries were read.
+func (t *peerTable) setListRead(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listReadAt = now
+}
+
+// isExpired reports whether the peer is no longer called. One of another group, which
+// sends this entry nothing, is kept while its row is listed or rows cannot be read.
+func (t *peerTable) isExpired(p *peer, isOutside bool, now time.Time) bool {
+	if !isOutside {
+		return now.Sub(p.lastSeen()) > 2*rowExpiry
+	}
+	last := p.lastSeen()
+	if p.listedAt.After(last) {
+		last = p.listedAt
+	}
+	return t.listReadAt.Sub(last) > 2*rowExpiry
 }
 
 // lastSeen returns when the last message came, or when the peer was added.
@@ -132,7 +186,7 @@
 	if clock < p.clock {
 		// The peer restarted and knows neither addresses nor cached parts. In a
 		// large fleet sending it all cached parts would take too much traffic.
-		p.addressesSent, p.findingsApplied = 0, 0
+		p.addressesSent, p.findingsApplied, p.relayedApplied = 0, 0, 0
 		if len(t.byAddress) < clempool.LargeFleetSize {
 			p.cacheUpdatesSent = 0
 		}
@@ -140,6 +194,13 @@
 	p.version, p.storeVersion, p.wantsDocument, p.wantsRows, p.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
 	p.isLeaving = share.GetLeaving()
 	p.sendsChanges, p.findingsSeen = share.GetSince() > 0, share.GetSeen()
+	p.isGrouped, p.relayedSeen, p.failedAt = share.GetGrouped(), share.GetRelayedSeen(), time.Time{}
+	if p.isGrouped {
+		if p.centre != share.GetCentre() {
+			p.centre, t.isLayoutCurrent = share.GetCentre(), false
+		}
+		p.isCentreKnown = true
+	}
 	return isNewlyReachable
 }
 
@@ -183,7 +244,13 @@
 	if p == nil {
 		return false
 	}
-	p.addressesSent = 0
+	p.failedAt = time.Now()
+	if t.layoutLocked() == nil {
+		p.addressesSent = 0
+	} else if p.addressesSent > 0 {
+		// The last addresses may not have arrived.
+		p.addressesSent = max(p.addressesSent-maxSentAddresses, 0)
+	}
 	if p.isUnreachable || p.lastSeenAt.IsZero() {
 		return false
 	}
@@ -193,21 +260,28 @@
 
 // takeDue returns the peers to call now and marks them as being called. Of two
 // entries the one with the lower address calls; the other one calls only if it
-// has received nothing from the first for takeoverDelay.
+// has received nothing from the first for takeoverDelay. In a fleet of several groups
+// only the own one is called, by the one with the higher address: what the delegate
+// knows then comes in replies, whose transit time is known best.
 func (t *peerTable) takeDue(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var due []string
+	l := t.layoutLocked()
 	for address, p := range t.byAddress {
-		if now.Sub(p.lastSeen()) > 2*rowExpiry {
+		isOutside := l != nil && !l.isMember(address)
+		if t.isExpired(p, isOutside, now) {
 			t.remove(address)
 			continue
 		}
+		if isOutside {
+			continue
+		}
 		interval := t.intervalLocked()
 		if p.isUnreachable {
 			interval = unreachableInterval
 		}
-		isCaller := t.ownAddress < address || now.Sub(p.lastSeenAt) > takeoverDelay
+		isCaller := (t.ownAddress < address) == (l == nil) || now.Sub(p.lastSeenAt) > takeoverDelay
 		if !isCaller || p.isCalling || now.Sub(p.calledAt) < interval {
 			continue
 		}
@@ -221,6 +295,7 @@
 // if the removed one was among them. The caller holds mu.
 func (t *peerTable) remove(address string) {
 	delete(t.byAddress, address)
+	t.isLayoutCurrent = false
 	at := slices.Index(t.addresses, address)
 	if at < 0 {
 		return
@@ -234,13 +309,15 @@
 }
 
 // readPosition returns this entry's position in the order in which entries read
-// the list of backend servers: the number of active peers with a lower address.
+// the list of backend servers: the number of active peers with a lower address, in the
+// own group if there are several.
 func (t *peerTable) readPosition(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
+	l := t.layoutLocked()
 	for address, p := range t.byAddress {
-		if address < t.ownAddress && !p.lastSeenAt.IsZero() && now.Sub(p.lastSeenAt) < activeTimeout {
+		if address < t.ownAddress && (l == nil || l.isMember(address)) && !p.lastSeenAt.IsZero() && now.Sub(p.lastSeenAt) < activeTimeout {
 			n++
 		}
 	}
@@ -275,7 +352,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.byAddress {
-		if p.version > 0 && !p.isLeaving && now.Sub(p.lastSeenAt) < activeTimeout {
+		if p.isServing(now) {
 			return true
 		}
 	}
@@ -283,10 +360,10 @@
 }
 
 // takeUnsentAddresses returns the addresses that were not yet sent to the peer,
-// and marks them as sent. In a large fleet a peer is sent none, since it has them
-// from the store and each of its peers would send it all of them. Only one that
-// requests the list of backend servers and has none, as it cannot reach the store,
-// is sent all.
+// and marks them as sent. In a fleet of several groups a message has few of them: entries
+// that start together read different rows, and would disagree about the groups. One that
+// requests the list of backend servers and has none, as it cannot reach the store, is sent
+// all.
 func (t *peerTable) takeUnsentAddresses(address string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -298,15 +375,15 @@
 		}
 		return slices.Clone(t.addresses)
 	}
-	from := p.addressesSent
-	p.addressesSent = len(t.addresses)
+	from, to := p.addressesSent, len(t.addresses)
 	switch {
 	case p.wantsRows && p.storeVersion == 0:
 		from = 0
 	case isLarge:
-		return nil
+		to = min(to, from+maxSentAddresses)
 	}
-	return slices.Clone(t.addresses[from:])
+	p.addressesSent = to
+	return slices.Clone(t.addresses[from:to])
 }
 
 // interval returns the interval of calls between two entries.
@@ -319,5 +396,8 @@
 // intervalLocked is interval for callers that hold mu.
 func (t *peerTable) intervalLocked() time.Duration {
 	n := time.Duration(len(t.byAddress))
+	if l := t.layoutLocked(); l != nil {
+		n = time.Duration(len(l.members[l.own]) - 1)
+	}
 	return max(exchangeInterval+n*intervalPerPeer, n*minIntervalPerPeer)
 }
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -49,6 +49,8 @@
 type Config struct {
 	// Name is this entry's name, and Address the one at which its peers call it.
 	Name, Address string
+	// Centre is the data centre of this entry.
+	Centre string
 	// Seeds returns initial addresses of peers, which may be stale.
 	Seeds     func() []string
 	Store     clementineturn.Store
@@ -81,6 +83,10 @@
 	config  Config
 	servers *serverList
 	peers   *peerTable
+	sums    *sumTable
+	// wasGrouped is set if the fleet had several groups at the last exchange. It is used by
+	// the loop of exchanges alone.
+	wasGrouped bool
 	// start is the origin of the clock readings sent to peers.
 	start time.Time
 
@@ -110,7 +116,7 @@
 	if c.Quarantine == nil {
 		c.Quarantine = clemquarantine.New(clemquarantine.Config{})
 	}
-	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address), start: time.Now()}
+	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address, c.Centre), sums: newSumTable(c.Address), start: time.Now()}
 }
 
 // IsReady reports whether this entry has a configuration, a list of backend servers
@@ -121,7 +127,30 @@
 }
 
 // EntryCount returns the number of live entries, including this one.
-func (s *Syncer) EntryCount() int { return s.peers.liveCount(time.Now()) + 1 }
+func (s *Syncer) EntryCount() int {
+	now := time.Now()
+	l := s.peers.layout()
+	if l == nil {
+		return s.peers.liveCount(now) + 1
+	}
+	live, _ := s.peers.groupCounts(l, now)
+	outside, _, isKnown := s.sums.outside(now)
+	if !isKnown {
+		// Entries of other groups may serve although no delegate tells of them.
+		outside = len(l.groupOf) - len(l.members[l.own])
+	}
+	return live + 1 + outside
+}
+
+// readPosition returns this entry's position in the order in which entries read the list
+// of backend servers: first by groups, then within the group.
+func (s *Syncer) readPosition(now time.Time) int {
+	position := s.peers.readPosition(now)
+	if l := s.peers.layout(); l != nil {
+		position += s.sums.activeBefore(l, now)
+	}
+	return position
+}
 
 // Start runs the synchronisation loops until the context ends. The channel
 // receives the context's error once all of them have returned.
@@ -285,7 +314,7 @@
 		now := time.Now()
 		s.servers.RemoveExpired(now)
 		version, age := s.servers.StoreVersion(now)
-		stagger := time.Duration(min(s.peers.readPosition(now), maxStaggerSteps)) * listReadStagger
+		stagger := time.Duration(min(s.readPosition(now), maxStaggerSteps)) * listReadStagger
 		if wait := listReadInterval + stagger - age; version > 0 && wait > 0 {
 			if !sleep(ctx, wait) {
 				return
