--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -38,6 +38,8 @@
 	HTTPServerMessage     Event = 931
 	QuarantineInvalid     Event = 932
 	QuarantineNotLifted   Event = 933
+	DelegateStarted       Event = 950
+	DelegateEnded         Event = 951
 )
 
 var routerEvents = map[Event]Info{
@@ -62,6 +64,8 @@
 	PartReleased:          {zapcore.WarnLevel, "prompt part released", "No request had the part for some minutes, new evidence shows that it is sound, or an operator lifted the quarantine."},
 	QuarantineNotLifted:   {zapcore.WarnLevel, "quarantine row not lifted", "New evidence ended the quarantine of a part, but its row in the store could not be written. Entries that start within five minutes refuse requests with the part; lift it by hand if they must not."},
 	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
+	DelegateStarted:       {zapcore.InfoLevel, "entry speaks for its group", "The fleet has several groups of entries, and this entry exchanges sums with the delegates of the others for its group. The groups field is their number, members that of its own group's entries."},
+	DelegateEnded:         {zapcore.InfoLevel, "entry no longer speaks for its group", "Another entry of the group with a lower address answers again, or the fleet is one group."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run, the parts field the shared parts of its prompt: if the attempts of many servers have one in common, it may crash them."},
--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
@@ -145,16 +147,19 @@
 	return false
 }
 
-// setRole records whether this entry is its group's delegate.
-func (t *sumTable) setRole(isDelegate bool, now time.Time) {
+// setRole records whether this entry is its group's delegate, and reports whether that is
+// new.
+func (t *sumTable) setRole(isDelegate bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case !isDelegate:
-		t.delegateSince = time.Time{}
-	case t.delegateSince.IsZero():
+	if isDelegate != t.delegateSince.IsZero() {
+		return false
+	}
+	t.delegateSince = time.Time{}
+	if isDelegate {
 		t.delegateSince = now
 	}
+	return true
 }
 
 // takeDue returns the groups to call now and marks them as being called. Of two delegates
@@ -314,16 +319,18 @@
 	t.merged, t.mergedAt = sum, now
 }
 
-// setRest records the sum over the other groups, and reports whether it is to be applied:
-// of two delegates at once the one that knows more entries or newer reports counts.
-func (t *sumTable) setRest(rest *clemwire.Sum, from string, age time.Duration, now time.Time) bool {
+// setRest records the sum over the other groups, and reports whether it is to be applied,
+// and the time since the last one: of two delegates at once the one that knows more entries
+// or newer reports counts.
+func (t *sumTable) setRest(rest *clemwire.Sum, from string, age time.Duration, now time.Time) (gap time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	oldest := now.Add(-age)
 	if from != t.restFrom && now.Sub(t.restAt) < takeoverDelay &&
 		(rest.GetEntries() < t.rest.GetEntries() || rest.GetEntries() == t.rest.GetEntries() && oldest.Before(t.restOldest)) {
-		return false
+		return 0, false
 	}
+	gap = now.Sub(t.restAt)
 	t.rest, t.restFrom, t.restAt, t.restOldest = rest, from, now, oldest
 	t.isFailing = map[string]bool{}
 	for _, r := range rest.GetOutcomes() {
@@ -331,7 +338,7 @@
 			t.isFailing[r.GetServer()] = true
 		}
 	}
-	return true
+	return gap, true
 }
 
 // outside returns the numbers of live and of serving entries of other groups, and false
@@ -417,6 +424,14 @@
 // its role, and as the delegate calls other groups and applies their sums.
 func (s *Syncer) exchangeGroups(ctx context.Context, calls *sync.WaitGroup, now time.Time) {
 	l := s.peers.layout()
+	isDelegate := l != nil && s.peers.delegate(l, now) == s.config.Address
+	if s.sums.setRole(isDelegate, now) {
+		if isDelegate {
+			s.config.Events.Emit(clemevent.DelegateStarted, zap.Int("groups", len(l.order)), zap.Int("members", len(l.members[l.own])))
+		} else {
+			s.config.Events.Emit(clemevent.DelegateEnded)
+		}
+	}
 	if l == nil {
 		if s.wasGrouped {
 			s.config.Directory.DropFleetStats()
@@ -425,8 +440,6 @@
 		return
 	}
 	s.wasGrouped = true
-	isDelegate := s.peers.delegate(l, now) == s.config.Address
-	s.sums.setRole(isDelegate, now)
 	s.config.Directory.SetFleetSize(s.EntryCount())
 	if !isDelegate {
 		return
@@ -475,11 +488,16 @@
 	group, ok := sumGroup(rest)
 	// A sum that leaves out less than the own group would count members twice.
 	age := rest.GetAge().AsDuration() + transit
-	if !ok || !group.contains(l.own) || !s.sums.setRest(rest, from, age, now) {
+	if !ok || !group.contains(l.own) {
+		return
+	}
+	gap, ok := s.sums.setRest(rest, from, age, now)
+	if !ok {
 		return
 	}
-	// One old sum in it must not take the others away: the delegate leaves it out next time.
-	ttl := max(l.sumTTL()-age, 2*s.peers.interval())
+	// One old sum in it must not take the others away before the next one, in which the
+	// delegate leaves it out.
+	ttl := max(l.sumTTL()-age, 2*l.pairInterval(), min(2*gap, l.sumTTL()))
 	stats := fleetStats(rest, age, now)
 	stats.Members = s.sums.memberNames(l)
 	s.config.Directory.SetFleetStats(stats, now, ttl)
--- a/clemspread/fleet_test.go
+++ b/clemspread/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -49,6 +50,8 @@
 	stops    map[string]context.CancelFunc
 	// probedAt holds the times of the requests to the server whose count is followed.
 	probedAt []time.Time
+	// ejected holds the entries that ejected a server.
+	ejected map[string]bool
 	// onCrash, if set, is called for each crash that an entry learns of.
 	onCrash func()
 }
@@ -69,7 +72,7 @@
 }
 
 func newFleet(n *network, store *fakeStore, size int) *fleet {
-	f := &fleet{network: n, store: store, entries: map[string]*Syncer{}, stops: map[string]context.CancelFunc{}, contexts: map[string]context.Context{}}
+	f := &fleet{network: n, store: store, entries: map[string]*Syncer{}, ejected: map[string]bool{}, stops: map[string]context.CancelFunc{}, contexts: map[string]context.Context{}}
 	for i := range size {
 		f.names = append(f.names, fmt.Sprintf("10.%d.30.%03d:7340", i%3, i/3))
 	}
@@ -93,8 +96,15 @@
 	random := rand.New(rand.NewPCG(7, uint64(len(f.entries))))
 	config := Config{
 		Name: address, Address: address, Centre: fleetCentre(address), Seeds: func() []string { return seeds }, Store: store, Peers: f.network, Table: &clemroute.Table{},
-		Directory: clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: random.Uint64}),
-		Rand:      func() float64 { return 0.5 }, ConfigurationKey: "config", DecodeConfiguration: decodeVersion, DecodeServer: decodeFleetServer,
+		Directory: clempool.New(clempool.Config{
+			MaxLoadFactor: func() float64 { return 2 }, Rand: random.Uint64,
+			OnEjected: func(string, clempool.Outcome, float64, time.Time) {
+				f.network.mu.Lock()
+				defer f.network.mu.Unlock()
+				f.ejected[address] = true
+			},
+		}),
+		Rand: func() float64 { return 0.5 }, ConfigurationKey: "config", DecodeConfiguration: decodeVersion, DecodeServer: decodeFleetServer,
 		IsDraining: func() bool { return false },
 	}
 	if f.onCrash != nil {
@@ -207,11 +217,18 @@
 	return lease.Load()
 }
 
+// ejectedAt returns the entries that ejected a server.
+func (f *fleet) ejectedAt() map[string]bool {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	return maps.Clone(f.ejected)
+}
+
 // probes returns the times of the requests to the probed server.
 func (f *fleet) probes() []time.Time {
 	f.network.mu.Lock()
 	defer f.network.mu.Unlock()
-	return slices.Clone(f.probedAt)
+	return f.probedAt[:len(f.probedAt):len(f.probedAt)]
 }
 
 // watch returns the highest age of the count at any entry during the time, and how often
--- a/clemspread/group.go
+++ b/clemspread/group.go
@@ -111,8 +111,15 @@
 	return max(exchangeInterval, time.Duration(len(l.order)-1)*groupIntervalPerGroup)
 }
 
-// sumTTL is how long the sum of another group is used.
-func (l *layout) sumTTL() time.Duration { return max(minCountTTL, countTTLExchanges*l.groupInterval()) }
+// pairInterval returns the interval of calls between two members of the own group.
+func (l *layout) pairInterval() time.Duration { return pairInterval(len(l.members[l.own]) - 1) }
+
+// sumTTL returns how long after its oldest report a sum of other groups is used: three
+// times what a count takes to arrive, from a member to its delegate, to another one and to
+// a member there.
+func (l *layout) sumTTL() time.Duration {
+	return max(minCountTTL, countTTLExchanges*(l.groupInterval()+2*l.pairInterval()))
+}
 
 // layout returns the groups of the known entries, or nil if the fleet is one group.
 func (t *peerTable) layout() *layout {
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -371,3 +371,51 @@
 		require.NotEqual(t, late.GetSum(), e.sums.groups[groupID{centre: "centre-2"}].sum)
 	})
 }
+
+// Guards against an entry that removes the rows of entries of other groups, which send it
+// nothing, or forgets them while the store does not answer; and against rows of a group
+// that is gone, which nobody removes.
+func TestEntriesOfOtherGroupsExpireByTheirGroup(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	table := newPeerTable("a0", "a")
+	for i := range 40 {
+		table.add(fmt.Sprint("b", i), now)
+		table.setCentre(fmt.Sprint("b", i), "b")
+	}
+	table.add("a1", now)
+	table.setCentre("a1", "a")
+	isLost := false
+	lost := func(groupID) bool { return isLost }
+	later := now.Add(2*rowExpiry + time.Second)
+	require.True(t, table.addAndCheckExpired("a1", "a", lost, later), "of the own group")
+	require.False(t, table.addAndCheckExpired("b1", "b", lost, later))
+	isLost = true
+	require.True(t, table.addAndCheckExpired("b1", "b", lost, later))
+	table.takeDue(later)
+	require.Len(t, table.byAddress, 40, "rows were not read since, so only a1 is forgotten")
+	table.setListRead(later)
+	table.takeDue(later)
+	require.Len(t, table.byAddress, 1, "only b1 is listed")
+}
+
+// Guards against failures that one group sees and that do not eject a server elsewhere.
+func TestFailuresInAnotherGroupEject(t *testing.T) {
+	runFleet(t, func(_ context.Context, f *fleet) {
+		failing := f.entries[probingEntry]
+		for range 4 {
+			var tried []string
+			for i := range testFleet * fleetServers {
+				if i != 3 {
+					tried = append(tried, serverName(i))
+				}
+			}
+			lease, err := failing.config.Directory.Acquire(clempool.Request{Service: "pool", Tried: tried}, time.Now())
+			require.NoError(t, err)
+			require.Equal(t, serverName(3), lease.Server())
+			lease.Release(clempool.OutcomeFailed, nil, time.Now())
+		}
+		time.Sleep(600 * time.Millisecond)
+		require.Contains(t, f.ejectedAt(), firstOfZero)
+		require.Contains(t, f.ejectedAt(), firstOfTwo)
+	})
+}
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -395,9 +395,15 @@
 
 // intervalLocked is interval for callers that hold mu.
 func (t *peerTable) intervalLocked() time.Duration {
-	n := time.Duration(len(t.byAddress))
 	if l := t.layoutLocked(); l != nil {
-		n = time.Duration(len(l.members[l.own]) - 1)
+		return l.pairInterval()
 	}
+	return pairInterval(len(t.byAddress))
+}
+
+// pairInterval returns the interval of calls between entries with the given number of
+// peers.
+func pairInterval(peers int) time.Duration {
+	n := time.Duration(peers)
 	return max(exchangeInterval+n*intervalPerPeer, n*minIntervalPerPeer)
 }
