--- a/clempool/fleet.go
+++ b/clempool/fleet.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// serverNameBits is the length of the names of servers in sums. Names of 3,000
-	// servers differ, but for a pair with probability 0.7, and take two bytes each.
+	// serverNameBits is the length of the names of servers in sums. Of 3,000 servers one
+	// pair shares a name in the mean, and names take two bytes each.
 	serverNameBits = 22
 	// fleetPeer is the name under which the sum over other groups is held.
 	fleetPeer = "(other groups)"
