--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -52,6 +52,8 @@
 	ConnectionClosed      Event = 961
 	BodyRefused           Event = 962
 	IntakeLimits          Event = 963
+	DelegateStarted       Event = 980
+	DelegateEnded         Event = 981
 )
 
 var routerEvents = map[Event]Info{
@@ -78,6 +80,8 @@
 	QuarantineInvalid:     {zapcore.WarnLevel, "quarantine row invalid", "The row describes no quarantined part; the error names the field. It is ignored."},
 	ServerStateChanged:    {zapcore.InfoLevel, "backend server state changed", "The server takes no new requests, only few, or all again. The state field names the new state, source where it is known from, left how much longer it holds; 0 if that is not known."},
 	ServerColdInvalid:     {zapcore.WarnLevel, "cold time of backend server invalid", "A server's row or response states for how long it is cold, and the value cannot be used; the problem field names the field. It has no other effect. Find out what writes it."},
+	DelegateStarted:       {zapcore.InfoLevel, "entry speaks for its group", "The fleet has several groups of entries, and this entry exchanges sums with the delegates of the others for its group. The groups field is their number, members that of its own group's entries."},
+	DelegateEnded:         {zapcore.InfoLevel, "entry no longer speaks for its group", "Another entry of the group with a lower address answers again, or the fleet is one group."},
 	EntryRemoved:          {zapcore.InfoLevel, "entry row removed", "The entry has not answered for minutes."},
 	RequestRefused:        {zapcore.WarnLevel, "request refused", "No backend server ran the request; the error field gives the reason."},
 	AttemptFailed:         {zapcore.WarnLevel, "attempt failed", "A backend server did not answer the request properly. The ran field tells whether the request may have run, the parts field the shared parts of its prompt: if the attempts of many servers have one in common, it may crash them."},
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -104,7 +104,7 @@
 	chosen.rest.beginReturn(lease, now)
 	svc.addRunning(r.Organisation)
 	if len(r.Prefix) == 0 {
-		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(len(d.peers)+1)
+		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(d.entryCount())
 		svc.limit.started(svc.running)
 	}
 	return lease, nil
@@ -404,6 +404,7 @@
 	}
 	weights, others := d.scratch.weights[:0], d.scratch.considered[:0]
 	var open, cold preferred
+	unknown := d.unknownShare()
 	var leastWeight uint64
 	for _, list := range [2][]*server{c.servers, c.cold} {
 		for _, s := range list {
@@ -417,7 +418,7 @@
 			if !isLimited && !s.isCold && (leastLoaded == nil || load < leastLoaded.running+leastLoaded.peerRunning || load == leastLoaded.running+leastLoaded.peerRunning && weight > leastWeight) {
 				leastLoaded, leastWeight = s, weight
 			}
-			if float64(load) >= bound {
+			if float64(load)+unknown*max(float64(load), c.meanLoad) >= bound {
 				continue
 			}
 			o := consideredServer{server: s, weight: weight, cached: s.cachedDigests(digests, r.Prefix, by)}
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -103,11 +103,14 @@
 	scratch    scratch
 	// sweptAt is when the states of all servers were last compared with those reported.
 	sweptAt time.Time
+	// fleet is what is known of a fleet of several groups.
+	fleet fleet
 }
 
-// peerStats is the latest report of a peer.
+// peerStats is the latest report of a peer, or of the number of entries given.
 type peerStats struct {
 	expires time.Time
+	entries int
 	servers map[string]ServerStats
 }
 
@@ -236,6 +239,7 @@
 	if old != nil {
 		added.reported = old.reported
 	}
+	d.fleet.byName = nil
 	for _, stats := range d.peers {
 		added.addPeerStats(stats.servers[record.ID()], 1)
 	}
@@ -265,6 +269,7 @@
 	delete(d.servers, id)
 	old.cold.unlistedAt = time.Now()
 	d.unlisted[id] = old.cold
+	d.fleet.byName = nil
 	svc := d.services[old.record.Service()]
 	svc.servers = slices.DeleteFunc(svc.servers, func(o *server) bool { return o == old })
 	old.pool.Close()
@@ -301,6 +306,9 @@
 	// it takes no new requests any more, of the incarnation.
 	IsLeaving          bool
 	LeavingIncarnation int64
+	// Origin is 0 in the report of one entry. In a sum it identifies the entries whose
+	// requests Sent counts.
+	Origin uint64
 }
 
 // minReportedOutcomes is the decayed number of outcomes below which they are
@@ -335,11 +343,17 @@
 // SetPeerStats applies the report of a peer in place of its last one, for at
 // most the given time. It ejects servers that the report shows to be outliers.
 func (d *Directory) SetPeerStats(peer string, stats map[string]ServerStats, now time.Time, ttl time.Duration) {
-	var changed []*server
 	d.mu.Lock()
-	d.dropPeer(peer)
 	d.recordReportInterval(peer, now)
-	d.peers[peer] = peerStats{expires: now.Add(ttl), servers: stats}
+	d.setPeerStats(peer, 1, stats, now, ttl)
+}
+
+// setPeerStats is SetPeerStats for the report of a number of entries. The caller holds
+// mu, which is released.
+func (d *Directory) setPeerStats(peer string, entries int, stats map[string]ServerStats, now time.Time, ttl time.Duration) {
+	var changed []*server
+	d.dropPeer(peer)
+	d.peers[peer] = peerStats{expires: now.Add(ttl), entries: entries, servers: stats}
 	if d.peers[peer].expires.Before(d.nextExpiry) {
 		d.nextExpiry = d.peers[peer].expires
 	}
