clempool, clemrouter: requests to scarce services wait for a place

Change: clemwait decides on requests without a prefix whose service has a latency target. The server is chosen when a request leaves the queue; a drain refuses what waits, a client that leaves gives up its place. Events 970 to 974, metrics queued, wait_time and refusals.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -38,6 +38,11 @@
 	HTTPServerMessage     Event = 931
 	QuarantineInvalid     Event = 932
 	QuarantineNotLifted   Event = 933
+	ServiceScarce         Event = 970
+	ServiceNotScarce      Event = 971
+	WaitQueueFull         Event = 972
+	PeerCountsMissing     Event = 973
+	WaitingRefused        Event = 974
 )
 
 var routerEvents = map[Event]Info{
@@ -74,5 +79,10 @@
 	ServerUnlimited:       {zapcore.InfoLevel, "backend server no longer limited", "A response to a request that was sent after the last statement of a limit states none."},
 	ServerLimitInvalid:    {zapcore.WarnLevel, "backend server limit invalid", "A response states a limit that is no number of requests a second. The last limit stays in force."},
 	LogLinesRateLimited:   {zapcore.WarnLevel, "log lines dropped", "More lines of the event in the of field were logged than the rate limit allows; count is the number of dropped lines."},
+	ServiceScarce:         {zapcore.WarnLevel, "service short of capacity", "Requests to the service wait in this entry or are refused; the waiting field counts those that wait. Add servers or find out which organisation sends more than usual."},
+	ServiceNotScarce:      {zapcore.InfoLevel, "service no longer short of capacity", "No request to the service waited or was refused for five seconds."},
+	WaitQueueFull:         {zapcore.ErrorLevel, "waiting requests at their bound", "As many requests wait for the service as this entry holds in number or bytes, and more are refused at once. It comes at most every five seconds."},
+	PeerCountsMissing:     {zapcore.WarnLevel, "counts of other entries missing", "Most other entries have not reported for a second while the service is short of capacity. This entry keeps to its own share of the slots."},
+	WaitingRefused:        {zapcore.InfoLevel, "waiting requests refused by the stop", "This entry drains. The requests that waited for a place at a server, as many as the waiting field says, were refused as not run."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -108,8 +108,20 @@
 
 func newTable() *clemroute.Table { return &clemroute.Table{} }
 
-func newDirectory(active *activeSettings, events *clemevent.Logger) *clempool.Directory {
+// scarcityEvents are the events of the changes that a directory reports.
+var scarcityEvents = map[clempool.Scarcity]clemevent.Event{
+	clempool.ScarcityBegan: clemevent.ServiceScarce, clempool.ScarcityEnded: clemevent.ServiceNotScarce,
+	clempool.ScarcityQueueFull: clemevent.WaitQueueFull, clempool.ScarcityIsolated: clemevent.PeerCountsMissing,
+}
+
+func newDirectory(active *activeSettings, events *clemevent.Logger, metrics *clemmetric.Registry) *clempool.Directory {
 	return clempool.New(clempool.Config{
+		OnScarcity: func(service string, change clempool.Scarcity, waiting int) {
+			events.Emit(scarcityEvents[change], zap.String("service", service), zap.Int("waiting", waiting))
+		},
+		OnRefused: func(service, reason string) {
+			metrics.Counter(clemmetric.Refusals, "service", service, "reason", reason).Inc(1)
+		},
 		MaxLoadFactor: func() float64 { return active.Load().Bounds().MaxLoadFactor() },
 		Centre:        active.Load().Centre(), Rand: rand.Uint64,
 		OnLimited: func(id string, limit *float64) {
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -169,6 +169,7 @@
 		f.metrics.Gauge(clemmetric.Active).Update(int64(f.router.ActiveRequests()))
 		f.metrics.Gauge(clemmetric.Hosts).Update(int64(f.syncer.EntryCount()))
 		f.metrics.Gauge(clemmetric.BackendServers).Update(int64(f.servers.Len()))
+		f.metrics.Gauge(clemmetric.Queued).Update(int64(f.servers.Waiting()))
 		f.metrics.Gauge(clemmetric.Quarantines).Update(int64(len(f.quarantine.Quarantines(time.Now()))))
 		f.metrics.Gauge(clemmetric.ConfigurationVersion).Update(int64(f.table.Version()))
 		f.metrics.Gauge(clemmetric.LogLinesDropped).Update(int64(f.sink.Dropped()))
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -24,6 +24,9 @@
 	AddedTime            = "added_time"
 	ReadySeconds         = "ready_seconds"
 	Quarantines          = "quarantines"
+	Queued               = "queued"
+	WaitTime             = "wait_time"
+	Refusals             = "refusals"
 )
 
 // Info describes a metric.
@@ -75,6 +78,9 @@
 	{BackendServers, kindGauge, "front", "", "Backend servers listed."},
 	{LogLinesDropped, kindGauge, "front", "", "Log lines dropped because the reader of standard output stood still."},
 	{ConfigurationVersion, kindGauge, "front", "", "Version of the platform's configuration in force."},
+	{Queued, kindGauge, "front", "", "Requests that wait in the entry for a place at a server."},
+	{WaitTime, kindSummary, "front", "service", "Time for which requests waited in the entry for a place at a server, in seconds, of those that waited."},
+	{Refusals, kindCounter, "front", "service,reason", "Requests refused because a service was short of capacity: full (others go first), held (no place within an eighth of the latency target), late, expired (deadline) or bound (too many wait)."},
 	{CPUSeconds, kindGauge, "", "", "Processor time that the process used, in seconds."},
 }
 
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -32,6 +32,10 @@
 	Organisation string
 	// Tried are the ids of the servers that the request was already sent to.
 	Tried []string
+	// OwnTarget, OnTimeBy, Deadline and Bytes are those of clemwait.Request.
+	OwnTarget          time.Duration
+	OnTimeBy, Deadline time.Time
+	Bytes              int
 }
 
 // Acquire chooses a server for the request and counts the request there. It
@@ -49,6 +53,9 @@
 	if len(candidates.servers) == 0 {
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server left to try", r.Service)
 	}
+	if r.isQueued() {
+		return d.acquireNow(svc, candidates, r, now)
+	}
 	if svc.exceedsFairShare(candidates, r, now) {
 		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
 			Kind: clementineturn.KindOverloaded, NotRun: true,
@@ -57,20 +64,24 @@
 		})
 	}
 	var found choice
-	switch {
-	case len(r.Prefix) > 0:
+	if len(r.Prefix) > 0 {
 		found = d.cheapest(svc, candidates, r, now)
-	case svc.limit.allows(svc.running, r.Rank):
+	} else {
 		found = d.leastLoaded(candidates, r, now)
 	}
-	chosen, rank := found.server, found.rank
-	if chosen == nil {
+	if found.server == nil {
 		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
 			Kind: clementineturn.KindOverloaded, NotRun: true,
 			RetryAfter: svc.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
 			Message:    "every backend server of service " + r.Service + " is full or at its limit",
 		})
 	}
+	return d.place(svc, candidates, found, r, now), nil
+}
+
+// place counts the request at the server that was found.
+func (d *Directory) place(svc *service, candidates candidateSet, found choice, r Request, now time.Time) *Lease {
+	chosen, rank := found.server, found.rank
 	lease := &Lease{
 		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), acquiredAt: now,
 		load: chosen.running + chosen.peerRunning, meanLoad: candidates.meanLoad, rank: rank,
@@ -85,11 +96,11 @@
 	chosen.running++
 	chosen.limit.countSent(now)
 	svc.addRunning(r.Organisation)
-	if len(r.Prefix) == 0 {
-		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(len(d.peers)+1)
-		svc.limit.started(svc.running)
+	if r.isQueued() {
+		lease.isQueued = true
+		svc.wait.Started(r.Organisation, r.Rank, now)
 	}
-	return lease, nil
+	return lease
 }
 
 // candidateSet is the set of servers that a request can be sent to.
@@ -101,15 +112,15 @@
 	// utilisation is the load of all servers of the service as a share of the slots
 	// of those that are neither draining nor ejected.
 	utilisation float64
-	// slots is the number of the latter.
-	slots int
+	// slots is the number of the latter, and load the requests at them.
+	slots, load int
 }
 
 // candidates returns the servers that may take the request. Ejected servers are
 // included while the healthy ones lack capacity without them.
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
 	var untried, reachable, healthy []*server
-	totalLoad, slots, unlimited, unlimitedLoad := 0, 0, 0, 0
+	totalLoad, slots, openLoad, unlimited, unlimitedLoad := 0, 0, 0, 0, 0
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
 		totalLoad += load
@@ -123,6 +134,7 @@
 		isEjected := server.health.isEjected(now, server.running, r.Idempotent)
 		if !isEjected {
 			slots += server.record.Slots()
+			openLoad += load
 		}
 		if slices.Contains(r.Tried, server.record.ID()) {
 			continue
@@ -137,7 +149,7 @@
 	}
 	c := candidateSet{
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
-		utilisation: float64(totalLoad) / float64(max(slots, 1)), slots: slots,
+		utilisation: float64(totalLoad) / float64(max(slots, 1)), slots: slots, load: openLoad,
 	}
 	if unlimited > 0 {
 		c.meanLoad = float64(unlimitedLoad) / float64(unlimited)
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -11,6 +11,7 @@
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemconn"
+	"github.com/clementineturn/clementineturn/clemwait"
 )
 
 const (
@@ -53,6 +54,12 @@
 	OnLimited func(id string, limit *float64)
 	// OnEjected, if set, is called after a server was ejected.
 	OnEjected func(id string, outcome Outcome, failureRate float64, until time.Time)
+	// OnScarcity, if set, is called after a change of what is known of a scarce service,
+	// with the number of requests that wait for it. OnRefused, if set, is called for each
+	// request that is refused because a service is short of capacity. Neither may call the
+	// directory.
+	OnScarcity func(service string, change Scarcity, waiting int)
+	OnRefused  func(service, reason string)
 }
 
 // Directory holds the known backend servers with their load, health and cached
@@ -74,6 +81,8 @@
 	// reports.
 	reportedAt map[string]time.Time
 	reportLag  time.Duration
+	// knownPeers is when each peer last reported, also of those whose report expired.
+	knownPeers map[string]time.Time
 }
 
 // peerStats is the latest report of a peer.
@@ -117,8 +126,14 @@
 	lastPruned time.Time
 	// runTime is the smoothed time for which requests run.
 	runTime time.Duration
-	// limit limits this entry's requests without a prefix.
-	limit concurrencyLimit
+	// wait decides on requests without a prefix that have a latency target, and holds
+	// those that wait. users are the peers that lately had requests at the service.
+	wait  clemwait.Service
+	users map[string]time.Time
+	// target is the latency target of the last such request, or 0 if there was none.
+	target time.Duration
+	// scarcity is when each condition of the service last held.
+	scarcity [scarcityCount]time.Time
 	// returns spreads the returns of refused callers.
 	returns returnSchedule
 }
@@ -133,8 +148,8 @@
 		}
 		s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
 	}
-	if l.slowAfter > 0 && (outcome == OutcomeServed || outcome == OutcomeRefused) {
-		s.limit.ended(outcome == OutcomeRefused || elapsed > l.slowAfter, l.slowAfter, l.minLimit, s.running, now)
+	if l.isQueued && outcome == OutcomeServed {
+		s.wait.Ended(elapsed, l.load, l.server.record.Slots())
 	}
 }
 
@@ -152,7 +167,7 @@
 // New returns an empty directory.
 func New(c Config) *Directory {
 	return &Directory{
-		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{},
+		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{}, knownPeers: map[string]time.Time{},
 	}
 }
 
@@ -181,7 +196,7 @@
 	d.servers[record.ID()] = added
 	svc := d.services[record.Service()]
 	if svc == nil {
-		svc = &service{usage: map[string]*organisationUsage{}}
+		svc = &service{usage: map[string]*organisationUsage{}, users: map[string]time.Time{}}
 		d.services[record.Service()] = svc
 	}
 	svc.servers = append(svc.servers, added)
@@ -279,6 +294,7 @@
 		}
 	}
 	d.expirePeers(now)
+	d.updateWaiting(peer, stats, now)
 	var ejected []*server
 	for id, serverStats := range stats {
 		if s := d.servers[id]; s != nil && serverStats.Failures > 0 && d.isOutlier(s, now) && s.health.eject(now) {
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -20,10 +20,8 @@
 	id           string
 	incarnation  int64
 	acquiredAt   time.Time
-	// slowAfter is the time from which on a request without a prefix counts as slow,
-	// and minLimit the lowest limit of this entry's requests to the service.
-	slowAfter     time.Duration
-	minLimit      float64
+	// isQueued is set if clemwait decided on the request.
+	isQueued      bool
 	cacheSource   string
 	pendingTokens int
 	cachedTokens  int
@@ -125,6 +123,7 @@
 		s.hasEnded = false
 	}
 	ejected := s.health.record(outcome, now) || outcome == OutcomeFailed && d.isOutlier(s, now) && s.health.eject(now)
+	d.dispatch(l.service, now)
 	d.mu.Unlock()
 	if ejected {
 		d.notifyEjected(s, outcome, now)
--- a/clempool/rate.go
+++ b/clempool/rate.go
@@ -23,6 +23,10 @@
 	limitReportTime = 10 * time.Second
 	// reportWeight is the weight of a report in the smoothed interval between reports.
 	reportWeight = 1.0 / 8
+	// rankShare is how much less of a server's limit requests may use with each rank, so
+	// that there is room for those that go first. minRankShare is the least.
+	rankShare    = 0.15
+	minRankShare = 0.3
 	// randomSteps is the number of different random numbers from 0 to 1.
 	randomSteps = 1 << 16
 )
--- /dev/null
+++ b/clempool/wait_test.go
@@ -0,0 +1,126 @@
+package clempool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+)
+
+// newWaiter returns an entry with two servers that are full by the reports of a peer, and
+// a request that waits there.
+func newWaiter(t *testing.T) (*Directory, *Waiter) {
+	t.Helper()
+	d := newEntries(1, 2, 6)[0]
+	setPeerLoad(d, 18, epoch)
+	lease, waiter, err := d.AcquireOrWait(scarceRequest(), epoch)
+	require.NoError(t, err)
+	require.Nil(t, lease)
+	require.NotNil(t, waiter)
+	return d, waiter
+}
+
+func scarceRequest() Request {
+	return Request{Service: "pool", Target: scarceTarget, OnTimeBy: epoch.Add(scarceTarget), Deadline: epoch.Add(scarceTimeout)}
+}
+
+// setPeerLoad makes a peer report the number of requests at each server.
+func setPeerLoad(d *Directory, running int, now time.Time) {
+	stats := map[string]ServerStats{}
+	for id := range d.servers {
+		stats[id] = ServerStats{Running: running}
+	}
+	d.SetPeerStats("other", stats, now, peerStatsTTL)
+}
+
+func isDone(w *Waiter) bool {
+	select {
+	case <-w.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against a request that waited and is sent to a server that went away or drains
+// meanwhile: the server is chosen when the request leaves the queue.
+func TestWaitingRequestGoesToAServerThatStillTakesRequests(t *testing.T) {
+	d, waiter := newWaiter(t)
+	d.Remove(newRecord(0, 6).ID())
+	draining := newRecord(1, 6).config
+	draining.Draining = true
+	d.Put(NewRecord(draining))
+	d.Put(newRecord(2, 6))
+	setPeerLoad(d, 0, epoch.Add(10*time.Millisecond))
+	require.True(t, isDone(waiter))
+	lease, err := waiter.Result()
+	require.NoError(t, err)
+	require.Equal(t, newRecord(2, 6).ID(), lease.Server())
+}
+
+// Guards against requests that wait for a service without servers.
+func TestWaitingRequestIsRefusedWithoutServers(t *testing.T) {
+	d, waiter := newWaiter(t)
+	for n := range 2 {
+		d.Remove(newRecord(n, 6).ID())
+	}
+	waiter.Check(epoch.Add(time.Millisecond))
+	require.True(t, isDone(waiter))
+	_, err := waiter.Result()
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindUnavailable))
+	require.True(t, clementineturn.IsNotRun(err))
+}
+
+// Guards against counts of a peer that is gone, for which requests wait or are refused
+// until they expire, and against an entry that then takes the whole service.
+func TestWaitingRequestIsSentOnceOldCountsExpire(t *testing.T) {
+	d, waiter := newWaiter(t)
+	waiter.Check(epoch.Add(scarceTarget / 8))
+	require.True(t, isDone(waiter), "a refusal is not held")
+	_, err := waiter.Result()
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindOverloaded))
+	now := epoch.Add(2 * peerStatsTTL)
+	request := scarceRequest()
+	request.OnTimeBy, request.Deadline = now.Add(scarceTarget), now.Add(scarceTimeout)
+	sent := 0
+	for ; sent < 36; sent++ {
+		lease, _, _ := d.AcquireOrWait(request, now)
+		if lease == nil {
+			break
+		}
+	}
+	require.GreaterOrEqual(t, sent, 6, "half of the slots")
+	require.Less(t, sent, 36*2/3, "half of what all entries may send and its rounding")
+}
+
+// Guards against a place that stays taken for a client that left while it waited.
+func TestWaitOfClientThatLeftTakesNoPlace(t *testing.T) {
+	d, waiter := newWaiter(t)
+	waiter.Cancel(epoch.Add(time.Millisecond))
+	require.Zero(t, d.Waiting())
+	d, waiter = newWaiter(t)
+	setPeerLoad(d, 0, epoch.Add(time.Millisecond))
+	require.True(t, isDone(waiter))
+	waiter.Cancel(epoch.Add(2 * time.Millisecond))
+	for _, s := range d.servers {
+		require.Zero(t, s.running)
+	}
+}
+
+// Guards against a shortage that nobody sees, and against a report for each request.
+func TestScarcityIsReportedOnce(t *testing.T) {
+	var changes []Scarcity
+	d := newEntries(1, 2, 6)[0]
+	d.config.OnScarcity = func(_ string, change Scarcity, _ int) { changes = append(changes, change) }
+	_, _, err := d.AcquireOrWait(scarceRequest(), epoch)
+	require.NoError(t, err)
+	setPeerLoad(d, 18, epoch)
+	for range 3 {
+		_, _, _ = d.AcquireOrWait(scarceRequest(), epoch)
+	}
+	require.Equal(t, []Scarcity{ScarcityBegan}, changes)
+	setPeerLoad(d, 0, epoch.Add(scarcityTTL+time.Second))
+	require.Equal(t, []Scarcity{ScarcityBegan, ScarcityEnded}, changes)
+}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -86,7 +86,9 @@
 	criteria := clempool.Request{Service: q.service, Organisation: q.organisation, Tried: q.triedServers, Idempotent: q.route.IsIdempotent(), Target: q.shortestTarget, Rank: q.rank}
 	if parts := q.requestInfo.Parts(); q.route.Affinity() && len(parts) > 0 {
 		criteria.Prefix, criteria.PromptTokens = parts[:max(len(parts)-1, 1)], q.requestInfo.PromptTokens()
+		return criteria
 	}
+	q.addWaitCriteria(&criteria)
 	return criteria
 }
 
@@ -98,7 +100,7 @@
 	run := q.router.runTimes.Start(q.route.Name(), q.estimateTime(), time.Now())
 	defer func() { run.End(false, time.Now()) }()
 	var best attemptResult
-	lease, err := q.acquire(q.selection(), time.Now())
+	lease, err := q.acquireOrWait(ctx, q.selection())
 	if err != nil {
 		return err
 	}
@@ -147,13 +149,18 @@
 	return lease
 }
 
-// acquire takes a place at a server, unless a part of the prompt is quarantined or this
-// entry stops too soon.
-func (q *request) acquire(criteria clempool.Request, now time.Time) (*clempool.Lease, error) {
+// checkSending returns the refusal of a request of which a part of the prompt is
+// quarantined, or that may end after this entry stops.
+func (q *request) checkSending(now time.Time) error {
 	if err := q.checkDraining(now); err != nil {
-		return nil, err
+		return err
 	}
-	if err := q.router.config.Quarantine.Check(q.service, q.sharedParts(), now); err != nil {
+	return q.router.config.Quarantine.Check(q.service, q.sharedParts(), now)
+}
+
+// acquire takes a place at a server, unless the request must not be sent.
+func (q *request) acquire(criteria clempool.Request, now time.Time) (*clempool.Lease, error) {
+	if err := q.checkSending(now); err != nil {
 		return nil, err
 	}
 	return q.router.config.Directory.Acquire(criteria, now)
--- a/clemrouter/drain.go
+++ b/clemrouter/drain.go
@@ -5,12 +5,26 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemevent"
 )
 
 // Drain starts draining: the router asks clients to close their connections and
-// sends no request to a server that may take longer than until the given time.
-func (r *Router) Drain(end time.Time) { r.drainEnd.CompareAndSwap(nil, &end) }
+// sends no request to a server that may take longer than until the given time. Requests
+// that wait for a place are refused.
+func (r *Router) Drain(end time.Time) {
+	if !r.drainEnd.CompareAndSwap(nil, &end) || r.config.Directory == nil {
+		return
+	}
+	refused := r.config.Directory.RefuseWaiting(clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindDraining, NotRun: true, RetryAfter: r.elsewhereAfter(drainingRetryAfter), Message: "this entry stops while the request waits for a place",
+	}))
+	if refused > 0 {
+		r.config.Events.Emit(clemevent.WaitingRefused, zap.Int("waiting", refused))
+	}
+}
 
 // IsDraining reports whether Drain was called.
 func (r *Router) IsDraining() bool { return r.drainEnd.Load() != nil }
--- a/clemrouter/explain_test.go
+++ b/clemrouter/explain_test.go
@@ -36,7 +36,7 @@
 	return b.String()
 }
 
-// The three kinds of failed requests of docs/OPERATIONS.md can be explained from
+// The kinds of failed requests of docs/OPERATIONS.md can be explained from
 // the logs with nothing but the request's id.
 func TestFailuresAreExplained(t *testing.T) {
 	cut := "HTTP/1.1 200 OK\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
@@ -48,6 +48,7 @@
 		lines     []string
 	}{
 		"refused under load": {path: "/unsafe/", occupied: 72, lines: []string{"request refused", "is full", "ran=false", "status=429"}},
+		"short of capacity":  {path: "/unsafe/", occupied: 66, lines: []string{"request refused", "short of capacity: no place became free", "ran=false", "status=429"}},
 		"unknown outcome":    {path: "/unsafe/", responses: []string{connectionReset}, lines: []string{"attempt failed", "request failed", "ran=true", "status=502", `"server":"s`}},
 		"cut midway":         {path: "/stream/", responses: []string{cut}, lines: []string{"answer cut", "broke off after 1 events", "events=1", `"server":"s`}},
 	} {
--- a/clemrouter/precedence.go
+++ b/clemrouter/precedence.go
@@ -24,12 +24,13 @@
 // urgent, so that none of these is refused while a less urgent one is taken.
 func (q *request) setPrecedence(configuration *clemroute.Configuration) {
 	q.rank, q.shortestTarget = configuration.Urgency(q.service, q.priority)
+	q.urgency = q.rank
 	if q.requestInfo.LastEventID() != "" {
 		// The client already has a part of the response.
 		return
 	}
-	waited := q.router.patience.waited(q.route.Name(), q.requestInfo.Timeout(), q.arrived)
-	if own := q.route.LatencyTarget(); own > 0 && waited > own/2 {
+	q.waited = q.router.patience.waited(q.route.Name(), q.requestInfo.Timeout(), q.arrived)
+	if own := q.route.LatencyTarget(); own > 0 && q.waited > own/2 {
 		q.rank += lateRanks
 	}
 }
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -116,9 +116,13 @@
 	// that are at least as urgent.
 	rank           int
 	shortestTarget time.Duration
-	deadline       time.Time
-	body           []byte
-	target         string
+	// waited is for how long the client has been waiting when the request came, as far as
+	// its time limit shows it. urgency is the rank without regard to that.
+	waited   time.Duration
+	urgency  int
+	deadline time.Time
+	body     []byte
+	target   string
 
 	// triedServers are the ids of the servers that were tried, attempts the results.
 	triedServers []string
--- /dev/null
+++ b/clemrouter/wait.go
@@ -0,0 +1,80 @@
+package clemrouter
+
+import (
+	"context"
+	"time"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clempool"
+)
+
+// addWaitCriteria adds what decides on a request to a scarce service.
+func (q *request) addWaitCriteria(criteria *clempool.Request) {
+	own := q.route.LatencyTarget()
+	criteria.Rank, criteria.OwnTarget, criteria.Deadline, criteria.Bytes = q.urgency, own, q.deadline, len(q.body)
+	if own > 0 {
+		criteria.OnTimeBy = q.arrived.Add(own - q.waited)
+	}
+}
+
+// acquireOrWait is acquire for the first attempt, which may wait for a place. The request
+// has not been sent anywhere before it returns.
+func (q *request) acquireOrWait(ctx context.Context, criteria clempool.Request) (*clempool.Lease, error) {
+	began := time.Now()
+	if q.router.IsDraining() {
+		return q.acquire(criteria, began)
+	}
+	if err := q.checkSending(began); err != nil {
+		return nil, err
+	}
+	lease, waiter, err := q.router.config.Directory.AcquireOrWait(criteria, began)
+	if waiter == nil {
+		return lease, err
+	}
+	defer q.router.config.Metrics.Timer(clemmetric.WaitTime, "service", q.service).UpdateSince(began)
+	if err := q.wait(ctx, waiter); err != nil {
+		return nil, err
+	}
+	if lease, err = waiter.Result(); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if err := q.checkSending(now); err != nil {
+		lease.Release(clempool.OutcomeAbandoned, nil, now)
+		return nil, err
+	}
+	return lease, nil
+}
+
+// wait returns once there is a result, or with an error if the client has left, the entry
+// has ended the request or its deadline has passed.
+func (q *request) wait(ctx context.Context, waiter *clempool.Waiter) error {
+	now := time.Now()
+	timer := time.NewTimer(waiter.CheckAt(now).Sub(now))
+	defer timer.Stop()
+	for {
+		select {
+		case <-waiter.Done():
+			return nil
+		case <-timer.C:
+			now := time.Now()
+			waiter.Check(now)
+			timer.Reset(waiter.CheckAt(now).Sub(now))
+		case <-ctx.Done():
+			waiter.Cancel(time.Now())
+			return q.waitEndedError()
+		}
+	}
+}
+
+// waitEndedError returns the error of a request whose context ended while it waited.
+func (q *request) waitEndedError() error {
+	switch {
+	case q.hasClientLeft():
+		return clementineturn.Errorf(clementineturn.KindCancelled, "the client left while the request waited: %w", q.http.Context().Err())
+	case q.isStopped():
+		return q.stoppedError()
+	}
+	return clementineturn.Refuse(clementineturn.KindOverloaded, "the deadline passed while the request waited for a place at service %s", q.service)
+}
