--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -54,6 +54,11 @@
 	IntakeLimits          Event = 963
 	DelegateStarted       Event = 980
 	DelegateEnded         Event = 981
+	ServiceScarce         Event = 970
+	ServiceNotScarce      Event = 971
+	WaitQueueFull         Event = 972
+	PeerCountsMissing     Event = 973
+	WaitingRefused        Event = 974
 )
 
 var routerEvents = map[Event]Info{
@@ -106,5 +111,10 @@
 	ConnectionClosed:      {zapcore.WarnLevel, "connection closed at the limit", "The listener has as many connections as its limit allows. The one that waited longest without a complete request was closed, or the new one if all have one."},
 	BodyRefused:           {zapcore.WarnLevel, "request body left unread", "The memory budget has no room for the body. The request was refused as not run; event 920 has its id."},
 	IntakeLimits:          {zapcore.InfoLevel, "limits on clients in force", "The memory budget in bytes and the number of clients' connections, at the start and after a change of the settings; 0 means no limit."},
+	ServiceScarce:         {zapcore.WarnLevel, "service short of capacity", "Requests to the service wait in this entry or are refused; the waiting field counts those that wait. Add servers or find out which organisation sends more than usual."},
+	ServiceNotScarce:      {zapcore.InfoLevel, "service no longer short of capacity", "No request to the service waited or was refused for five seconds."},
+	WaitQueueFull:         {zapcore.ErrorLevel, "waiting requests at their bound", "As many requests wait for the service as this entry holds in number or bytes, and more are refused at once. It comes at most every five seconds."},
+	PeerCountsMissing:     {zapcore.WarnLevel, "counts of other entries missing", "Most other entries have not reported for a second while the service is short of capacity. This entry keeps to its own share of the slots."},
+	WaitingRefused:        {zapcore.InfoLevel, "waiting requests refused by the stop", "This entry drains. The requests that waited for a place at a server, as many as the waiting field says, were refused as not run."},
 	HTTPServerMessage:     {zapcore.InfoLevel, "HTTP server message", "A message of the HTTP library about a client's connection."},
 }
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -149,6 +149,7 @@
 		for service, perToken := range f.servers.PrefillTimes() {
 			f.metrics.GaugeFloat(clemmetric.PrefillSeconds, "service", service).Update(1000 * perToken.Seconds())
 		}
+		f.metrics.Gauge(clemmetric.Queued).Update(int64(f.servers.Waiting()))
 		f.metrics.Gauge(clemmetric.Quarantines).Update(int64(len(f.quarantine.Quarantines(time.Now()))))
 		f.metrics.Gauge(clemmetric.Evacuations).Update(int64(len(f.syncer.Evacuated())))
 		f.metrics.Gauge(clemmetric.ConfigurationVersion).Update(int64(f.table.Version()))
--- a/clemmetric/catalogue.go
+++ b/clemmetric/catalogue.go
@@ -30,6 +30,9 @@
 	IntakeRefused        = "intake_refused"
 	IntakeBytes          = "intake_bytes"
 	IntakeConnections    = "intake_connections"
+	Queued               = "queued"
+	WaitTime             = "wait_time"
+	Refusals             = "refusals"
 )
 
 // Info describes a metric.
@@ -87,6 +90,9 @@
 	{IntakeRefused, kindCounter, "", "listener,reason", "Heads, bodies and connections refused, by the limit: head (bytes), time, memory, connections."},
 	{IntakeBytes, kindGauge, "", "", "Memory that requests hold of the budget, in bytes; 0 without a budget."},
 	{IntakeConnections, kindGauge, "front", "", "Open connections of clients."},
+	{Queued, kindGauge, "front", "", "Requests that wait in the entry for a place at a server."},
+	{WaitTime, kindSummary, "front", "service", "Time for which requests waited in the entry for a place at a server, in seconds, of those that waited."},
+	{Refusals, kindCounter, "front", "service,reason", "Requests refused because a service was short of capacity: full (others go first), held (no place within an eighth of the latency target), late, expired (deadline) or bound (too many wait)."},
 	{CPUSeconds, kindGauge, "", "", "Processor time that the process used, in seconds."},
 }
 
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -33,6 +33,10 @@
 	Organisation string
 	// Tried are the ids of the servers that the request was already sent to.
 	Tried []string
+	// OwnTarget, OnTimeBy, Deadline and Bytes are those of clemwait.Request.
+	OwnTarget          time.Duration
+	OnTimeBy, Deadline time.Time
+	Bytes              int
 }
 
 // Acquire chooses a server for the request and counts the request there. It
@@ -47,14 +51,11 @@
 		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server", r.Service)
 	}
 	candidates := d.candidates(svc, r, now)
-	if len(candidates.servers)+len(candidates.cold) == 0 {
-		if err := d.coldRefusal(svc, r, candidates.coldWait, now); err != nil {
-			return nil, err
-		}
-		if err := d.closedRefusal(svc, r, now); err != nil {
-			return nil, err
-		}
-		return nil, clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server left to try", r.Service)
+	if candidates.isEmpty() {
+		return nil, d.emptyRefusal(svc, r, candidates, now)
+	}
+	if r.isQueued() {
+		return d.acquireNow(svc, candidates, r, now)
 	}
 	if svc.exceedsFairShare(candidates, r, now) {
 		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
@@ -64,23 +65,24 @@
 		})
 	}
 	var found choice
-	switch {
-	case len(r.Prefix) > 0:
+	if len(r.Prefix) > 0 {
 		found = d.cheapest(svc, candidates, r, now)
-	case svc.limit.allows(svc.running, r.Rank):
+	} else {
 		found = d.leastLoaded(candidates, r, now)
-		if found.server == nil && len(candidates.cold) > 0 {
-			found = d.leastLoaded(candidateSet{servers: candidates.cold}, r, now)
-		}
 	}
-	chosen, rank := found.server, found.rank
-	if chosen == nil {
+	if found.server == nil {
 		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
 			Kind: clementineturn.KindOverloaded, NotRun: true,
 			RetryAfter: svc.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
 			Message:    "every backend server of service " + r.Service + " is full or at its limit",
 		})
 	}
+	return d.place(svc, candidates, found, r, now), nil
+}
+
+// place counts the request at the server that was found.
+func (d *Directory) place(svc *service, candidates candidateSet, found choice, r Request, now time.Time) *Lease {
+	chosen, rank := found.server, found.rank
 	lease := &Lease{
 		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), acquiredAt: now, cold: chosen.cold,
 		load: chosen.running + chosen.peerRunning, meanLoad: candidates.meanLoad, rank: rank,
@@ -103,11 +105,11 @@
 	chosen.limit.countSent(now)
 	chosen.rest.beginReturn(lease, now)
 	svc.addRunning(r.Organisation)
-	if len(r.Prefix) == 0 {
-		lease.slowAfter, lease.minLimit = time.Duration(maxWaitShare*float64(r.Target)), float64(candidates.slots)/float64(d.entryCount())
-		svc.limit.started(svc.running)
+	if r.isQueued() {
+		lease.isQueued = true
+		svc.wait.Started(r.Organisation, r.Rank, now)
 	}
-	return lease, nil
+	return lease
 }
 
 // candidateSet is the set of servers that a request can be sent to.
@@ -131,8 +133,22 @@
 	// of those that are neither closed nor ejected. Closed servers count only if they
 	// drain.
 	utilisation float64
-	// slots is the number of the latter.
-	slots int
+	// slots is the number of the latter, and load the requests at them.
+	slots, load int
+}
+
+// isEmpty reports whether no server may take the request.
+func (c candidateSet) isEmpty() bool { return len(c.servers)+len(c.cold) == 0 }
+
+// emptyRefusal returns the refusal of a request for which no server is left.
+func (d *Directory) emptyRefusal(svc *service, r Request, c candidateSet, now time.Time) error {
+	if err := d.coldRefusal(svc, r, c.coldWait, now); err != nil {
+		return err
+	}
+	if err := d.closedRefusal(svc, r, now); err != nil {
+		return err
+	}
+	return clementineturn.Refuse(clementineturn.KindUnavailable, "service %s has no backend server left to try", r.Service)
 }
 
 // scratch holds lists that are used again by the next choice of a server.
@@ -150,7 +166,7 @@
 	untried, reachable, healthy, cold := d.scratch.untried[:0], d.scratch.reachable[:0], d.scratch.healthy[:0], d.scratch.cold[:0]
 	var coldWait time.Duration
 	figures := d.coldFigures(r.Service)
-	totalLoad, slots, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0
+	totalLoad, slots, openLoad, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0, 0
 	isBoundStrict := false
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
@@ -187,6 +203,7 @@
 		}
 		if !isEjected {
 			slots += server.record.Slots()
+			openLoad += load
 		}
 		if slices.Contains(r.Tried, server.record.ID()) {
 			continue
@@ -203,7 +220,7 @@
 	c := candidateSet{
 		cold: cold, coldWait: coldWait,
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
-		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, isBoundStrict: isBoundStrict,
+		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, load: openLoad, isBoundStrict: isBoundStrict,
 	}
 	if unavailable > 0 && !isBoundStrict {
 		c.minBound = float64(totalLoad-unavailableLoad)/float64(max(len(svc.servers)-unavailable, 1)) + loadBoundSlack
@@ -477,13 +494,23 @@
 }
 
 // leastLoaded returns the server with the least load for its speed that its limit admits,
-// or none if all are full or at their limit.
+// or none if all are full or at their limit. Cold servers are taken if there is no other.
 func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
-	var result choice
-	servers := slices.Clone(c.servers)
+	servers := c.servers
 	if bound := d.loadBound(c); c.isBoundStrict {
-		servers = slices.DeleteFunc(servers, func(s *server) bool { return float64(s.running+s.peerRunning) >= bound })
+		servers = slices.DeleteFunc(slices.Clone(servers), func(s *server) bool { return float64(s.running+s.peerRunning) >= bound })
 	}
+	result := d.leastLoadedIn(servers, r, now)
+	if result.server == nil && len(c.cold) > 0 {
+		result = d.leastLoadedIn(c.cold, r, now)
+	}
+	return result
+}
+
+// leastLoadedIn is leastLoaded for the servers.
+func (d *Directory) leastLoadedIn(servers []*server, r Request, now time.Time) choice {
+	var result choice
+	servers = slices.Clone(servers)
 	for len(servers) > 0 {
 		best := d.leastLoadedOf(servers)
 		if best == nil {
--- a/clempool/fleet.go
+++ b/clempool/fleet.go
@@ -154,6 +154,7 @@
 		if peer != fleetPeer && !f.Members[peer] {
 			d.dropPeer(peer)
 			delete(d.reportedAt, peer)
+			delete(d.knownPeers, peer)
 		}
 	}
 	stats := make(map[string]ServerStats, len(d.servers))
@@ -198,4 +199,5 @@
 	defer d.mu.Unlock()
 	d.fleet.size = 0
 	d.dropPeer(fleetPeer)
+	delete(d.knownPeers, fleetPeer)
 }
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -25,10 +25,8 @@
 	cold       *coldness
 	isReserved bool
 	sentAt     time.Time
-	// slowAfter is the time from which on a request without a prefix counts as slow,
-	// and minLimit the lowest limit of this entry's requests to the service.
-	slowAfter     time.Duration
-	minLimit      float64
+	// isQueued is set if clemwait decided on the request.
+	isQueued      bool
 	cacheSource   string
 	pendingTokens int
 	// tokensAhead is the number of prompt tokens that the server had to read before it could
@@ -146,6 +144,7 @@
 		s.hasEnded = false
 	}
 	ejected := s.health.record(outcome, now) || outcome == OutcomeFailed && d.isOutlier(s, now) && s.health.eject(now)
+	d.dispatch(l.service, now)
 	d.mu.Unlock()
 	if ejected {
 		d.notifyEjected(s, outcome, now)
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -120,8 +120,12 @@
 	// that are at least as urgent.
 	rank           int
 	shortestTarget time.Duration
-	deadline       time.Time
-	body           []byte
+	// waited is for how long the client has been waiting when the request came, as far as
+	// its time limit shows it. urgency is the rank without regard to that.
+	waited   time.Duration
+	urgency  int
+	deadline time.Time
+	body     []byte
 	// hold counts the request's memory; nil means that it is not counted.
 	hold *clemquota.Hold
 	// isUnread is set if this entry ended the reading of the body, which net/http takes
