clementine-front: evacuations from the store to the choice of servers, as a test

Change: TestFrontFollowsEvacuations plays it on the stand-ins. The marks of leaving servers are pointers, so that the choice reads little more memory for each server than before.

--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -167,8 +167,10 @@
 		return StateLeaving
 	case !s.evacuatedSince.IsZero():
 		return StateEvacuated
+	case s.rest != nil:
+		return s.rest.state(now).state
 	}
-	return s.rest.state(now).state
+	return StateOpen
 }
 
 // closed is closedState with the times and the source.
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -92,7 +92,7 @@
 	evacuated map[string]time.Time
 	// leaving holds the servers that announced that they leave, and rests those that asked
 	// for no new requests for a time, by id. Both outlast the servers' rows.
-	leaving map[string]leavingMark
+	leaving map[string]*leavingMark
 	rests   map[string]*rest
 	// entries are those that may send requests to cold servers, unlisted holds what is
 	// known of servers that were removed lately, and listReadAt is the last time at which
@@ -127,8 +127,9 @@
 	// evacuatedSince is when the server's data centre was evacuated, or zero.
 	evacuatedSince time.Time
 	// leaving is the server's own announcement that it leaves, of this incarnation or an
-	// earlier one, and rest the time for which it asked for no new requests, or nil.
-	leaving leavingMark
+	// earlier one, and rest the time for which it asked for no new requests. Either may be
+	// nil.
+	leaving *leavingMark
 	rest    *rest
 	// reported is the state that was last reported to Config.OnAvailability.
 	reported Availability
@@ -194,7 +195,7 @@
 func New(c Config) *Directory {
 	return &Directory{
 		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{},
-		leaving: map[string]leavingMark{}, rests: map[string]*rest{},
+		leaving: map[string]*leavingMark{}, rests: map[string]*rest{},
 		unlisted: map[string]*coldness{},
 	}
 }
--- a/clempool/leaving.go
+++ b/clempool/leaving.go
@@ -21,7 +21,7 @@
 	d := l.directory
 	d.mu.Lock()
 	var changes []availabilityChange
-	if d.markLeaving(l.id, leavingMark{incarnation: l.incarnation, at: now, source: SourceResponse}) {
+	if d.markLeaving(l.id, &leavingMark{incarnation: l.incarnation, at: now, source: SourceResponse}) {
 		changes = d.sweep(now)
 	}
 	d.mu.Unlock()
@@ -31,7 +31,7 @@
 // markLeaving records that a server leaves, and reports whether that was not known. What
 // this entry has seen itself replaces what a peer reported, so that it is reported to
 // peers. The caller holds mu.
-func (d *Directory) markLeaving(id string, mark leavingMark) bool {
+func (d *Directory) markLeaving(id string, mark *leavingMark) bool {
 	old, isKnown := d.leaving[id]
 	isNew := !isKnown || old.incarnation < mark.incarnation
 	if !isNew && (old.incarnation > mark.incarnation || old.source == SourceResponse || mark.source != SourceResponse) {
@@ -63,7 +63,7 @@
 
 // isLeaving reports whether the present incarnation of the server leaves.
 func (s *server) isLeaving() bool {
-	return !s.leaving.at.IsZero() && s.record.Incarnation() <= s.leaving.incarnation
+	return s.leaving != nil && s.record.Incarnation() <= s.leaving.incarnation
 }
 
 // reportLeaving adds to what this entry reports to its peers that it has seen the server
@@ -79,5 +79,5 @@
 // recordPeerLeaving applies the report of a peer, and reports whether it was new. The
 // caller holds mu.
 func (d *Directory) recordPeerLeaving(id string, stats ServerStats, now time.Time) bool {
-	return stats.IsLeaving && d.markLeaving(id, leavingMark{incarnation: stats.LeavingIncarnation, at: now, source: SourcePeer})
+	return stats.IsLeaving && d.markLeaving(id, &leavingMark{incarnation: stats.LeavingIncarnation, at: now, source: SourcePeer})
 }
--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -210,6 +210,27 @@
 	require.True(t, f.hasLogLine("process stopped"))
 }
 
+// Guards against an evacuation that is read and not passed on to the choice of servers, or
+// not withdrawn there.
+func TestFrontFollowsEvacuations(t *testing.T) {
+	f := startFront(t)
+	f.putConfiguration(1, "/a/")
+	f.putServer("i-1", startServer(t, "i-1"))
+	f.eventually(f.isReady)
+	f.eventually(func() bool { status, _ := f.get("/a/", "k1"); return status == http.StatusOK })
+	require.NoError(t, f.store.Evacuate("elsewhere"))
+	require.NoError(t, f.store.Evacuate("z"))
+	f.eventually(func() bool { status, _ := f.get("/a/", "k1"); return status == http.StatusServiceUnavailable })
+	f.eventually(func() bool { return f.hasLogLine("all data centres evacuated") })
+	f.eventually(func() bool {
+		return f.hasLogLine(`evacuated data centre unknown","node":"front-1","centre":"elsewhere"`)
+	})
+	f.store.WithdrawEvacuation("z")
+	f.eventually(func() bool { status, _ := f.get("/a/", "k1"); return status == http.StatusOK })
+	f.stop <- syscall.SIGTERM
+	require.NoError(t, <-f.ended)
+}
+
 // TestInvalidSettings checks that invalid settings fail with an error that names
 // the field.
 func TestInvalidSettings(t *testing.T) {
