clemsoak: cold servers, heartbeats and servers that restart at once

Stand-ins of backend servers start cold, count the requests of the last second meanwhile and state in their rows for how much longer they are cold; the soak writes the rows of all servers each 1.2 s, as the platform does, and restarts servers at once under their id. The promise: no more than 15 x 1.5 + 5 requests in a second at a cold server.

--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -67,6 +67,7 @@
 	{"store forgets its history", 3, false, compactStore},
 	{"store's reads are old", 3, false, staleReads},
 	{"server crashed", 4, false, crashServer},
+	{"server restarted at once", 4, false, restartServer},
 	{"server replaced", 5, true, replaceServer},
 	{"server sick", 6, false, impairServer},
 	{"configuration changed", 6, true, changeConfiguration},
@@ -204,7 +205,7 @@
 func onServer(begin func(*link, *rand.Rand) func()) func(context.Context, *Soak, *rand.Rand) func() {
 	return func(_ context.Context, s *Soak, rng *rand.Rand) func() {
 		slot := s.env.slots[rng.IntN(len(s.env.slots))]
-		return s.env.serversQuiet.wrapFault(slot.wrapFault(begin(slot.link, rng)))
+		return s.env.serversQuiet.wrapFault(slot.wrapFault(slot.linkQuiet.wrapFault(begin(slot.link, rng))))
 	}
 }
 
@@ -261,6 +262,17 @@
 	return nil
 }
 
+// restartServer crashes a server that returns at once with the same id. Entries without a
+// request there do not notice, and its row is as old as its heartbeat.
+func restartServer(_ context.Context, s *Soak, rng *rand.Rand) func() {
+	if slot := s.pickFreeSlot(rng); slot != nil {
+		s.env.crash(slot)
+		s.recordError(s.env.startServer(slot, s.env.backend(slot).ID()))
+		slot.isBusy.Store(false)
+	}
+	return nil
+}
+
 // replaceServer replaces a server. The servers of a service are replaced one at a
 // time: if most of them were draining, the others could not stay below the load
 // bound.
--- a/clemsoak/soak.go
+++ b/clemsoak/soak.go
@@ -49,6 +49,7 @@
 // sites.
 var bounds = clemstandin.FrontBounds{
 	GracePeriodS: 8, MaxLoadFactor: 2, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 54, DrainTimeoutMS: 2000,
+	ColdFactor: 1.5, ColdSlack: 5,
 }
 
 const (
@@ -165,6 +166,7 @@
 		s.background.Wait()
 	}()
 	s.start(func() { s.measureStalls(ctx) })
+	s.start(func() { s.env.writeHeartbeats(ctx) })
 	if err := s.awaitReady(ctx); err != nil {
 		return nil, err
 	}
--- a/clemsoak/soak_test.go
+++ b/clemsoak/soak_test.go
@@ -163,3 +163,17 @@
 	require.True(t, due(0))
 	require.False(t, due(time.Hour))
 }
+
+// Guards against a count of requests to cold servers that is never compared, or compared
+// while the link delivers what it held back.
+func TestRequestsToColdServersAreChecked(t *testing.T) {
+	e := &environment{observer: newObserver(), stall: func() time.Duration { return 0 }}
+	slot := &serverSlot{}
+	e.checkCold(slot, "i-001", 27)
+	require.Zero(t, e.observer.broken[PromiseColdServers])
+	e.checkCold(slot, "i-001", 28)
+	require.Equal(t, 1, e.observer.broken[PromiseColdServers])
+	slot.linkQuiet.recordFault()
+	e.checkCold(slot, "i-001", 99)
+	require.Equal(t, 2, e.observer.checked[PromiseColdServers])
+}
--- a/clemsoak/witness.go
+++ b/clemsoak/witness.go
@@ -33,12 +33,13 @@
 	PromiseRecovery            Promise = "recovery"
 	PromiseNoCrash             Promise = "processes end only when asked"
 	PromiseGracefulShutdown    Promise = "leaving entries lose nothing"
+	PromiseColdServers         Promise = "cold servers are spared"
 )
 
 // Promises lists all promises in the order of reports.
 var Promises = []Promise{
 	PromiseAtMostOnce, PromiseTrueRefusals, PromiseIntactResponses, PromiseStreamOrder, PromiseGenuineRequests, PromiseNoRollback, PromiseTimelyConfiguration, PromiseKeyRevocation,
-	PromiseServerDrain, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown,
+	PromiseServerDrain, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown, PromiseColdServers,
 }
 
 const (
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -36,6 +36,16 @@
 	// maxDrainDelay is how long entries may still send new requests to a
 	// draining server.
 	maxDrainDelay = 2 * time.Second
+	// coldTime is how long a server is cold after its start, coldPerS the number of
+	// requests a second that it tolerates meanwhile.
+	coldTime = 4 * time.Second
+	coldPerS = 15
+	// heartbeatInterval is the interval at which servers write their rows.
+	heartbeatInterval = 1200 * time.Millisecond
+	// maxColdStall is the lateness of the soak's own timers up to which requests to cold
+	// servers are counted: on a machine that stands still, requests of several seconds
+	// arrive within one.
+	maxColdStall = 200 * time.Millisecond
 	// boundQuietTime is how long servers must have been free of faults for the
 	// load bound to be checked.
 	boundQuietTime = 5 * time.Second
@@ -49,6 +59,10 @@
 	service string
 	server  *clemstandin.Backend
 	http    *http.Server
+	// linkQuiet is the quiet period of the link alone.
+	linkQuiet quietPeriod
+	// rowState is the state in the server's row, or "" while it writes none.
+	rowState string
 	// isBusy is set while the server is being replaced or restarted.
 	isBusy atomic.Bool
 }
@@ -105,7 +119,7 @@
 			return nil, err
 		}
 		e.slots = append(e.slots, s)
-		if err := e.startServer(s); err != nil {
+		if err := e.startServer(s, ""); err != nil {
 			return nil, err
 		}
 	}
@@ -149,15 +163,20 @@
 	return s.server
 }
 
-// startServer starts a new server at a slot and adds it to the store's list.
-func (e *environment) startServer(s *serverSlot) error {
+// startServer starts a new server at a slot and adds it to the store's list. Without an id
+// it gets a new one.
+func (e *environment) startServer(s *serverSlot, id string) error {
 	e.mu.Lock()
 	e.serverCount++
 	n := e.serverCount
 	e.mu.Unlock()
+	if id == "" {
+		id = fmt.Sprintf("i-%03d", n)
+	}
 	config := clemstandin.BackendConfig{
-		ID: fmt.Sprintf("i-%03d", n), Service: s.service, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
+		ID: id, Service: s.service, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
 		OnRequest: e.observer.recordArrival, OnRunEnded: e.observer.recordRunEnd,
+		ColdTime: coldTime, OnColdRequest: func(server string, inLastSecond int) { e.checkCold(s, server, inLastSecond) },
 	}
 	if s.service == serviceStream {
 		config.Slots, config.WorkTime, config.SlowPrefix, config.EventCount = streamSlots, eventInterval, "", streamEvents
@@ -172,7 +191,48 @@
 	s.server, s.http = server, listening
 	e.mu.Unlock()
 	s.link.setTarget(address)
-	return e.store.PutServer(server, s.link.address(), false)
+	return e.putRow(s, rowReady)
+}
+
+// The states of a server's row.
+const rowReady, rowDraining = "ready", "draining"
+
+// putRow writes the row of the slot's server in a new state, which later heartbeats repeat.
+func (e *environment) putRow(s *serverSlot, state string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.rowState = state
+	return e.store.PutServer(s.server, s.link.address(), state == rowDraining)
+}
+
+// stopRow ends the heartbeats of the slot's server.
+func (e *environment) stopRow(s *serverSlot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.rowState = ""
+}
+
+// writeHeartbeats writes the rows of all servers at the interval of the platform.
+func (e *environment) writeHeartbeats(ctx context.Context) {
+	for sleep(ctx, heartbeatInterval) {
+		for _, s := range e.slots {
+			e.mu.Lock()
+			if s.rowState != "" {
+				_ = e.store.PutServer(s.server, s.link.address(), s.rowState == rowDraining)
+			}
+			e.mu.Unlock()
+		}
+	}
+}
+
+// checkCold checks the number of requests that a cold server received within a second. A
+// link that held bytes back may deliver in a second what was sent in several.
+func (e *environment) checkCold(s *serverSlot, server string, inLastSecond int) {
+	if e.config.SkipTimeBounds || e.stall() > maxColdStall || !s.linkQuiet.isQuietFor(minQuietTime) {
+		return
+	}
+	limit := coldPerS*bounds.ColdFactor + bounds.ColdSlack
+	e.observer.check(PromiseColdServers, float64(inLastSecond) <= limit, "%s is cold and got %d requests in a second, %g are allowed", server, inLastSecond, limit)
 }
 
 // onRunStart checks the start of a run against the servers' draining state and
@@ -234,7 +294,7 @@
 	e.beginVersion()
 	m := clemstandin.ProviderConfiguration{
 		Version: e.version, Host: host, Services: []string{serviceApp, serviceStream}, APIKeys: maps.Clone(e.keys),
-		TimeoutMS: timeoutMS, LatencyTargetMS: objectiveMS,
+		TimeoutMS: timeoutMS, LatencyTargetMS: objectiveMS, ColdStartS: coldTime.Seconds(), ColdPerS: coldPerS,
 	}
 	e.mu.Unlock()
 	for k, info := range kinds[:kindProbe] {
@@ -310,6 +370,7 @@
 	s.link.setTarget("")
 	s.link.reset()
 	e.mu.Lock()
+	s.rowState = ""
 	listening := s.http
 	e.mu.Unlock()
 	_ = listening.Close()
@@ -323,20 +384,21 @@
 	old, listening := s.server, s.http
 	e.mu.Unlock()
 	old.Drain()
-	if err := e.store.PutServer(old, s.link.address(), true); err != nil {
+	if err := e.putRow(s, rowDraining); err != nil {
 		return err
 	}
 	e.mu.Lock()
 	e.drainingSince[old.ID()] = time.Now()
 	e.mu.Unlock()
 	sleep(ctx, drainingTime)
+	e.stopRow(s)
 	e.store.DeleteServer(old.ID())
 	sleep(ctx, addressReuseDelay)
 	s.recordFault()
 	s.link.setTarget("")
 	_ = listening.Close()
 	e.serversQuiet.recordFault()
-	return e.startServer(s)
+	return e.startServer(s, "")
 }
 
 // restart removes a crashed server's row and starts another server.
@@ -347,5 +409,5 @@
 	sleep(ctx, addressReuseDelay)
 	e.store.DeleteServer(old.ID())
 	e.serversQuiet.recordFault()
-	return e.startServer(s)
+	return e.startServer(s, "")
 }
--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,8 @@
 	// maxWaitingRatio is the maximum number of waiting requests of a backend
 	// server, as a fraction of its slots.
 	maxWaitingRatio = 0.5
+	// coldSlowdown multiplies the time that work takes at a cold server.
+	coldSlowdown = 2
 	// garbledResponse is what a faulty backend server sends instead of an HTTP
 	// response.
 	garbledResponse = "HTTQ/7 what is this\r\n\r\n"
@@ -76,6 +79,11 @@
 	OnRequest    func(request, service string)
 	OnRunStarted func(Run)
 	OnRunEnded   func(Run)
+	// ColdTime is how long the server is cold after its start; 0 means never. Meanwhile its
+	// work takes coldSlowdown times as long, and OnColdRequest, if set, is called for each
+	// request that is addressed to it, with the number of them in the last second.
+	ColdTime      time.Duration
+	OnColdRequest func(server string, inLastSecond int)
 	// Seed seeds the choice of the requests that faults affect.
 	Seed uint64
 }
@@ -92,11 +100,32 @@
 	runCount       int
 	draining       bool
 	slots          chan struct{}
+	startedAt      time.Time
+	// received holds the times of the requests within the last second.
+	received []time.Time
 }
 
 // NewBackend returns the backend server that the configuration describes.
 func NewBackend(c BackendConfig) *Backend {
-	return &Backend{config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), slots: make(chan struct{}, c.Slots)}
+	return &Backend{config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), slots: make(chan struct{}, c.Slots), startedAt: time.Now()}
+}
+
+// coldRemaining returns for how much longer the server is cold.
+func (b *Backend) coldRemaining() time.Duration {
+	return max(b.config.ColdTime-time.Since(b.startedAt), 0)
+}
+
+// countCold counts a request that is addressed to the server while it is cold.
+func (b *Backend) countCold() {
+	if b.coldRemaining() == 0 || b.config.OnColdRequest == nil {
+		return
+	}
+	b.mu.Lock()
+	now := time.Now()
+	b.received = slices.DeleteFunc(append(b.received, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	n := len(b.received)
+	b.mu.Unlock()
+	b.config.OnColdRequest(b.config.ID, n)
 }
 
 // ID returns the server's id.
@@ -128,9 +157,14 @@
 
 // Row returns the server's row in the store of a Provider.
 func (b *Backend) Row(address, state string) map[string]any {
-	return map[string]any{
-		"service": b.config.Service, "address": address, "zone": "z", "slots": b.config.Slots, "state": state, "seq": 1,
+	row := map[string]any{
+		"service": b.config.Service, "address": address, "zone": "z", "slots": b.config.Slots, "state": state, "seq": time.Since(b.startedAt).Milliseconds(),
+		"born": b.startedAt.UnixMilli(),
 	}
+	if b.config.ColdTime > 0 {
+		row["cold_remaining_ms"] = b.coldRemaining().Milliseconds()
+	}
+	return row
 }
 
 func (b *Backend) isSlow(r *http.Request) bool {
@@ -169,6 +203,7 @@
 		return
 	}
 	b.config.OnRequest(id, b.config.Service)
+	b.countCold()
 	body, err := io.ReadAll(r.Body)
 	if err != nil || id == "" || !b.acquire(r) {
 		w.Header().Set("X-Not-Executed", "1")
@@ -247,6 +282,9 @@
 	if b.isSlow(r) {
 		work = b.config.SlowTime
 	}
+	if b.coldRemaining() > 0 {
+		work *= coldSlowdown
+	}
 	timer := time.NewTimer(time.Duration(drawn.SlowdownFactor * float64(work)))
 	defer timer.Stop()
 	select {
--- a/clemstandin/provider_operator.go
+++ b/clemstandin/provider_operator.go
@@ -30,6 +30,10 @@
 	// TimeoutMS and LatencyTargetMS are the timeout and the latency target of every
 	// route without its own, in milliseconds.
 	TimeoutMS, LatencyTargetMS int
+	// ColdStartS is how many seconds the servers of every service are cold after their
+	// start, and ColdPerS the number of requests a second that they tolerate meanwhile; 0
+	// if they are never cold.
+	ColdStartS, ColdPerS float64
 }
 
 // Configure writes the configuration to the store, as the operator does.
@@ -43,7 +47,7 @@
 		})
 	}
 	for _, name := range m.Services {
-		services = append(services, map[string]any{"name": name})
+		services = append(services, map[string]any{"name": name, "cold_start_s": m.ColdStartS, "cold_per_s": m.ColdPerS})
 	}
 	for name, key := range m.APIKeys {
 		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{key}})
@@ -68,6 +72,9 @@
 type FrontBounds struct {
 	GracePeriodS, MaxLoadFactor, RetryRatio, RetryWindowS, RetrySlack float64
 	DrainTimeoutMS                                                    float64
+	// A cold server may get ColdFactor times the requests a second that it tolerates, and
+	// ColdSlack more; a ColdFactor of 0 means no limit.
+	ColdFactor, ColdSlack float64
 }
 
 // FrontSettings describes the settings file of a front.
@@ -89,6 +96,7 @@
 		"bounds": map[string]float64{
 			"grace_s": s.Bounds.GracePeriodS, "cap_x": s.Bounds.MaxLoadFactor, "drain_timeout_ms": s.Bounds.DrainTimeoutMS,
 			"retry_budget_ratio": s.Bounds.RetryRatio, "retry_window_s": s.Bounds.RetryWindowS, "retry_budget_slack": s.Bounds.RetrySlack,
+			"cold_over": s.Bounds.ColdFactor, "cold_slack": s.Bounds.ColdSlack,
 		},
 	})
 	if err != nil {
