--- a/clemspread/operator.go
+++ b/clemspread/operator.go
@@ -12,6 +12,22 @@
 	"github.com/clementineturn/clementineturn/clemevent"
 )
 
+const (
+	// operatorReadInterval is the interval at which one entry reads the changes of the
+	// operator's rows in addition to its long poll, which may have become unresponsive
+	// without a reset. With the time until peers have the changes it stays below the
+	// 2 s within which a configuration has to be in force.
+	operatorReadInterval = time.Second
+	// listReaderTime is how long after its last read of the list of backend servers an
+	// entry reads the changes of the operator's rows. It spans a failed read of the list
+	// with its retry, and ends the reads soon after another entry reads the list or the
+	// store becomes unavailable.
+	listReaderTime = 3 * time.Second
+	// maxListReadGap is the longest time between two reads of the list by the entry that
+	// reads it for all: the interval of the last entry in order, and a failed read.
+	maxListReadGap = 2 * time.Second
+)
+
 // operatorReader is the state of the second reader of the operator's rows.
 type operatorReader struct {
 	// documentVersion is the version of the configuration's row that was read last.
