--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -261,6 +261,7 @@
 // KindOverloaded, not run.
 func (l *Lease) CheckSend(now time.Time) error {
 	d := l.directory
+	d.lookUpEntries(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	// The server may have been listed again with another row meanwhile.
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -39,6 +39,7 @@
 // fails with KindOverloaded or KindUnavailable, both of which say that the
 // request was not run.
 func (d *Directory) Acquire(r Request, now time.Time) (*Lease, error) {
+	d.lookUpEntries(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expirePeers(now)
--- a/clempool/cold.go
+++ b/clempool/cold.go
@@ -263,26 +263,30 @@
 	digests   []uint64
 	own       uint64
 	// isKnown is set once the list is complete. number is increased with each change.
-	isKnown  bool
-	number   uint64
-	lookedAt time.Time
+	isKnown bool
+	number  uint64
 }
 
-// refreshEntries looks the list of entries up. The caller holds mu.
-func (d *Directory) refreshEntries(now time.Time) {
-	l := &d.entries
-	if !l.lookedAt.IsZero() && now.Sub(l.lookedAt) < entriesInterval && now.Sub(l.lookedAt) >= 0 {
+// lookUpEntries looks the list of entries up if that was not done lately. The caller does
+// not hold mu: whoever keeps the list may call the directory under locks of its own.
+func (d *Directory) lookUpEntries(now time.Time) {
+	if d.config.Entries == nil || d.config.ColdFigures == nil {
 		return
 	}
-	l.lookedAt = now
-	addresses, isKnown := []string{d.config.Address}, true
-	if d.config.Entries != nil {
-		addresses, isKnown = d.config.Entries()
-		addresses = slices.Clone(addresses)
-	}
-	if !slices.Contains(addresses, d.config.Address) {
-		addresses = append(addresses, d.config.Address)
+	last := d.entriesAt.Load()
+	if last != nil && now.Sub(*last) < entriesInterval || !d.entriesAt.CompareAndSwap(last, &now) {
+		return
 	}
+	addresses, isKnown := d.config.Entries()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setEntries(slices.Clone(addresses), isKnown)
+}
+
+// setEntries sets the list of entries, to which this one is added. The caller holds mu.
+func (d *Directory) setEntries(addresses []string, isKnown bool) {
+	l := &d.entries
+	addresses = append(addresses, d.config.Address)
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	if l.number > 0 && isKnown == l.isKnown && slices.Equal(addresses, l.addresses) {
@@ -301,7 +305,6 @@
 // allowance. The order does not depend on the incarnation: while entries disagree about it,
 // those of two orders would send together.
 func (d *Directory) coldShare(s *server, f ColdFigures, now time.Time) int {
-	d.refreshEntries(now)
 	l, c, allowance := &d.entries, s.cold, s.cold.allowance(f, now)
 	if !l.isKnown || !d.config.StartedAt.IsZero() && now.Sub(d.config.StartedAt) <= coldWindow {
 		return 0
--- a/clempool/cold_test.go
+++ b/clempool/cold_test.go
@@ -73,6 +73,7 @@
 		senders := 0
 		for i, d := range newColdEntries(c.entries) {
 			d.PutRow(coldRow(1, int64(i%2), 9*time.Second), epoch, epoch)
+			d.lookUpEntries(epoch)
 			d.mu.Lock()
 			share := d.coldShare(d.servers["s01"], testCold, epoch.Add(2*time.Second))
 			d.mu.Unlock()
@@ -294,3 +295,16 @@
 		}
 	}
 }
+
+// The list of entries was looked up with the directory locked, and its keeper waited for the
+// directory under the lock that the list needs: the entry stood still. Found by the soak.
+func TestListOfEntriesIsLookedUpWithoutLocks(t *testing.T) {
+	var d *Directory
+	d = New(Config{
+		MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }, ColdFigures: func(string) ColdFigures { return testCold },
+		Entries: func() ([]string, bool) { return []string{fmt.Sprint(d.Len())}, true },
+	})
+	d.PutRow(coldRow(1, 1, time.Minute), epoch, epoch)
+	_, ok := send(d, Request{Service: "pool"}, epoch)
+	require.True(t, ok)
+}
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,7 +55,7 @@
 	// Address is the address of this entry among those of Entries.
 	Address string
 	// Entries returns the addresses of all known entries, and whether the list is complete;
-	// nil means that this is the only entry. It is called with the directory locked.
+	// nil means that this is the only entry. It is called without locks of the directory.
 	Entries func() (addresses []string, isComplete bool)
 	// ColdFigures returns the figures for the cold servers of a service; nil means that no
 	// server is ever cold. It is called with the directory locked.
@@ -73,6 +74,8 @@
 // prompt parts. It is safe for concurrent use.
 type Directory struct {
 	config Config
+	// entriesAt is when the list of entries was last looked up.
+	entriesAt atomic.Pointer[time.Time]
 
 	// mu guards everything below.
 	mu       sync.Mutex
@@ -184,10 +187,14 @@
 
 // New returns an empty directory.
 func New(c Config) *Directory {
-	return &Directory{
+	d := &Directory{
 		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{},
 		unlisted: map[string]*coldness{},
 	}
+	if c.Entries == nil {
+		d.setEntries(nil, true)
+	}
+	return d
 }
 
 // Put adds or updates a server and reports whether anything changed.
--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -80,7 +80,7 @@
 	OnRunStarted func(Run)
 	OnRunEnded   func(Run)
 	// ColdTime is how long the server is cold after its start; 0 means never. Meanwhile its
-	// work takes coldSlowdown times as long, and OnColdRequest, if set, is called for each
+	// own work takes coldSlowdown times as long, and OnColdRequest, if set, is called for each
 	// request that is addressed to it, with the number of them in the last second.
 	ColdTime      time.Duration
 	OnColdRequest func(server string, inLastSecond int)
@@ -282,7 +282,7 @@
 	if b.isSlow(r) {
 		work = b.config.SlowTime
 	}
-	if b.coldRemaining() > 0 {
+	if b.coldRemaining() > 0 && !b.isSlow(r) {
 		work *= coldSlowdown
 	}
 	timer := time.NewTimer(time.Duration(drawn.SlowdownFactor * float64(work)))
