--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -167,8 +167,10 @@
 		return StateLeaving
 	case !s.evacuatedSince.IsZero():
 		return StateEvacuated
+	case s.rest != nil:
+		return s.rest.state(now).state
 	}
-	return s.rest.state(now).state
+	return StateOpen
 }
 
 // closed is closedState with the times and the source.
@@ -265,6 +267,7 @@
 // KindOverloaded, not run.
 func (l *Lease) CheckSend(now time.Time) error {
 	d := l.directory
+	d.lookUpEntries(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	// The server may have been listed again with another row meanwhile.
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,7 +56,7 @@
 	// Address is the address of this entry among those of Entries.
 	Address string
 	// Entries returns the addresses of all known entries, and whether the list is complete;
-	// nil means that this is the only entry. It is called with the directory locked.
+	// nil means that this is the only entry. It is called without locks of the directory.
 	Entries func() (addresses []string, isComplete bool)
 	// ColdFigures returns the figures for the cold servers of a service; nil means that no
 	// server is ever cold. It is called with the directory locked.
@@ -80,6 +81,8 @@
 // prompt parts. It is safe for concurrent use.
 type Directory struct {
 	config Config
+	// entriesAt is when the list of entries was last looked up.
+	entriesAt atomic.Pointer[time.Time]
 
 	// mu guards everything below.
 	mu       sync.Mutex
@@ -99,7 +102,7 @@
 	evacuated map[string]time.Time
 	// leaving holds the servers that announced that they leave, and rests those that asked
 	// for no new requests for a time, by id. Both outlast the servers' rows.
-	leaving map[string]leavingMark
+	leaving map[string]*leavingMark
 	rests   map[string]*rest
 	// entries are those that may send requests to cold servers, unlisted holds what is
 	// known of servers that were removed lately, and listReadAt is the last time at which
@@ -139,8 +142,9 @@
 	// evacuatedSince is when the server's data centre was evacuated, or zero.
 	evacuatedSince time.Time
 	// leaving is the server's own announcement that it leaves, of this incarnation or an
-	// earlier one, and rest the time for which it asked for no new requests, or nil.
-	leaving leavingMark
+	// earlier one, and rest the time for which it asked for no new requests. Either may be
+	// nil.
+	leaving *leavingMark
 	rest    *rest
 	// reported is the state that was last reported to Config.OnAvailability.
 	reported Availability
@@ -214,11 +218,15 @@
 
 // New returns an empty directory.
 func New(c Config) *Directory {
-	return &Directory{
+	d := &Directory{
 		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{}, knownPeers: map[string]time.Time{},
-		leaving: map[string]leavingMark{}, rests: map[string]*rest{},
+		leaving: map[string]*leavingMark{}, rests: map[string]*rest{},
 		unlisted: map[string]*coldness{},
 	}
+	if c.Entries == nil {
+		d.setEntries(nil, true)
+	}
+	return d
 }
 
 // Put adds or updates a server and reports whether anything changed.
