clempool: states are also swept when they are counted; no allocation for the list's time

An entry without peers reported changes of state that are due to time only with the next heartbeat of a server. The lookup of the entries allocated its time in each choice. A test of clemfront guards against cold servers where the settings or the configuration do not ask for them. go test -race -cpu 1 of clempool and clemfront passes.

--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -124,7 +124,11 @@
 // CountStates returns the number of servers in each state.
 func (d *Directory) CountStates(now time.Time) map[State]int {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	changes := d.sweepIfDue(now)
+	defer func() {
+		d.mu.Unlock()
+		d.notifyAvailability(changes)
+	}()
 	counts := make(map[State]int, stateCount)
 	for state := range stateCount {
 		counts[state] = 0
--- a/clempool/cold.go
+++ b/clempool/cold.go
@@ -274,7 +274,11 @@
 		return
 	}
 	last := d.entriesAt.Load()
-	if last != nil && now.Sub(*last) < entriesInterval || !d.entriesAt.CompareAndSwap(last, &now) {
+	if last != nil && now.Sub(*last) < entriesInterval {
+		return
+	}
+	lookedUpAt := now
+	if !d.entriesAt.CompareAndSwap(last, &lookedUpAt) {
 		return
 	}
 	addresses, isKnown := d.config.Entries()
