clemquota: refused connections give way to new ones

A connection that was refused lingers for half a second, so that its client can read the refusal. Clients that come back at once filled the limit of connections with such ones, and ordinary requests found no place. At the limit they are closed first. The soft memory limit leaves out the program's 16 MiB, which Go does not count.

TestRefusedConnectionsGiveWay fails without the change. go test -race -cpu 1 ./clemquota passes.

--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -80,8 +80,11 @@
 	// 0 while it has one. hasServed is set once it had one.
 	waitingSince atomic.Int64
 	hasServed    atomic.Bool
-	isRefused    atomic.Bool
-	removeOnce   sync.Once
+	// endedSince is the time since which the connection only waits for its client to read
+	// a refusal, 0 before.
+	endedSince atomic.Int64
+	isRefused  atomic.Bool
+	removeOnce sync.Once
 
 	// The fields below belong to the goroutine that serves the connection and to the one
 	// in which net/http reads while a handler runs; these take turns.
@@ -234,6 +237,7 @@
 func (c *Conn) refuse(reason Reason, status int) error {
 	c.headErr = errRefused
 	c.isRefused.Store(true)
+	c.endedSince.CompareAndSwap(0, time.Now().UnixNano())
 	c.listener.refused(reason, c)
 	text := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n"
 	if status == http.StatusServiceUnavailable {
@@ -271,8 +275,23 @@
 	return err
 }
 
+// waiting returns since when the connection has waited, 0 if it has a request, and the
+// order in which connections are closed at the limit.
+func (c *Conn) waiting() (since int64, order int) {
+	if ended := c.endedSince.Load(); ended != 0 {
+		return ended, 0
+	}
+	if c.hasServed.Load() {
+		return c.waitingSince.Load(), 2
+	}
+	return c.waitingSince.Load(), 1
+}
+
 // evict ends reads of the request.
-func (c *Conn) evict() { _ = c.Conn.SetReadDeadline(longAgo) }
+func (c *Conn) evict() {
+	c.endedSince.CompareAndSwap(0, time.Now().UnixNano())
+	_ = c.Conn.SetReadDeadline(longAgo)
+}
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
--- a/clemquota/listener.go
+++ b/clemquota/listener.go
@@ -121,12 +121,13 @@
 	}
 }
 
-// oldest returns the connection of a sample that has waited longest: one that never had
-// a complete request if there is one, else an idle one, or nil.
+// oldest returns the connection of a sample that has waited longest: one that was refused
+// and only lingers if there is one, else one that never had a complete request, else an
+// idle one, or nil.
 func (l *Listener) oldest() *Conn {
 	var found *Conn
 	var since int64
-	var served bool
+	var order int
 	start := rand.IntN(len(l.conns))
 	for i := range min(maxSampled, len(l.conns)) {
 		at := start + i
@@ -134,13 +135,9 @@
 			at = rand.IntN(len(l.conns))
 		}
 		c := l.conns[at%len(l.conns)]
-		waiting := c.waitingSince.Load()
-		if waiting == 0 {
-			continue
-		}
-		hasServed := c.hasServed.Load()
-		if found == nil || served && !hasServed || served == hasServed && waiting < since {
-			found, since, served = c, waiting, hasServed
+		waiting, n := c.waiting()
+		if waiting != 0 && (found == nil || n < order || n == order && waiting < since) {
+			found, since, order = c, waiting, n
 		}
 	}
 	return found
--- a/clemquota/listener_test.go
+++ b/clemquota/listener_test.go
@@ -241,6 +241,35 @@
 	})
 }
 
+// Guards against refused requests that take the place of clients while their connections
+// linger.
+func TestRefusedConnectionsGiveWay(t *testing.T) {
+	withServer(t, 1<<20, 4, echo, func(s *testServer) {
+		for range 4 {
+			conn, reader := s.dial()
+			_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\nb")
+			require.NoError(t, err)
+			go func() { _, _ = io.Copy(io.Discard, reader) }()
+		}
+		synctest.Wait()
+		pinned := s.budget.NewHold(nil)
+		require.NoError(t, pinned.Charge(1<<19))
+		require.NoError(t, pinned.Pin())
+		pressure := s.budget.NewHold(nil)
+		pressure.Force(1 << 20)
+		synctest.Wait()
+		require.Equal(t, 4, s.listener.Len(), "they linger")
+		conn, reader := s.dial()
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		status, _ := read(t, reader)
+		require.Equal(t, http.StatusOK, status)
+		require.NoError(t, conn.Close())
+		pinned.Release()
+		pressure.Release()
+	})
+}
+
 // FuzzHead sends bytes as requests to a server with limits and to one without. Guards
 // against requests that the counting changes, and memory that is not given back.
 func FuzzHead(f *testing.F) {
--- a/clemquota/memory.go
+++ b/clemquota/memory.go
@@ -16,9 +16,13 @@
 	// minBudget is the smallest budget in bytes: room for a request with a body of 4 MiB
 	// and for ordinary ones beside it.
 	minBudget = 8 << 20
-	// softLimitShare is the share of a process's memory from which on the garbage
-	// collector works harder.
-	softLimitShare = 0.85
+	// programMemory is the resident memory in bytes that the garbage collector does not
+	// count: the program's text and data.
+	programMemory = 16 << 20
+	// softLimitShare is the share of the rest from which on the garbage collector works
+	// harder, and minSoftLimitShare the smallest share of the whole.
+	softLimitShare    = 0.9
+	minSoftLimitShare = 0.5
 	// firstBodySize is the size in bytes of the first buffer of a body: a client that
 	// only states a large body holds no more. unknownBodySize is that of a body without a
 	// stated length.
@@ -41,7 +45,7 @@
 // the memory, unless the environment sets Go's limit. 0 changes nothing.
 func LimitProcess(memory int64) {
 	if memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(softLimitShare * float64(memory)))
+		debug.SetMemoryLimit(int64(max(softLimitShare*float64(memory-programMemory), minSoftLimitShare*float64(memory))))
 	}
 }
 
