--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -19,8 +19,8 @@
 	// headSlack is how much longer than the limit a head may be: the limit need not
 	// count the request line, and net/http allows as much.
 	headSlack = 4096
-	// lateReadTime is how long a head that is late may still be read: its bytes may have
-	// arrived while the process was suspended.
+	// lateReadTime is how long a head may still be read after its timeout or that of an
+	// idle connection: its bytes may have arrived while the process was suspended.
 	lateReadTime = 50 * time.Millisecond
 	// readBufferSize is the size of net/http's buffer of a connection, in which a part
 	// of the next request may remain.
@@ -171,7 +171,7 @@
 		_ = c.setReadDeadline(time.Now().Add(c.limits.HeadTimeout))
 	}
 	n, err := c.Conn.Read(to)
-	if n == 0 && c.headBytes > 0 && !c.isLate && errors.Is(err, os.ErrDeadlineExceeded) && !c.hold.IsEvicted() {
+	if n == 0 && !c.isLate && errors.Is(err, os.ErrDeadlineExceeded) && !c.hold.IsEvicted() {
 		c.isLate = true
 		_ = c.setReadDeadline(time.Now().Add(lateReadTime))
 		n, err = c.Conn.Read(to)
