clemquota: lines of a request are not charged to the next one

Cause: the first read of a head added the lines that the last read of the connection had brought, also when net/http's buffer was empty by then. On a reused connection the lines of the previous head and body were charged again: a small GET after a body of 3,000 empty lines was charged 601,226 bytes in place of 427, and was refused as a large request under load.

Change: these lines are added only if the read comes after net/http has begun to parse the head, so that a part of it was in the buffer. Before, at most three bytes are there.

--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -99,13 +99,16 @@
 	// headErr is the error that ended the head. net/http may ask again for the rest of a
 	// line.
 	headErr error
-	// deadline is what net/http last set while a head was read.
-	deadline time.Time
+	// deadline is what net/http last set while a head was read, and deadlinesSet how often
+	// it did so for this head: once before it waits for a request with less than four bytes
+	// in its buffer, again before it parses the head.
+	deadline     time.Time
+	deadlinesSet int
 }
 
 func (c *Conn) beginHead(timeout func(Limits) time.Duration) {
 	c.limits = c.listener.config.Limits()
-	c.inHead, c.isLate, c.headErr, c.headBytes, c.reads, c.deadline = true, false, nil, 0, 0, time.Time{}
+	c.inHead, c.isLate, c.headErr, c.headBytes, c.reads, c.deadline, c.deadlinesSet = true, false, nil, 0, 0, time.Time{}, 0
 	c.waitingSince.Store(time.Now().UnixNano())
 	c.hold.Release()
 	_ = c.setReadDeadline(time.Now().Add(timeout(c.limits)))
@@ -178,8 +181,8 @@
 	}
 	if n > 0 {
 		lines := headLines(to[:n])
-		if c.reads == 0 {
-			// A part of the head may have come with the last request.
+		if c.reads == 0 && c.deadlinesSet != 1 {
+			// A part of the head came with the last request.
 			lines += c.bufferedLines
 		}
 		c.reads++
@@ -262,6 +265,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	if c.inHead {
 		c.deadline = t
+		c.deadlinesSet++
 		return nil
 	}
 	return c.setReadDeadline(t)
--- a/clemquota/listener_test.go
+++ b/clemquota/listener_test.go
@@ -206,6 +206,40 @@
 	}
 }
 
+// Guards against lines of a request that are counted again as those of the next one on
+// the connection, which made an ordinary request a large one, and against lines that came
+// with the last request and are not counted.
+func TestLinesAreCountedOnce(t *testing.T) {
+	var charged atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		hold := FromContext(r.Context())
+		hold.budget.mu.Lock()
+		charged.Store(hold.size)
+		hold.budget.mu.Unlock()
+		echo(w, r)
+	}
+	withServer(t, testLimit, 0, handler, func(s *testServer) {
+		conn, reader := s.dial()
+		defer conn.Close()
+		exchange := func(texts ...string) int64 {
+			for _, text := range texts {
+				_, err := io.WriteString(conn, text)
+				require.NoError(s.t, err)
+				synctest.Wait()
+			}
+			read(s.t, reader)
+			return charged.Load()
+		}
+		post, get := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n"+strings.Repeat("\n", 3000), "GET / HTTP/1.1\r\nHost: x\r\n"
+		for range 20 {
+			exchange(post)
+			require.Less(s.t, exchange(get+"\r\n"), int64(1000))
+		}
+		exchange(get + "\r\n" + get + strings.Repeat("A:\n", 1000))
+		require.GreaterOrEqual(s.t, exchange("\r\n"), int64(1000*lineMemory))
+	})
+}
+
 // Guards against connections without requests that take the place of clients, and
 // against running requests that are closed for new connections.
 func TestConnectionsAreBounded(t *testing.T) {
