clemrouter: time limits for errors before the body is read

Cause: deadlines were set only where the body is read. For a request that was refused before (400, 401, 404, draining, no configuration), net/http reads up to 256 KiB of the body before it sends the response, without a deadline. A client without a key that states a body and does not send it held its connection for ever. Such a connection counts as having a request in progress, so that at the limit of connections new clients were closed in its place. Clients that do not read such responses also held theirs.

Change: such an error has 5 s for the rest of the body and 5 s more for its response.

--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -22,6 +22,9 @@
 	// writeGrace is how long after its deadline a request's response may still be
 	// written: some round trips on a slow link.
 	writeGrace = 5 * time.Second
+	// unreadBodyTime is how long the rest of a body that is not used may take to arrive
+	// before the error response: some round trips on a slow link.
+	unreadBodyTime = 5 * time.Second
 )
 
 // readBody reads the whole body, so that the request can be retried and that
@@ -30,6 +33,7 @@
 // evicted.
 func (q *request) readBody(limit int) error {
 	q.hold = clemquota.FromContext(q.http.Context())
+	q.hasTimeLimits = true
 	// A client that does not read would hold its response and its connection for ever.
 	// net/http lifts the deadline after the request.
 	controller := http.NewResponseController(q.writer)
@@ -60,6 +64,17 @@
 	return clementineturn.Refuse(clementineturn.KindCancelled, "reading the body: %w", err)
 }
 
+// limitEarlyError bounds the time of an error response to a request whose body was not
+// read. net/http reads up to 256 KiB of that body before it sends the response, without a
+// deadline of its own, and a connection with a request in progress is not closed at the
+// limit of connections.
+func (q *request) limitEarlyError() {
+	controller := http.NewResponseController(q.writer)
+	readEnd := time.Now().Add(unreadBodyTime)
+	_ = controller.SetReadDeadline(readEnd)
+	_ = controller.SetWriteDeadline(readEnd.Add(writeGrace))
+}
+
 // pin protects the request from eviction, since it may be sent to a server from now on.
 func (q *request) pin() error {
 	if err := q.hold.Pin(); err != nil {
--- a/clemrouter/intake_test.go
+++ b/clemrouter/intake_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +117,44 @@
 		response.Release()
 	})
 }
+
+// Guards against clients that get an error before their body is read, and then hold their
+// connections for ever with a body that does not arrive or with responses that they do
+// not read.
+func TestEarlyErrorEndsUnreadBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"no route": "POST /nowhere HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nContent-Length: 4\r\n\r\n",
+		"no key":   "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nContent-Length: 4\r\n\r\n",
+		"broken":   "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nBroken: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			withConnection(t, func(f *fixture, _ *clemquota.Budget, conn net.Conn) {
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+				_, err := io.WriteString(conn, head)
+				require.NoError(t, err)
+				reader := bufio.NewReader(conn)
+				response, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, response.StatusCode, http.StatusBadRequest)
+				require.Less(t, response.StatusCode, http.StatusInternalServerError)
+				_, err = io.Copy(io.Discard, response.Body)
+				require.NoError(t, err)
+				_, err = reader.ReadByte()
+				require.ErrorIs(t, err, io.EOF, "the connection is closed")
+			})
+		})
+	}
+	t.Run("responses are not read", func(t *testing.T) {
+		withConnection(t, func(f *fixture, _ *clemquota.Budget, conn net.Conn) {
+			require.NoError(t, conn.SetWriteDeadline(time.Now().Add(time.Minute)))
+			var err error
+			for range 10000 {
+				if _, err = io.WriteString(conn, "GET /nowhere HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\n\r\n"); err != nil {
+					break
+				}
+			}
+			require.Error(t, err)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is closed")
+		})
+	})
+}
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -131,7 +131,9 @@
 	// isUnread is set if this entry ended the reading of the body, which net/http takes
 	// for the client's end.
 	isUnread bool
-	target   string
+	// hasTimeLimits is set once the connection has the deadlines of the request.
+	hasTimeLimits bool
+	target        string
 
 	// triedServers are the ids of the servers that were tried, attempts the results.
 	triedServers []string
@@ -240,6 +242,9 @@
 		if err.NotRun() {
 			event = clemevent.RequestRefused
 		}
+		if !q.hasTimeLimits {
+			q.limitEarlyError()
+		}
 		q.writeError(err)
 		q.log(event, err)
 	}
