clemquota: connections of evicted requests linger

Cause: net/http closes the connection of an evicted request at once when less than 256 KiB of its body are unread. Closing with unread bytes resets the connection, which destroys the 429 on its way: the client had to take a request that was not run for one that may have run.

At the limit of connections these are closed first already.

--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -297,9 +297,13 @@
 	_ = c.Conn.SetReadDeadline(longAgo)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The connection of a request that was refused or evicted is
+// closed only after the refusal had time to reach the client.
 func (c *Conn) Close() error {
-	if c.isRefused.Load() {
+	if isRefused := c.isRefused.Load(); isRefused || c.hold.IsEvicted() {
+		if !isRefused {
+			_ = c.CloseWrite()
+		}
 		time.AfterFunc(lingerTime, c.closeNow)
 		c.hold.Release()
 		return nil
--- a/clemquota/listener_test.go
+++ b/clemquota/listener_test.go
@@ -206,6 +206,46 @@
 	}
 }
 
+// Guards against refusals of evicted requests that are destroyed on their way, since the
+// connection is closed while bytes of the body are unread.
+func TestEvictedRequestLingers(t *testing.T) {
+	budget := NewBudget(1 << 20)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := NewListener(ListenerConfig{Listener: inner, Budget: budget, Limits: func() Limits { return testLimits }})
+	charged := make(chan struct{})
+	server := &http.Server{ConnState: listener.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hold := FromContext(r.Context())
+		_ = hold.Charge(100)
+		close(charged)
+		for !hold.IsEvicted() {
+			time.Sleep(time.Millisecond)
+		}
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusTooManyRequests)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 90000))
+	require.NoError(t, err)
+	<-charged
+	pinned, pressure := budget.NewHold(nil), budget.NewHold(nil)
+	require.NoError(t, pinned.Charge(1<<19))
+	require.NoError(t, pinned.Pin())
+	pressure.Force(1 << 20)
+	time.Sleep(lingerTime / 5)
+	// The client notices the refusal only after it has written more.
+	_, err = io.WriteString(conn, strings.Repeat("x", 1000))
+	require.NoError(t, err)
+	time.Sleep(lingerTime / 5)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusTooManyRequests, response.StatusCode)
+}
+
 // Guards against lines of a request that are counted again as those of the next one on
 // the connection, which made an ordinary request a large one, and against lines that came
 // with the last request and are not counted.
