clemfront: time limits of requests at the inner listeners

Cause: the listeners for readiness checks, other entries and metrics had no deadline between the head of a request and its response, before which net/http reads an unused body. 32 clients with a body that does not arrive took all connections for readiness checks for ever, and the load balancer removes an entry after two failed checks.

Change: ReadTimeout 5 s and WriteTimeout 15 s there.

--- a/clemfront/intake.go
+++ b/clemfront/intake.go
@@ -52,6 +52,11 @@
 	innerMaxHead     = 8 << 10
 	innerHeadTimeout = 5 * time.Second
 	innerIdleTimeout = 5 * time.Minute
+	// innerReadTimeout bounds a request with its body, which no handler of these listeners
+	// reads, and innerWriteTimeout its response: net/http reads a body before it responds.
+	// Switching the connection to calls lifts both.
+	innerReadTimeout  = 5 * time.Second
+	innerWriteTimeout = 15 * time.Second
 )
 
 // Names of the listeners in events and metrics.
@@ -151,6 +156,9 @@
 	case listenerControl:
 		config.MaxConns = f.maxPeerConns
 	}
+	if name != listenerClients {
+		server.ReadTimeout, server.WriteTimeout = innerReadTimeout, innerWriteTimeout
+	}
 	listener := clemquota.NewListener(config)
 	server.ConnState, server.ConnContext = listener.ConnState, clemquota.ConnContext
 	server.ErrorLog = log.New(httpErrorWriter{f.events}, "", 0)
--- a/clemfront/intake_test.go
+++ b/clemfront/intake_test.go
@@ -1,7 +1,10 @@
 package clemfront
 
 import (
+	"io"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -9,6 +12,7 @@
 	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemsite"
+	"github.com/clementineturn/clementineturn/clemstandin"
 )
 
 // Guards against limits of a deployment that states none, and against ones that leave no
@@ -41,3 +45,34 @@
 	apply(2, clemroute.LimitsConfig{MaxHeaderBytes: 16384, HeaderTimeout: 3 * time.Second, IdleTimeout: 2 * time.Second})
 	require.Equal(t, clemquota.Limits{MaxHeadBytes: 16384, HeadTimeout: 4 * time.Second, FirstTimeout: 4 * time.Second, IdleTimeout: 2 * time.Second}, f.clientLimits())
 }
+
+// Guards against clients that hold the few connections for readiness checks, calls and
+// metrics with bodies that do not arrive.
+func TestInnerListenersEndUnreadBodies(t *testing.T) {
+	for _, name := range []string{listenerReady, listenerControl, listenerMetrics} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := clemstandin.NewNetwork()
+				f := &front{budget: clemquota.NewBudget(0), settings: &activeSettings{}}
+				f.settings.Store(clemsite.NewSettings(clemsite.SettingsConfig{}))
+				server := &http.Server{Handler: http.NotFoundHandler()}
+				listener := f.limitListener(name, network.Listen("front:81"), server)
+				ended := make(chan error, 1)
+				go func() { ended <- server.Serve(listener) }()
+				defer func() {
+					require.NoError(t, server.Close())
+					<-ended
+				}()
+				conn, err := network.Dial(t.Context(), "tcp", "front:81")
+				require.NoError(t, err)
+				defer conn.Close()
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+				_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n")
+				require.NoError(t, err)
+				answer, err := io.ReadAll(conn)
+				require.NoError(t, err, "the connection is closed")
+				require.Contains(t, string(answer), "404 Not Found")
+			})
+		})
+	}
+}
