clemquota: bodies of unknown length take no more than the limit

Cause: the buffer of a chunked body grew by 4 whatever the limit of bodies. At 4 MiB, the largest legal one, it grew to 16 MiB to find the body's end, and both were charged, so that such a request was evicted first.

Change: the buffer grows to the limit at most, and the end is looked for without growing.

--- a/clementry/http.go
+++ b/clementry/http.go
@@ -213,7 +213,7 @@
 		return nil, tooLarge(e.config.MaxBodyBytes)
 	}
 	hold := clemquota.FromContext(c.r.Context())
-	data, err := hold.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.config.MaxBodyBytes), c.r.ContentLength)
+	data, err := hold.ReadAll(http.MaxBytesReader(c.w, c.r.Body, e.config.MaxBodyBytes), c.r.ContentLength, e.config.MaxBodyBytes)
 	if err == nil || hold.IsEvicted() {
 		// From now on the request may be dispatched and is not evicted.
 		err = hold.Pin()
--- a/clemquota/budget_test.go
+++ b/clemquota/budget_test.go
@@ -1,7 +1,10 @@
 package clemquota
 
 import (
+	"bytes"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 
@@ -104,3 +107,23 @@
 	none.Release()
 	require.False(t, none.IsEvicted())
 }
+
+// Guards against a body of unknown length that takes a multiple of the largest one, and
+// against the limit being taken for the body's length.
+func TestUnknownLengthTakesNoMoreThanTheLimit(t *testing.T) {
+	const limit = 4 << 20
+	for _, size := range []int{0, 1, unknownBodySize, limit - 1, limit, limit + 1} {
+		h := NewBudget(64 << 20).NewHold(nil)
+		from := http.MaxBytesReader(nil, io.NopCloser(bytes.NewReader(make([]byte, size))), limit)
+		body, err := h.ReadAll(from, -1, limit)
+		require.LessOrEqual(t, h.size, int64(limit))
+		if size > limit {
+			var tooLarge *http.MaxBytesError
+			require.ErrorAs(t, err, &tooLarge)
+			continue
+		}
+		require.NoError(t, err)
+		require.Len(t, body, size)
+		require.LessOrEqual(t, cap(body), limit)
+	}
+}
--- a/clemquota/memory.go
+++ b/clemquota/memory.go
@@ -50,8 +50,9 @@
 }
 
 // ReadAll reads to the end and charges the memory before it is read. The length is the
-// expected one, or -1 if unknown. Errors: those of Charge and of the reader.
-func (h *Hold) ReadAll(from io.Reader, length int64) ([]byte, error) {
+// expected one, or -1 if unknown, and the limit the one above which the reader returns an
+// error. Errors: those of Charge and of the reader.
+func (h *Hold) ReadAll(from io.Reader, length, limit int64) ([]byte, error) {
 	size := int64(unknownBodySize)
 	if length >= 0 {
 		size = min(firstBodySize, length)
@@ -59,16 +60,17 @@
 	if err := h.Charge(size); err != nil {
 		return nil, err
 	}
+	longest := length
+	if length < 0 {
+		longest = limit
+	}
 	body := make([]byte, 0, size)
 	for {
 		if len(body) == cap(body) {
-			if int64(len(body)) == length {
+			if int64(len(body)) >= longest {
 				return body, expectEnd(from)
 			}
-			size := bodyGrowth * int64(cap(body))
-			if length >= 0 {
-				size = min(size, length)
-			}
+			size := min(bodyGrowth*int64(cap(body)), longest)
 			if err := h.Charge(size); err != nil {
 				return nil, err
 			}
--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -47,7 +47,7 @@
 	// A body that never ends would hold its memory for ever. Writers without deadlines
 	// are those of tests.
 	_ = controller.SetReadDeadline(q.deadline)
-	body, err := q.hold.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), min(q.http.ContentLength, int64(limit)+1))
+	body, err := q.hold.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, int64(limit)), min(q.http.ContentLength, int64(limit)+1), int64(limit))
 	switch {
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
