clemrpc: requests of peers are not evicted while they are served

Cause: only requests whose body is read were pinned. An answer that a peer reads kept its head in the budget unpinned, and when the budget was full of forwarded requests its connection was ended and the fetch cancelled.

Change: authenticated requests of peers are pinned before they are served; one that was evicted before gets 503.

Result: the new test sees the answer end at once before, and complete after its second now; clemrpc passes with -race.

--- a/clemrpc/server.go
+++ b/clemrpc/server.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -99,7 +100,7 @@
 	router.With(s.authenticate).Get(answersPath, s.serveAnswer)
 }
 
-// authenticate refuses requests without the fleet's key.
+// authenticate refuses requests without the fleet's key, and those that were evicted.
 func (s *Server) authenticate(next http.Handler) http.Handler {
 	want := []byte(bearerPrefix + s.key)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -107,6 +108,12 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
+		// A running answer is not ended because other requests want the memory of its head.
+		if err := clemquota.FromContext(r.Context()).Pin(); err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
