clempool: requests that may wait look the list of entries up

Cause: only Acquire and Lease.CheckSend looked the list of entries up. An entry that starts with requests without a prefix only, at a service whose servers are all cold, never did, so that it had no share at them and refused every request. Change: AcquireOrWait looks it up too, without the directory's lock. Result: TestWaitingRequestsNeedTheListOfEntries failed before and passes.

--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -54,6 +54,7 @@
 		lease, err := d.Acquire(r, now)
 		return lease, nil, err
 	}
+	d.lookUpEntries(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expirePeers(now)
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -145,3 +145,12 @@
 	require.NoError(t, err)
 	require.NotNil(t, waiter)
 }
+
+// Guards against an entry that has only requests without a prefix and never looks up the
+// list of entries: it has no share at cold servers and refuses every request.
+func TestWaitingRequestsNeedTheListOfEntries(t *testing.T) {
+	d := newColdEntries(2)[0]
+	d.PutRow(coldRow(1, 1, 9*time.Second), epoch, epoch)
+	_, _, _ = d.AcquireOrWait(scarceRequest(), epoch)
+	require.True(t, d.entries.isKnown)
+}
