clempool, clemwait: cold servers of services whose requests may wait

Cause: for waiting requests the candidates were determined with the cold figures of the service "", for which no server is cold: the slots of cold servers counted as free. With the right figures a service whose servers are all cold has no slots, and clemwait admits nothing: AcquireOrWait let such requests wait, retries and hedges were refused. Change: the figures are those of the service. While only cold servers are left, their shares decide and not the slots.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -141,6 +141,9 @@
 // isEmpty reports whether no server may take the request.
 func (c candidateSet) isEmpty() bool { return len(c.servers)+len(c.cold) == 0 }
 
+// areCold reports whether only cold servers are left.
+func (c candidateSet) areCold() bool { return len(c.servers) == 0 && len(c.cold) > 0 }
+
 // emptyRefusal returns the refusal of a request for which no server is left.
 func (d *Directory) emptyRefusal(svc *service, r Request, c candidateSet, now time.Time) error {
 	if err := d.coldRefusal(svc, r, c.coldWait, now); err != nil {
@@ -166,7 +169,7 @@
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
 	untried, reachable, healthy, cold := d.scratch.untried[:0], d.scratch.reachable[:0], d.scratch.healthy[:0], d.scratch.cold[:0]
 	var coldWait time.Duration
-	figures := d.coldFigures(r.Service)
+	figures := d.coldFigures(svc.name)
 	totalLoad, slots, openLoad, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0, 0
 	isBoundStrict := false
 	for _, server := range svc.servers {
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -168,6 +168,7 @@
 }
 
 type service struct {
+	name    string
 	servers []*server
 	// usage holds the requests of each organisation at this entry, and running
 	// is their sum. lastPruned is when idle organisations were last removed.
@@ -269,7 +270,7 @@
 	d.servers[record.ID()] = added
 	svc := d.services[record.Service()]
 	if svc == nil {
-		svc = &service{usage: map[string]*organisationUsage{}, users: map[string]time.Time{}}
+		svc = &service{name: record.Service(), usage: map[string]*organisationUsage{}, users: map[string]time.Time{}}
 		d.services[record.Service()] = svc
 	}
 	added.prefill = &svc.prefill
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -137,7 +137,7 @@
 
 // view returns what is known of the use of a service.
 func (d *Directory) view(svc *service, c candidateSet, now time.Time) clemwait.View {
-	v := clemwait.View{Slots: c.slots, Entries: 1}
+	v := clemwait.View{Slots: c.slots, Entries: 1, IsUnlimited: c.areCold()}
 	if c.slots == 0 {
 		// Only ejected servers are left.
 		for _, s := range c.servers {
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -154,3 +154,65 @@
 	_, _, _ = d.AcquireOrWait(scarceRequest(), epoch)
 	require.True(t, d.entries.isKnown)
 }
+
+// newColdWaitEntry returns an entry whose only other peer is idle, with the figures of
+// testCold for the service "pool" and none for others.
+func newColdWaitEntry() *Directory {
+	return New(Config{
+		MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 },
+		ColdFigures: func(service string) ColdFigures {
+			if service != "pool" {
+				return ColdFigures{}
+			}
+			return testCold
+		},
+	})
+}
+
+// Guards against a service whose servers are all cold and that gets nothing: without slots
+// no request was admitted. Their shares limit the requests.
+func TestColdServersAloneAreUsed(t *testing.T) {
+	for _, acquire := range []func(*Directory, Request, time.Time) (*Lease, error){
+		func(d *Directory, r Request, now time.Time) (*Lease, error) {
+			lease, _, err := d.AcquireOrWait(r, now)
+			return lease, err
+		},
+		(*Directory).Acquire,
+	} {
+		d := newColdWaitEntry()
+		d.PutRow(coldRow(1, 1, 9*time.Second), epoch, epoch)
+		now := epoch.Add(2 * time.Second)
+		sent := 0
+		for range 30 {
+			lease, err := acquire(d, scarceRequest(), now)
+			if err != nil {
+				require.Contains(t, err.Error(), "cold")
+				require.True(t, clementineturn.IsNotRun(err))
+				break
+			}
+			require.NotNil(t, lease, "the request does not wait")
+			require.NoError(t, lease.CheckSend(now))
+			lease.Release(OutcomeServed, nil, now)
+			sent++
+		}
+		require.Equal(t, testCold.allowance(), sent)
+	}
+}
+
+// Guards against slots of cold servers that count as free for waiting requests.
+func TestColdServersHaveNoSlotsForWaitingRequests(t *testing.T) {
+	d := newColdWaitEntry()
+	d.PutRow(coldRow(1, 1, 0), epoch, epoch)
+	d.PutRow(coldRow(2, 1, 9*time.Second), epoch, epoch)
+	d.SetPeerStats("other", map[string]ServerStats{"s01": {Running: 1}}, epoch, peerStatsTTL)
+	var waiter *Waiter
+	sent := 0
+	for ; waiter == nil; sent++ {
+		var err error
+		_, waiter, err = d.AcquireOrWait(scarceRequest(), epoch)
+		require.NoError(t, err)
+	}
+	require.Less(t, sent, 24, "the server that is open is not full")
+	waiter.Check(epoch.Add(time.Millisecond))
+	require.False(t, isDone(waiter))
+}
--- a/clemwait/admission.go
+++ b/clemwait/admission.go
@@ -64,6 +64,9 @@
 	IsIsolated bool
 	// IsFull is set if no server takes a further request.
 	IsFull bool
+	// IsUnlimited is set if another limit decides how many requests the servers get. That
+	// is so while only cold servers are left, which have no slots.
+	IsUnlimited bool
 }
 
 // IsFree reports whether at most half of the slots are in use with a further request.
@@ -134,7 +137,7 @@
 // share of the slots. One of an organisation over its share leaves a
 // part of the limit to others.
 func (a *admission) admits(r Request, isLate, isOver bool, v View, now time.Time) bool {
-	if v.IsFree() || v.Own == 0 && v.hasRoom(1) {
+	if v.IsUnlimited || v.IsFree() || v.Own == 0 && v.hasRoom(1) {
 		return true
 	}
 	isContended := now.Sub(a.contendedAt) < contendedTime && float64(a.recentStay) > queuedStay*float64(a.runTime)
