clempool: read the check time of a waiting request with the lock

Cause: Waiter.CheckAt read whether the ticket is committed without the directory's lock, while any other request's choice or end may set it under the lock. Change: CheckAt takes the lock. Result: TestCheckTimeOfAWaitingRequestIsReadWithTheLock reported a data race with -race and passes.

--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -284,7 +284,11 @@
 func (w *Waiter) Result() (*Lease, error) { return w.lease, w.err }
 
 // CheckAt returns when Check must be called next.
-func (w *Waiter) CheckAt(now time.Time) time.Time { return w.ticket.CheckAt(now) }
+func (w *Waiter) CheckAt(now time.Time) time.Time {
+	w.directory.mu.Lock()
+	defer w.directory.mu.Unlock()
+	return w.ticket.CheckAt(now)
+}
 
 // Check looks again whether waiting requests can be sent or must be refused.
 func (w *Waiter) Check(now time.Time) {
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwait"
 )
 
 // newWaiter returns an entry with two servers that are full by the reports of a peer, and
@@ -216,3 +217,29 @@
 	waiter.Check(epoch.Add(time.Millisecond))
 	require.False(t, isDone(waiter))
 }
+
+// Guards against a data race between a waiting request and others that commit it.
+func TestCheckTimeOfAWaitingRequestIsReadWithTheLock(t *testing.T) {
+	d, waiter := newWaiter(t)
+	at := epoch.Add(scarceTarget / 8)
+	wait := &d.services["pool"].wait
+	for range 50 {
+		wait.Started("", 0, epoch)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100 {
+			d.mu.Lock()
+			refused := wait.Expire(clemwait.View{Slots: 1000, Entries: 1}, at)
+			d.mu.Unlock()
+			if len(refused) > 0 {
+				panic("the request is refused and not committed")
+			}
+		}
+	}()
+	for range 100 {
+		waiter.CheckAt(at)
+	}
+	<-done
+}
