--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -72,15 +72,20 @@
 		found = d.leastLoaded(candidates, r, now)
 	}
 	if found.server == nil {
-		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
-			Kind: clementineturn.KindOverloaded, NotRun: true,
-			RetryAfter: svc.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
-			Message:    "every backend server of service " + r.Service + " is full or at its limit",
-		})
+		return nil, svc.fullRefusal(r, found, now)
 	}
 	return d.place(svc, candidates, found, r, now), nil
 }
 
+// fullRefusal returns the refusal of a request for which no server was found.
+func (s *service) fullRefusal(r Request, found choice, now time.Time) error {
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindOverloaded, NotRun: true,
+		RetryAfter: s.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
+		Message:    "every backend server of service " + r.Service + " is full or at its limit",
+	})
+}
+
 // place counts the request at the server that was found.
 func (d *Directory) place(svc *service, candidates candidateSet, found choice, r Request, now time.Time) *Lease {
 	chosen, rank := found.server, found.rank
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -218,6 +218,21 @@
 	require.False(t, isDone(waiter))
 }
 
+// Guards against callers that are told to return long before a limited server takes their
+// request.
+func TestRefusalOfALimitedServerNamesItsTime(t *testing.T) {
+	d := newEntries(1, 1, 64)[0]
+	limit := 0.5
+	lease := mustAcquire(t, d, scarceRequest(), epoch)
+	lease.RecordRateLimit(&limit, epoch)
+	lease.Release(OutcomeServed, nil, epoch)
+	_, waiter, err := d.AcquireOrWait(scarceRequest(), epoch)
+	require.Nil(t, waiter)
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindOverloaded))
+	require.True(t, clementineturn.IsNotRun(err))
+	require.GreaterOrEqual(t, clementineturn.AsError(err).RetryAfter(), time.Second)
+}
+
 // Guards against a data race between a waiting request and others that commit it.
 func TestCheckTimeOfAWaitingRequestIsReadWithTheLock(t *testing.T) {
 	d, waiter := newWaiter(t)
