clempool: requests at closed servers do not use up the part of the slots of others

Cause: an entry's own requests were counted at all servers of a scarce service, the slots and the requests of other entries only at those that take requests. Streams that ran on at a draining or leaving server were taken for the entry's part of the remaining slots. Change: own requests are counted at the same servers.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -139,8 +139,9 @@
 	// of those that are neither closed nor ejected. Closed servers count only if they
 	// drain.
 	utilisation float64
-	// slots is the number of the latter, and load the requests at them.
-	slots, load int
+	// slots is the number of the latter, load the requests at them and own those of this
+	// entry among them.
+	slots, load, own int
 }
 
 // isEmpty reports whether no server may take the request.
@@ -175,7 +176,7 @@
 	untried, reachable, healthy, cold := d.scratch.untried[:0], d.scratch.reachable[:0], d.scratch.healthy[:0], d.scratch.cold[:0]
 	var coldWait time.Duration
 	figures := d.coldFigures(svc.name)
-	totalLoad, slots, openLoad, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0, 0
+	totalLoad, slots, openLoad, ownLoad, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0, 0, 0
 	isBoundStrict := false
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
@@ -213,6 +214,7 @@
 		if !isEjected {
 			slots += server.record.Slots()
 			openLoad += load
+			ownLoad += server.running
 		}
 		if slices.Contains(r.Tried, server.record.ID()) {
 			continue
@@ -229,7 +231,7 @@
 	c := candidateSet{
 		cold: cold, coldWait: coldWait,
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
-		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, load: openLoad, isBoundStrict: isBoundStrict,
+		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, load: openLoad, own: ownLoad, isBoundStrict: isBoundStrict,
 	}
 	if unavailable > 0 && !isBoundStrict {
 		c.minBound = float64(totalLoad-unavailableLoad)/float64(max(len(svc.servers)-unavailable, 1)) + loadBoundSlack
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -147,12 +147,10 @@
 		for _, s := range c.servers {
 			v.Slots += s.record.Slots()
 			c.load += s.running + s.peerRunning
+			c.own += s.running
 		}
 	}
-	for _, s := range svc.servers {
-		v.Own += s.running
-	}
-	v.Peers = max(c.load-v.Own, 0)
+	v.Own, v.Peers = c.own, c.load-c.own
 	missing := d.missingPeers(now)
 	v.IsIsolated = 2*missing > len(d.knownPeers)
 	if v.IsFree() {
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -218,6 +218,26 @@
 	require.False(t, isDone(waiter))
 }
 
+// Guards against requests of this entry that run on at a closed server and use up its part
+// of the slots of the others.
+func TestRequestsAtClosedServersLeaveTheSlotsOfOthers(t *testing.T) {
+	d := newEntries(1, 2, 6)[0]
+	for range 11 {
+		mustAcquire(t, d, scarceRequest(), epoch)
+	}
+	d.mu.Lock()
+	svc := d.services["pool"]
+	d.mu.Unlock()
+	leaving := newRecord(0, 6)
+	atLeaving := d.servers[leaving.ID()].running
+	d.markLeaving(leaving.ID(), &leavingMark{at: epoch, source: SourceResponse})
+	d.SetPeerStats("other", map[string]ServerStats{newRecord(1, 6).ID(): {Running: 2}}, epoch, peerStatsTTL)
+	view := d.view(svc, d.candidates(svc, Request{}, epoch), epoch)
+	require.Equal(t, 11-atLeaving, view.Own)
+	require.Equal(t, 2, view.Peers)
+	require.Equal(t, 6, view.Slots)
+}
+
 // Guards against callers that are told to return long before a limited server takes their
 // request.
 func TestRefusalOfALimitedServerNamesItsTime(t *testing.T) {
