clempool: a missing sum over other groups counts as all its entries

Cause: the sum over the other groups of a large fleet is held as one peer, and counted as one entry once it was missing. In a fleet of 60 entries whose delegate failed, an entry shared the slots of a scarce service with 16 instead of 60, and did not know that it was cut off from most of the others. Change: peers that are known are kept with their number of entries.

--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -115,8 +115,14 @@
 	sweptAt time.Time
 	// fleet is what is known of a fleet of several groups.
 	fleet fleet
-	// knownPeers is when each peer last reported, also of those whose report expired.
-	knownPeers map[string]time.Time
+	// knownPeers holds each peer's last report, also of those whose report expired.
+	knownPeers map[string]knownPeer
+}
+
+// knownPeer is when a peer last reported, and the number of entries of the report.
+type knownPeer struct {
+	at      time.Time
+	entries int
 }
 
 // peerStats is the latest report of a peer, or of the number of entries given.
@@ -220,7 +226,7 @@
 // New returns an empty directory.
 func New(c Config) *Directory {
 	d := &Directory{
-		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{}, knownPeers: map[string]time.Time{},
+		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{}, knownPeers: map[string]knownPeer{},
 		leaving: map[string]*leavingMark{}, rests: map[string]*rest{},
 		unlisted: map[string]*coldness{},
 	}
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -151,8 +151,8 @@
 		}
 	}
 	v.Own, v.Peers = c.own, c.load-c.own
-	missing := d.missingPeers(now)
-	v.IsIsolated = 2*missing > len(d.knownPeers)
+	missing, known := d.missingEntries(now)
+	v.IsIsolated = 2*missing > known
 	if v.IsFree() {
 		return v
 	}
@@ -167,28 +167,30 @@
 	return v
 }
 
-// missingPeers returns the number of peers that no longer report but may still send
-// requests.
-func (d *Directory) missingPeers(now time.Time) (missing int) {
+// missingEntries returns the number of other entries that no longer report but may still
+// send requests, and of all that are known. Both are 0 if every known peer reports.
+func (d *Directory) missingEntries(now time.Time) (missing, known int) {
 	if len(d.knownPeers) == len(d.peers) {
-		return 0
+		return 0, 0
 	}
-	for peer, at := range d.knownPeers {
-		switch _, reports := d.peers[peer]; {
+	for name, peer := range d.knownPeers {
+		switch _, reports := d.peers[name]; {
 		case reports:
-		case now.Sub(at) > knownPeerTTL:
-			delete(d.knownPeers, peer)
+		case now.Sub(peer.at) > knownPeerTTL:
+			delete(d.knownPeers, name)
+			continue
 		default:
-			missing++
+			missing += peer.entries
 		}
+		known += peer.entries
 	}
-	return missing
+	return missing, known
 }
 
 // updateWaiting applies a report to what is known of the use of services, and sends
 // waiting requests.
 func (d *Directory) updateWaiting(peer string, stats map[string]ServerStats, now time.Time) {
-	d.knownPeers[peer] = now
+	d.knownPeers[peer] = knownPeer{now, max(d.peers[peer].entries, 1)}
 	for id, s := range stats {
 		if server := d.servers[id]; server != nil && s.Running > 0 {
 			if svc := d.services[server.record.Service()]; svc.target > 0 {
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -238,6 +238,24 @@
 	require.Equal(t, 6, view.Slots)
 }
 
+// Guards against a sum over other groups that counts as one entry once it is missing: the
+// entry would take a part of the slots as if they had ended.
+func TestMissingSumCountsAsAllItsEntries(t *testing.T) {
+	d := newEntries(1, 3, 6)[0]
+	svc := d.services["pool"]
+	busy := map[string]ServerStats{newRecord(0, 6).ID(): {Running: 18}}
+	d.SetFleetSize(60)
+	d.SetFleetStats(FleetStats{Entries: 44, Members: map[string]bool{"other": true}}, epoch, peerStatsTTL)
+	now := epoch.Add(peerStatsTTL + time.Millisecond)
+	mustAcquire(t, d, scarceRequest(), now)
+	for n := range 15 {
+		d.SetPeerStats(strconv.Itoa(n), busy, now, peerStatsTTL)
+	}
+	view := d.view(svc, d.candidates(svc, Request{}, now), now)
+	require.True(t, view.IsIsolated, "44 of 59 other entries do not report")
+	require.Equal(t, 60, view.Entries)
+}
+
 // Guards against callers that are told to return long before a limited server takes their
 // request.
 func TestRefusalOfALimitedServerNamesItsTime(t *testing.T) {
