clemrouter: no request begins to wait once the entry drains

Cause: a request that had passed the check for draining before Drain refused those that wait could join them afterwards, and was held for up to an eighth of its latency target. Change: the check is repeated once the request is among those that wait. Result: TestRequestDoesNotBeginToWaitOnceTheEntryDrains failed before (held for 1.125 s) and passes.

--- a/clemrouter/wait.go
+++ b/clemrouter/wait.go
@@ -35,6 +35,11 @@
 	if waiter == nil {
 		return lease, err
 	}
+	if q.router.IsDraining() {
+		// Drain may have refused the waiting requests before this one was among them.
+		waiter.Cancel(time.Now())
+		return nil, q.drainingError("this entry stops while the request waits for a place")
+	}
 	defer q.router.config.Metrics.Timer(clemmetric.WaitTime, "service", q.service).UpdateSince(began)
 	if err := q.wait(ctx, waiter); err != nil {
 		return nil, err
--- a/clemrouter/wait_test.go
+++ b/clemrouter/wait_test.go
@@ -90,3 +90,35 @@
 		f.closeServers()
 	})
 }
+
+// withDirectory gives the fixture's router a directory with one server.
+func withDirectory(f *fixture, c clempool.Config) *clempool.Directory {
+	c.MaxLoadFactor, c.Rand = func() float64 { return 2 }, func() uint64 { return 0 }
+	directory := clempool.New(c)
+	directory.Put(clempool.NewRecord(clempool.RecordConfig{ID: "s1", Service: "pool", Address: "s1", Slots: 8}))
+	f.router.config.Directory = directory
+	return directory
+}
+
+// Guards against a request that begins to wait just after the entry has refused those that
+// waited, and is held.
+func TestRequestDoesNotBeginToWaitOnceTheEntryDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBareFixture(t)
+		onLookUp := func() {}
+		directory := withDirectory(f, clempool.Config{
+			ColdFigures: func(string) clempool.ColdFigures { return clempool.ColdFigures{} },
+			Entries:     func() ([]string, bool) { onLookUp(); return nil, true },
+		})
+		occupySlots(t, f, 24)
+		time.Sleep(time.Second)
+		began := time.Now()
+		onLookUp = func() { f.router.Drain(began.Add(time.Hour)) }
+		response := f.serve("/unsafe/", nil, nil)
+		require.True(t, f.router.IsDraining())
+		require.Zero(t, time.Since(began))
+		require.Equal(t, http.StatusServiceUnavailable, response.Code)
+		require.Zero(t, directory.Waiting())
+		directory.Remove("s1")
+	})
+}
