clemrouter: a client that leaves during a dial says nothing of the server

Cause: an attempt whose connection was not open yet when the client left counted as a failure to reach the server. It was ejected, and where servers can be cold it was treated as cold for cold_start_s, with the few requests that go with it. Change: if the client's end cancelled the dial, the attempt counts as withdrawn. Dials that fail or time out by themselves count as before. Result: TestClientThatLeavesDuringADialSaysNothingOfTheServer failed before (ejected) and passes.

--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -370,6 +371,9 @@
 func (q *request) exchangeFailed(err error) attemptResult {
 	result := attemptResult{err: err, outcome: clempool.OutcomeFailed, mayHaveRun: true, sent: true}
 	switch {
+	case clementineturn.IsNotRun(err) && errors.Is(err, context.Canceled) && q.http.Context().Err() != nil:
+		// The client left or this entry stopped while a connection was opened.
+		result.outcome, result.mayHaveRun, result.sent = clempool.OutcomeWithdrawn, false, false
 	case clementineturn.IsNotRun(err):
 		result.outcome, result.mayHaveRun, result.sent = clempool.OutcomeUnreached, false, false
 	case q.http.Context().Err() != nil:
--- a/clemrouter/wait_test.go
+++ b/clemrouter/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -122,3 +123,23 @@
 		directory.Remove("s1")
 	})
 }
+
+// Guards against a server that is ejected, and held to be cold, because a client left while
+// a connection to it was opened.
+func TestClientThatLeavesDuringADialSaysNothingOfTheServer(t *testing.T) {
+	f := newBareFixture(t)
+	ctx, leave := context.WithCancel(t.Context())
+	directory := withDirectory(f, clempool.Config{
+		ColdFigures: func(string) clempool.ColdFigures {
+			return clempool.ColdFigures{Limit: 20, StartTime: time.Minute}
+		},
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			leave()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	})
+	require.Zero(t, f.serveUntil(ctx, "/safe/", nil, nil).Code, "aborted")
+	availability, _ := directory.Availability("s1", time.Now())
+	require.Equal(t, clempool.StateOpen, availability.State())
+}
