clempool, clemrouter: places that are given back say nothing of the server

Cause: places whose requests were never sent (the client left while it waited, a hedge that the retry budget did not allow) were released as abandoned, which marks the server as reachable. An ejected server that could not be reached was tried again by the next requests. Change: they are released as withdrawn, which has no effect on the server's health. Result: TestPlaceThatIsGivenBackSaysNothingOfTheServer failed before and passes.

--- a/clempool/record.go
+++ b/clempool/record.go
@@ -97,7 +97,7 @@
 	// OutcomeCrashed is a broken response of a server that has ended.
 	OutcomeCrashed
 	// OutcomeWithdrawn is a request that was not sent, since the server had stopped
-	// taking requests; it says nothing about the server.
+	// taking requests or the place was not needed any more; it says nothing about the server.
 	OutcomeWithdrawn
 )
 
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -308,6 +308,6 @@
 	isWaiting := w.service.wait.Cancel(w.ticket)
 	w.directory.mu.Unlock()
 	if !isWaiting && w.lease != nil {
-		w.lease.Release(OutcomeAbandoned, nil, now)
+		w.lease.Release(OutcomeWithdrawn, nil, now)
 	}
 }
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -296,3 +296,15 @@
 	}
 	<-done
 }
+
+// Guards against a server that counts as reachable again because a client left to whose
+// request it was assigned, but which was not sent.
+func TestPlaceThatIsGivenBackSaysNothingOfTheServer(t *testing.T) {
+	d, waiter := newWaiter(t)
+	setPeerLoad(d, 0, epoch.Add(time.Millisecond))
+	require.True(t, isDone(waiter))
+	s := d.servers[waiter.lease.Server()]
+	s.health.isUnreachable = true
+	waiter.Cancel(epoch.Add(2 * time.Millisecond))
+	require.True(t, s.health.isUnreachable)
+}
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -128,7 +128,7 @@
 	lease.Release(result.outcome, result.load, now)
 	q.recordAttempt(lease, result, now.Sub(start))
 	if result.next != nil && (result.isFinal || ctx.Err() != nil) {
-		result.next.Release(clempool.OutcomeAbandoned, nil, now)
+		result.next.Release(clempool.OutcomeWithdrawn, nil, now)
 		result.next = nil
 	}
 	return result
--- a/clemrouter/stall.go
+++ b/clemrouter/stall.go
@@ -164,7 +164,7 @@
 		return nil
 	}
 	if !q.router.config.RetryBudget.TryWithdraw(q.service, now) {
-		next.Release(clempool.OutcomeAbandoned, nil, now)
+		next.Release(clempool.OutcomeWithdrawn, nil, now)
 		return nil
 	}
 	return next
--- a/clemrouter/wait.go
+++ b/clemrouter/wait.go
@@ -49,7 +49,7 @@
 	}
 	now := time.Now()
 	if err := q.checkSending(now); err != nil {
-		lease.Release(clempool.OutcomeAbandoned, nil, now)
+		lease.Release(clempool.OutcomeWithdrawn, nil, now)
 		return nil, err
 	}
 	return lease, nil
