clempool: unused slots are distributed at the age of the sums in large fleets

Cause: each entry takes an equal part of the unused slots of a scarce service once per interval between reports. With sums over other groups, which are up to several times as old, it took its part several times before the others' requests were shown. Change: the interval is the time until reports of all entries arrive. It is the same as before in a fleet of one group.

--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -203,7 +203,7 @@
 			continue
 		}
 		d.endScarcity(svc, name, now)
-		interval := max(d.reportLag, minReportInterval)
+		interval := max(d.lag(), minReportInterval)
 		if svc.wait.Len() == 0 && !svc.wait.IsUpdateDue(interval, now) {
 			continue
 		}
--- a/clempool/wait_test.go
+++ b/clempool/wait_test.go
@@ -308,3 +308,20 @@
 	waiter.Cancel(epoch.Add(2 * time.Millisecond))
 	require.True(t, s.health.isUnreachable)
 }
+
+// Guards against an entry of a large fleet that takes its part of the unused slots several
+// times before the sum over the other groups shows it.
+func TestUnusedSlotsAreDistributedAtTheAgeOfSums(t *testing.T) {
+	d := newEntries(1, 3, 6)[0]
+	svc := d.services["pool"]
+	busy := map[string]ServerStats{newRecord(0, 6).ID(): {Running: 6}, newRecord(1, 6).ID(): {Running: 6}}
+	d.SetFleetSize(60)
+	d.SetPeerStats("other", busy, epoch, peerStatsTTL)
+	d.SetFleetStats(FleetStats{Entries: 44, Age: 600 * time.Millisecond, Members: map[string]bool{"other": true}}, epoch, peerStatsTTL)
+	mustAcquire(t, d, scarceRequest(), epoch)
+	d.SetPeerStats("other", busy, epoch, peerStatsTTL)
+	require.False(t, svc.wait.IsUpdateDue(time.Millisecond, epoch), "distributed now")
+	now := epoch.Add(300 * time.Millisecond)
+	d.SetPeerStats("other", busy, now, peerStatsTTL)
+	require.True(t, svc.wait.IsUpdateDue(time.Millisecond, now), "not distributed again")
+}
