clempool: cold servers do not set the estimates of their service

Change: requests at servers that are or were cold are left out. Without cold servers nothing changes. Result: TestColdServersDoNotSetTheEstimates failed before and passes; clempool's tests pass.

--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -106,7 +106,7 @@
 	chosen.running++
 	if chosen.isCold {
 		chosen.cold.reserved++
-		lease.isReserved = true
+		lease.isReserved, lease.wasCold = true, true
 	}
 	chosen.limit.countSent(now)
 	chosen.rest.beginReturn(lease, now)
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -199,15 +199,19 @@
 
 // observe records a request that ended.
 func (s *service) observe(l *Lease, outcome Outcome, now time.Time) {
+	if outcome != OutcomeServed {
+		return
+	}
+	s.returns.recordServed(now)
+	if l.isAtColdServer(now) {
+		return
+	}
 	elapsed := now.Sub(l.acquiredAt)
-	if outcome == OutcomeServed {
-		s.returns.recordServed(now)
-		if s.runTime == 0 {
-			s.runTime = elapsed
-		}
-		s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
+	if s.runTime == 0 {
+		s.runTime = elapsed
 	}
-	if l.isQueued && outcome == OutcomeServed {
+	s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
+	if l.isQueued {
 		s.wait.Ended(elapsed, l.load, l.server.record.Slots())
 	}
 }
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -22,9 +22,10 @@
 	acquiredAt   time.Time
 	// cold is that of the server. isReserved is set while the request has a place there as
 	// at a cold server and is not sent yet, sentAt is when it was sent.
-	cold       *coldness
-	isReserved bool
-	sentAt     time.Time
+	cold *coldness
+	// wasCold is set if the server was cold when it was chosen.
+	isReserved, wasCold bool
+	sentAt              time.Time
 	// isQueued is set if clemwait decided on the request.
 	isQueued      bool
 	cacheSource   string
@@ -115,6 +116,12 @@
 	l.promptRead()
 }
 
+// isAtColdServer reports whether the server was or is cold, so that the request's times are
+// not those of the service's other servers. The caller holds the directory's lock.
+func (l *Lease) isAtColdServer(now time.Time) bool {
+	return l.wasCold || l.directory.coldAvailability(l.server, now).state == StateCold
+}
+
 // promptRead removes the prompt from those that the server has to read. The caller holds
 // the directory's lock.
 func (l *Lease) promptRead() {
--- a/clempool/prefill.go
+++ b/clempool/prefill.go
@@ -106,7 +106,7 @@
 func (l *Lease) RecordFirstEvent(now time.Time) {
 	l.directory.mu.Lock()
 	defer l.directory.mu.Unlock()
-	if l.tokensAhead > 0 && l.cacheSource == "" {
+	if l.tokensAhead > 0 && l.cacheSource == "" && !l.isAtColdServer(now) {
 		l.service.prefill.observe(l.tokensAhead, now.Sub(l.acquiredAt))
 	}
 	l.tokensAhead = 0
--- a/clempool/prefill_test.go
+++ b/clempool/prefill_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // observePrompts records n first events of engines that take the given time per token and
@@ -59,3 +60,23 @@
 	}
 	assert.Equal(t, defaultPrefillTime, p.tokenTime())
 }
+
+// Guards against estimates for all servers of a service that are taken from cold ones, which
+// are slow: requests would be refused for waits that the others do not have.
+func TestColdServersDoNotSetTheEstimates(t *testing.T) {
+	d := newColdEntries(1)[0]
+	d.PutRow(coldRow(1, 1, time.Minute), epoch, epoch)
+	svc := d.services["pool"]
+	for n := range 30 {
+		now := epoch.Add(time.Duration(n+2) * time.Second)
+		lease := mustAcquire(t, d, prompt(uint64(n), 4000), now)
+		require.NoError(t, lease.CheckSend(now))
+		lease.RecordFirstEvent(now.Add(800 * time.Millisecond))
+		lease.Release(OutcomeServed, nil, now.Add(900*time.Millisecond))
+		lease = mustAcquire(t, d, scarceRequest(), now)
+		require.NoError(t, lease.CheckSend(now))
+		lease.Release(OutcomeServed, nil, now.Add(900*time.Millisecond))
+	}
+	require.Equal(t, defaultPrefillTime, svc.prefill.tokenTime())
+	require.Zero(t, svc.runTime)
+}
