clempool: late answers end the return of a server that rested

Cause: of the requests that a server gets one after the other at the end of its rest only the last one counted as answered. A server that takes longer than restAnswerTime (2 s) for each answer got one request in 2 s for good. Change: each of them counts when its response comes. Result: TestSlowAnswersEndTheReturn failed before and passes.

--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -26,6 +26,9 @@
 	// wasCold is set if the server was cold when it was chosen.
 	isReserved, wasCold bool
 	sentAt              time.Time
+	// returnTo is the rest at the end of which the request is sent, until its response; nil
+	// for other requests.
+	returnTo *rest
 	// isQueued is set if clemwait decided on the request.
 	isQueued      bool
 	cacheSource   string
--- a/clempool/rest.go
+++ b/clempool/rest.go
@@ -55,7 +55,7 @@
 // end of its rest.
 func (r *rest) beginReturn(l *Lease, now time.Time) {
 	if r != nil && r.isOver(now) {
-		r.returning, r.returnedAt = l, now
+		r.returning, r.returnedAt, l.returnTo = l, now, r
 	}
 }
 
@@ -82,8 +82,11 @@
 	d := l.directory
 	d.mu.Lock()
 	r := d.rests[l.id]
-	if r != nil && r.returning == l {
-		r.returning = nil
+	// One that was answered late counts too, or a server that takes longer than
+	// restAnswerTime for each answer would never get all requests again.
+	if r != nil && l.returnTo == r {
+		l.returnTo = nil
+		d.endReturn(l)
 		if r.answered++; r.answered >= restReturns {
 			d.setRest(l.id, nil)
 		}
--- a/clempool/rest_test.go
+++ b/clempool/rest_test.go
@@ -139,3 +139,24 @@
 	defer d.mu.Unlock()
 	require.Equal(t, 8, d.candidates(d.services["pool"], Request{Service: "pool"}, epoch).slots)
 }
+
+// Guards against a server whose responses take longer than restAnswerTime, and that gets one
+// request in each such time for good after it rested once.
+func TestSlowAnswersEndTheReturn(t *testing.T) {
+	d := newRestingDirectory(t, time.Second)
+	now := epoch.Add(time.Second)
+	var leases []*Lease
+	for range restReturns {
+		lease := mustAcquire(t, d, Request{Service: "pool"}, now)
+		require.NoError(t, lease.CheckSend(now))
+		leases = append(leases, lease)
+		require.False(t, mayAcquire(d, now))
+		now = now.Add(restAnswerTime)
+	}
+	for _, lease := range leases {
+		now = now.Add(restAnswerTime)
+		lease.RecordHead(0, now)
+		lease.Release(OutcomeServed, nil, now)
+	}
+	require.Empty(t, d.rests)
+}
