clempool: the strict load bound holds for cold servers of requests without a prefix

Cause: while servers are evacuated, what exceeds the load bound is refused, but for requests without a prefix only the other servers were compared with the bound. A cold server with 20 requests took further ones where the bound is 6.5. Change: cold servers are compared too, as for requests with a prefix. Result: TestEvacuationKeepsTheLoadBoundOfColdServers failed before and passes; clempool's tests pass.

--- a/clempool/availability_test.go
+++ b/clempool/availability_test.go
@@ -95,3 +95,16 @@
 	require.Equal(t, 1, d.CountStates(epoch)[StateDraining])
 	require.Zero(t, d.CountStates(epoch)[StateOpen])
 }
+
+// Guards against a cold server that gets requests beyond the load bound while others are
+// evacuated.
+func TestEvacuationKeepsTheLoadBoundOfColdServers(t *testing.T) {
+	d := newColdEntries(1)[0]
+	putIn(d, "east", 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
+	d.PutRow(coldRow(1, 1, time.Minute), epoch, epoch)
+	d.SetEvacuated([]string{"east"}, epoch)
+	d.SetPeerStats("other", map[string]ServerStats{"s01": {Running: 20}}, epoch, peerStatsTTL)
+	_, err := d.Acquire(Request{Service: "pool"}, epoch.Add(time.Second))
+	require.True(t, clementineturn.IsKind(err, clementineturn.KindOverloaded), "the bound is 6.5")
+	require.True(t, clementineturn.IsNotRun(err))
+}
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -507,13 +507,14 @@
 // leastLoaded returns the server with the least load for its speed that its limit admits,
 // or none if all are full or at their limit. Cold servers are taken if there is no other.
 func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
-	servers := c.servers
+	servers, cold := c.servers, c.cold
 	if bound := d.loadBound(c); c.isBoundStrict {
-		servers = slices.DeleteFunc(slices.Clone(servers), func(s *server) bool { return float64(s.running+s.peerRunning) >= bound })
+		isAtBound := func(s *server) bool { return float64(s.running+s.peerRunning) >= bound }
+		servers, cold = slices.DeleteFunc(slices.Clone(servers), isAtBound), slices.DeleteFunc(slices.Clone(cold), isAtBound)
 	}
 	result := d.leastLoadedIn(servers, r, now)
-	if result.server == nil && len(c.cold) > 0 {
-		result = d.leastLoadedIn(c.cold, r, now)
+	if result.server == nil && len(cold) > 0 {
+		result = d.leastLoadedIn(cold, r, now)
 	}
 	return result
 }
