clemspread: keep entries that move into the own group

Cause: entries of other groups send this entry nothing, so the time of their last message is that of when they were added. When groups merge, or the fleet falls to 32 entries and becomes one group, they were forgotten with the next exchange if they had been known for ten minutes, and a read of the rows removed those of live entries, which are written only at the start. Change: entries that become members count as just added.

--- a/clemspread/group.go
+++ b/clemspread/group.go
@@ -133,6 +133,7 @@
 	if t.isLayoutCurrent {
 		return t.currentLayout
 	}
+	before := t.currentLayout
 	t.isLayoutCurrent, t.currentLayout = true, nil
 	if len(t.byAddress) >= clempool.LargeFleetSize {
 		centres := make(map[string]string, len(t.byAddress)+1)
@@ -142,9 +143,25 @@
 		}
 		t.currentLayout = newLayout(t.ownAddress, centres)
 	}
+	t.renewMoved(before, t.currentLayout, time.Now())
 	return t.currentLayout
 }
 
+// renewMoved counts entries of other groups that have become members as just added. They
+// sent this entry nothing before, and would otherwise be forgotten at once and their rows
+// removed from the store. The caller holds mu.
+func (t *peerTable) renewMoved(before, after *layout, now time.Time) {
+	if before == nil {
+		return
+	}
+	for address, p := range t.byAddress {
+		_, wasKnown := before.groupOf[address]
+		if wasKnown && !before.isMember(address) && (after == nil || after.isMember(address)) {
+			p.addedAt = now
+		}
+	}
+}
+
 // setCentre records the data centre of an entry.
 func (t *peerTable) setCentre(address, centre string) {
 	t.mu.Lock()
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -420,3 +421,41 @@
 		require.Contains(t, f.ejectedAt(), firstOfTwo)
 	})
 }
+
+// Guards against a fleet that forgets live entries, and removes their rows from the store,
+// when they become members of this entry's group or the fleet becomes one group: entries of
+// other groups had not sent it anything for as long as the groups lasted.
+func TestEntriesThatBecomeMembersAreKept(t *testing.T) {
+	const others = clempool.LargeFleetSize - 2
+	synctest.Test(t, func(t *testing.T) {
+		table := newPeerTable("a0", "a")
+		now := time.Now()
+		for i := range others {
+			table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now)
+		}
+		for _, address := range []string{"a1", "a2"} {
+			table.add(address, now)
+			table.setCentre(address, "a")
+		}
+		require.NotNil(t, table.layout())
+		for range 12 {
+			time.Sleep(entryReadInterval)
+			now = time.Now()
+			for i := range others {
+				table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now)
+			}
+			table.setListRead(now)
+			table.recordShare(&clemwire.Share{Address: "a1", Grouped: true, Centre: "a"}, now)
+			// a2 never answers, so that the fleet becomes one group.
+			table.takeDue(now)
+		}
+		require.Nil(t, table.layout())
+		require.Len(t, table.knownAddresses(), others+2)
+		for i := range others {
+			require.False(t, table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now), "the row of a live entry")
+		}
+		time.Sleep(2*rowExpiry + time.Minute)
+		table.takeDue(time.Now())
+		require.Len(t, table.knownAddresses(), 1, "silent members expire")
+	})
+}
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -77,7 +77,8 @@
 
 // peer is another entry.
 type peer struct {
-	// lastSeenAt is when the last message came, addedAt when the peer was added.
+	// lastSeenAt is when the last message came, addedAt when the peer was added or became
+	// a member of the own group.
 	lastSeenAt, addedAt time.Time
 	// listedAt is when its row was last read, failedAt when a call to it last failed.
 	listedAt, failedAt time.Time
