clemspread: test that other groups learn of leaving servers

Cause: only a fleet of one group was tested. Change: a test in a fleet of three groups, whose announcement passes two delegates. Result: passes on the existing code.

--- a/clemspread/leaving_test.go
+++ b/clemspread/leaving_test.go
@@ -28,3 +28,20 @@
 		}
 	})
 }
+
+// Guards against requests from entries of other groups to a server that announced its end
+// to one entry: the announcement passes two delegates.
+func TestOtherGroupsLearnOfLeavingServers(t *testing.T) {
+	runFleet(t, func(_ context.Context, f *fleet) {
+		lease, err := f.entries[probingEntry].config.Directory.Acquire(clempool.Request{Service: "pool"}, time.Now())
+		require.NoError(t, err)
+		lease.RecordLeaving(time.Now())
+		lease.Release(clempool.OutcomeServed, nil, time.Now())
+		time.Sleep(1500 * time.Millisecond)
+		for name, e := range f.entries {
+			a, isListed := e.config.Directory.Availability(lease.Server(), time.Now())
+			require.True(t, isListed, name)
+			require.Equal(t, clempool.StateLeaving, a.State(), name)
+		}
+	})
+}
