clemspread: a first message does not replace a sum that is in use

Cause: the time in transit of a message without an echo is unknown and counts as this entry's whole uptime, so that the sum in it was stored as expired, in place of the recent one. After each change of a delegate the group's counts were missing at the other delegates until its next message. Change: a sum that is expired on arrival only counts as a sign of life while one of the group is in use. Result: TestFirstMessageKeepsRecentSum fails before and passes after.

--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -107,13 +107,19 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	state, reportedAt := t.group(group), now.Add(-sum.GetAge().AsDuration()-transit)
+	state.receivedAt = now
+	if ttl := l.sumTTL(); now.Sub(reportedAt) > ttl && t.hasFreshSum(group, ttl, now) {
+		// The first message of an entry, of which the time in transit is unknown, must not
+		// take away counts that are in use.
+		return
+	}
 	for other, state := range t.groups {
 		if other != group && other.overlaps(group) {
 			state.sum = nil
 		}
 	}
-	state := t.group(group)
-	state.sum, state.receivedAt, state.reportedAt = sum, now, now.Add(-sum.GetAge().AsDuration()-transit)
+	state.sum, state.reportedAt = sum, reportedAt
 }
 
 // group returns the state of a group. The caller holds mu.
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -459,3 +459,20 @@
 		require.Len(t, table.knownAddresses(), 1, "silent members expire")
 	})
 }
+
+// Guards against the first message of an entry, of which the time in transit is unknown,
+// that takes away the counts of its group: it replaced a recent sum by one that counts as
+// old as this entry.
+func TestFirstMessageKeepsRecentSum(t *testing.T) {
+	runFleet(t, func(_ context.Context, f *fleet) {
+		e := f.entries[firstOfZero]
+		now := time.Now()
+		l, group := e.peers.layout(), groupID{centre: "centre-2"}
+		require.True(t, e.sums.hasFreshSum(group, l.sumTTL(), now))
+		e.applySums(&clemwire.Share{
+			Name: "first", Address: "10.2.30.007:7340", Grouped: true, Centre: "centre-2",
+			Sum: &clemwire.Sum{Centre: "centre-2", Entries: 12, Live: 12, Serving: 12},
+		}, l, now)
+		require.True(t, e.sums.hasFreshSum(group, l.sumTTL(), now))
+	})
+}
