clemspread: ages below 0 and invalid limits in a peer's message have no effect

Cause: a list of servers with an age below 0 counted as read in the future. It was not read again until then, and the age passed on to all peers. Counts, limits and quarantines with such an age did not expire. A limit that is NaN stayed in the level of the limiter, which then admitted nothing. Change: ages below 0 count as 0, a message with an echo below 0 carries no sum, and limits that are NaN, infinite or below 0 are left out. Result: TestInvalidAgesAndLimitsOfPeers fails before and passes after.

--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -229,7 +229,7 @@
 	if version < since || !isComplete && version < share.GetFloor() && version != since {
 		return false
 	}
-	readAt := now.Add(-share.GetAge().AsDuration() - transit)
+	readAt := now.Add(-decodeAge(share.GetAge()) - transit)
 	changes := make([]clementineturn.Change, len(share.GetRows()))
 	for i, r := range share.GetRows() {
 		changes[i] = clementineturn.NewChange(clementineturn.ChangeConfig{
--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -107,7 +107,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state, reportedAt := t.group(group), now.Add(-sum.GetAge().AsDuration()-transit)
+	state, reportedAt := t.group(group), now.Add(-decodeAge(sum.GetAge())-transit)
 	state.receivedAt = now
 	if ttl := l.sumTTL(); now.Sub(reportedAt) > ttl && t.hasFreshSum(group, ttl, now) {
 		// The first message of an entry, of which the time in transit is unknown, must not
@@ -493,7 +493,7 @@
 func (s *Syncer) applyRest(l *layout, rest *clemwire.Sum, from string, transit time.Duration, now time.Time) {
 	group, ok := sumGroup(rest)
 	// A sum that leaves out less than the own group would count members twice.
-	age := rest.GetAge().AsDuration() + transit
+	age := decodeAge(rest.GetAge()) + transit
 	if !ok || !group.contains(l.own) {
 		return
 	}
@@ -558,7 +558,7 @@
 // dropped.
 func (s *Syncer) applySums(share *clemwire.Share, l *layout, now time.Time) {
 	transit, ok := s.maxTransitTime(share, now)
-	if !ok && share.GetEcho().AsDuration() > 0 {
+	if !ok && share.GetEcho().AsDuration() != 0 {
 		return
 	}
 	if sum := share.GetSum(); sum != nil {
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clempool"
@@ -476,3 +478,32 @@
 		require.True(t, e.sums.hasFreshSum(group, l.sumTTL(), now))
 	})
 }
+
+// Guards against ages below 0 in a peer's message: the list would count as read in the
+// future, here and at all peers that it is passed on to, and would not be read again until
+// then; counts, limits and quarantines would not expire. And against limits that are no
+// numbers, which admit no request ever again.
+func TestInvalidAgesAndLimitsOfPeers(t *testing.T) {
+	runFleet(t, func(_ context.Context, f *fleet) {
+		e, now := f.entries[firstOfZero], time.Now()
+		before := durationpb.New(-time.Hour)
+		version, _ := e.servers.StoreVersion(now)
+		e.servers.ApplyShare(&clemwire.Share{View: version + 1, Since: version, Age: before}, 0, now)
+		_, age := e.servers.StoreVersion(now)
+		require.GreaterOrEqual(t, age, time.Duration(0))
+		e.sums.setSum(e.peers.layout(), &clemwire.Sum{Centre: "centre-2", Age: before}, 0, now)
+		require.False(t, e.sums.groups[groupID{centre: "centre-2"}].reportedAt.After(now))
+		e.applySums(&clemwire.Share{Address: firstOfTwo, Echo: durationpb.New(math.MinInt64), Sum: &clemwire.Sum{Centre: "centre-2"}}, e.peers.layout(), now)
+		require.False(t, e.sums.groups[groupID{centre: "centre-2"}].reportedAt.After(now))
+		require.False(t, decodeStats(&clemwire.Running{Stated: before}, now).LimitStatedAt.After(now))
+		require.False(t, decodeFindings([]*clemwire.Finding{{Age: before}}, now)[0].At.After(now))
+		e.applyQuarantine(&clemwire.Share{Quarantines: []*clemwire.Quarantine{{Service: "pool", Part: 5, Crashes: 3, Age: before, Idle: before, Stored: before}}}, now)
+		quarantines := e.config.Quarantine.Quarantines(now)
+		require.Len(t, quarantines, 1)
+		require.False(t, quarantines[0].At.After(now) || quarantines[0].LastSeen.After(now) || quarantines[0].StoredSeen.After(now))
+	})
+	for _, limit := range []float64{math.NaN(), math.Inf(1), -1} {
+		stats := decodeStats(&clemwire.Running{Count: 2, Counted: true, Limited: true, Limit: limit, Stated: durationpb.New(time.Second)}, time.Now())
+		require.Equal(t, clempool.ServerStats{Running: 2}, stats, limit)
+	}
+}
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -250,10 +250,10 @@
 	for _, q := range share.GetQuarantines() {
 		v := clemquarantine.Quarantine{
 			Part: clemquarantine.Part{Service: q.GetService(), ID: q.GetPart()}, Crashes: int(q.GetCrashes()),
-			At: now.Add(-q.GetAge().AsDuration()), LastSeen: now.Add(-q.GetIdle().AsDuration()),
+			At: now.Add(-decodeAge(q.GetAge())), LastSeen: now.Add(-decodeAge(q.GetIdle())),
 		}
 		if q.GetStored() != nil {
-			v.StoredSeen = now.Add(-q.GetStored().AsDuration())
+			v.StoredSeen = now.Add(-decodeAge(q.GetStored()))
 		}
 		s.config.Quarantine.Adopt(v, now)
 	}
@@ -276,7 +276,7 @@
 	findings := make([]clemquarantine.Finding, len(encoded))
 	for i, f := range encoded {
 		findings[i] = clemquarantine.Finding{
-			Service: f.GetService(), Parts: f.GetParts(), At: now.Add(-f.GetAge().AsDuration()), IsServed: f.GetServer() == "",
+			Service: f.GetService(), Parts: f.GetParts(), At: now.Add(-decodeAge(f.GetAge())), IsServed: f.GetServer() == "",
 			Server: f.GetServer(), Incarnation: f.GetBorn(), HasBegun: f.GetBegun(),
 		}
 	}
--- a/clemspread/sum.go
+++ b/clemspread/sum.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -155,19 +156,28 @@
 	return running
 }
 
-// decodeStats returns what a report made at the given time says of a server.
+// decodeStats returns what a report made at the given time says of a server. A limit that
+// is no number, infinite or below 0 is left out: no request would be admitted ever again.
 func decodeStats(r *clemwire.Running, at time.Time) clempool.ServerStats {
 	stats := clempool.ServerStats{
 		Running: int(r.GetCount()), PendingTokens: int(r.GetUnread()),
 		Successes: float64(r.GetGood()) / outcomeScale, Failures: float64(r.GetFailed()) / outcomeScale,
 		IsLeaving: r.GetLeaving(), LeavingIncarnation: r.GetBorn(),
-		IsLimited: r.GetLimited(), Limit: r.GetLimit(), IsCounted: r.GetCounted(), Sent: r.GetSent(), Demand: float64(r.GetDemand()) / outcomeScale,
 	}
+	if limit := r.GetLimit(); !(limit >= 0) || math.IsInf(limit, 1) {
+		return stats
+	}
+	stats.IsLimited, stats.Limit, stats.IsCounted = r.GetLimited(), r.GetLimit(), r.GetCounted()
+	stats.Sent, stats.Demand = r.GetSent(), float64(r.GetDemand())/outcomeScale
 	if r.GetStated() != nil {
-		stats.LimitStatedAt = at.Add(-r.GetStated().AsDuration())
+		stats.LimitStatedAt = at.Add(-decodeAge(r.GetStated()))
 	}
 	return stats
 }
 
+// decodeAge returns an age in a peer's message. One below 0 counts as 0, since what lies in
+// the future would not expire.
+func decodeAge(age *durationpb.Duration) time.Duration { return max(age.AsDuration(), 0) }
+
 // sumSize returns the size of a sum in a message.
 func sumSize(sum *clemwire.Sum) int { return proto.Size(sum) }
