clemspread: tests of evacuations and of the second reader in several groups

Cause: evacuations and the second reader of the operator's rows were tested in a fleet of one group only. Change: a test that one entry of 36 reads the changes, and one that evacuations and withdrawals reach groups that the store refuses.

--- a/clemspread/evacuation_test.go
+++ b/clemspread/evacuation_test.go
@@ -302,3 +302,42 @@
 		require.Equal(t, []string{"a", "b"}, addresses)
 	})
 }
+
+// Guards against a second reader of the operator's rows in each group, which would make the
+// store's load grow with the fleet.
+func TestOneEntryReadsOperatorChangesForAllGroups(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		f, counting := newFleet(n, store, testFleet, testServers), &silentStore{fakeStore: store}
+		for _, name := range f.names {
+			f.startEntry(ctx, name, counting)
+		}
+		time.Sleep(8 * time.Second)
+		before := counting.reads.Load()
+		time.Sleep(20 * time.Second)
+		require.InDelta(t, 20, counting.reads.Load()-before, 2)
+	})
+}
+
+// Guards against requests at an evacuated data centre from entries of other groups that the
+// store refuses: what they know passes two delegates.
+func TestEvacuationReachesOtherGroups(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		f, cut := newFleet(n, store, testFleet, testServers), &cuttableStore{fakeStore: store}
+		for _, name := range f.names {
+			if fleetCentre(name) == "centre-0" {
+				f.startEntry(ctx, name, store)
+			} else {
+				f.startEntry(ctx, name, cut)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		cut.isCut.Store(true)
+		for _, value := range []string{"{}", ""} {
+			store.set(clementineturn.SectionOperator, "away/east", value)
+			time.Sleep(1500 * time.Millisecond)
+			for name, e := range f.entries {
+				require.Equal(t, value != "", len(e.Evacuated()) == 1, name)
+			}
+		}
+	})
+}
--- a/clemspread/fleet_test.go
+++ b/clemspread/fleet_test.go
@@ -106,7 +106,8 @@
 			},
 		}),
 		Rand: func() float64 { return 0.5 }, ConfigurationKey: "config", DecodeConfiguration: decodeVersion, DecodeServer: decodeFleetServer,
-		IsDraining: func() bool { return false },
+		EvacuatedCentre: func(key string) (string, bool) { return strings.CutPrefix(key, "away/") },
+		IsDraining:      func() bool { return false },
 	}
 	if f.onCrash != nil {
 		config.Quarantine = clemquarantine.New(clemquarantine.Config{OnCrash: func(string, string, []uint64) { f.onCrash() }})
