clemspread: do not learn entries again that were forgotten lately

Cause: entries forget one that is gone at different times: those of its group ten minutes after its last message, others ten minutes after its row. In between one sends its address to another that has forgotten it, to which it is a new one for ten minutes and is passed on as such, so that lists of entries grow with each entry that goes while others join. Change: for 20 minutes an address that was forgotten is learned from its own message or its row only. Result: TestForgottenEntriesAreNotLearnedAgain fails before and passes after.

--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -332,7 +332,7 @@
 		s.config.Events.Emit(clemevent.PeerAvailable, zap.String("entry", share.GetAddress()), zap.String("name", share.GetName()))
 	}
 	for i, address := range share.GetEntries() {
-		s.peers.add(address, now)
+		s.peers.learn(address, now)
 		if i < len(share.GetCentres()) && share.GetCentres()[i] != "" {
 			s.peers.setCentre(address, share.GetCentres()[i])
 		}
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -16,6 +16,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -507,3 +508,35 @@
 		require.Equal(t, clempool.ServerStats{Running: 2}, stats, limit)
 	}
 }
+
+// Guards against addresses of entries that are gone and pass from peer to peer for ever: an
+// entry that forgot one learned it again from a peer that still knew it, for another ten
+// minutes, and passed it on as new.
+func TestForgottenEntriesAreNotLearnedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Name: "a0", Address: "a0", Table: &clemroute.Table{}, Directory: clempool.New(clempool.Config{}), IsDraining: func() bool { return false }})
+		share := func(addresses ...string) {
+			_, err := s.Share(t.Context(), &clemwire.Share{Name: "a1", Address: "a1", Entries: addresses})
+			require.NoError(t, err)
+		}
+		share("gone")
+		known := func() []string { addresses, _ := s.KnownEntries(); return addresses }
+		require.Contains(t, known(), "gone")
+		for range 15 {
+			time.Sleep(time.Minute)
+			share()
+			s.peers.takeDue(time.Now())
+		}
+		require.Equal(t, []string{"a0", "a1"}, known())
+		share("gone")
+		require.Equal(t, []string{"a0", "a1"}, known(), "a peer that forgets later")
+		require.False(t, s.peers.addAndCheckExpired("gone", "", s.sums.isLost, time.Now()))
+		require.Contains(t, known(), "gone", "its row was written again")
+		time.Sleep(11 * time.Minute)
+		s.peers.takeDue(time.Now())
+		require.NotContains(t, known(), "gone")
+		_, err := s.Share(t.Context(), &clemwire.Share{Name: "gone", Address: "gone"})
+		require.NoError(t, err)
+		require.Contains(t, known(), "gone", "it has started again")
+	})
+}
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -1,6 +1,7 @@
 package clemspread
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,10 @@
 	// rowExpiry is how long after its last message a peer's row is removed from
 	// the store. After twice this time the peer is no longer called.
 	rowExpiry = 5 * time.Minute
+	// forgottenTime is how long after a peer was forgotten its address is not learned from
+	// other peers. Those of other groups forget it up to seven minutes later, as they go by
+	// its row.
+	forgottenTime = 4 * rowExpiry
 	// takeoverDelay is how long an entry waits for a call from a peer with a
 	// lower address before it calls the peer itself.
 	takeoverDelay = 400 * time.Millisecond
@@ -43,6 +48,8 @@
 	byAddress map[string]*peer
 	// addresses holds the addresses in the order in which they were added.
 	addresses []string
+	// forgottenAt is when each peer that was removed lately was.
+	forgottenAt map[string]time.Time
 	// listReadAt is when the rows of entries were last read.
 	listReadAt time.Time
 	// currentLayout holds the groups, if isLayoutCurrent is set.
@@ -102,7 +109,7 @@
 }
 
 func newPeerTable(address, centre string) *peerTable {
-	return &peerTable{ownAddress: address, ownCentre: centre, byAddress: map[string]*peer{}}
+	return &peerTable{ownAddress: address, ownCentre: centre, byAddress: map[string]*peer{}, forgottenAt: map[string]time.Time{}}
 }
 
 // add adds the peer at the address unless it is known.
@@ -113,12 +120,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byAddress[address] == nil {
+		delete(t.forgottenAt, address)
 		t.byAddress[address] = &peer{addedAt: now}
 		t.addresses = append(t.addresses, address)
 		t.isLayoutCurrent = false
 	}
 }
 
+// learn adds the peer at an address that another peer sent, unless it is known or was
+// forgotten lately: peers forget an entry that is gone at different times, and would learn
+// it from each other again and again.
+func (t *peerTable) learn(address string, now time.Time) {
+	t.mu.Lock()
+	at, wasKnown := t.forgottenAt[address]
+	t.mu.Unlock()
+	if !wasKnown || now.Sub(at) > forgottenTime {
+		t.add(address, now)
+	}
+}
+
 // addAndCheckExpired adds the peer of a row in the store, and reports whether it
 // has not answered for so long that the row may be removed. A live entry writes
 // its row again when it starts, and its peers know it until then. An entry of another
@@ -268,11 +288,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var due []string
+	maps.DeleteFunc(t.forgottenAt, func(_ string, at time.Time) bool { return now.Sub(at) > forgottenTime })
 	l := t.layoutLocked()
 	for address, p := range t.byAddress {
 		isOutside := l != nil && !l.isMember(address)
 		if t.isExpired(p, isOutside, now) {
 			t.remove(address)
+			t.forgottenAt[address] = now
 			continue
 		}
 		if isOutside {
