clemspread: findings reach peers that change groups

Cause: findings for members and for other groups are numbered apart. A peer that became a member, or left the group, went on to name the highest number of the other ones as its last, and got none until the numbers had passed that. Change: the number that the peer sent last is named. Result: TestFindingsReachPeersThatChangeGroups fails before and passes after.

--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -540,3 +540,31 @@
 		require.Contains(t, known(), "gone", "it has started again")
 	})
 }
+
+// Guards against findings that no longer reach a peer that has become a member of the group
+// or has left it: those for members and for others are numbered apart, and the peer named
+// the higher number of the other ones as its last.
+func TestFindingsReachPeersThatChangeGroups(t *testing.T) {
+	now := time.Now()
+	sums, peers := newSumTable("a"), newPeerTable("b", "")
+	peers.add("a", now)
+	finding := func(server string) []clemquarantine.Finding {
+		return []clemquarantine.Finding{{Service: "pool", Server: server, At: now}}
+	}
+	isMember, received := true, 0
+	exchange := func() {
+		findings, last := sums.relayedSince(isMember, peers.state("a").relayedApplied, now)
+		received += len(findings)
+		peers.setFindingsApplied("a", 0, last)
+	}
+	for i := range 10 {
+		sums.relayFindings(false, finding(fmt.Sprint(i)), nil, now)
+	}
+	exchange()
+	require.Equal(t, 10, received)
+	isMember = false
+	exchange()
+	sums.relayFindings(true, finding("x"), nil, now)
+	exchange()
+	require.Equal(t, 11, received)
+}
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -284,11 +284,12 @@
 }
 
 // setFindingsApplied records the numbers up to which the findings that the peer sent were
-// applied, its own and those that it passed on.
+// applied, its own and those that it passed on. The latter start from a lower number when
+// the peer becomes a member of the group or leaves it.
 func (t *peerTable) setFindingsApplied(address string, number, relayed uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if p := t.byAddress[address]; p != nil {
-		p.findingsApplied, p.relayedApplied = max(p.findingsApplied, number), max(p.relayedApplied, relayed)
+		p.findingsApplied, p.relayedApplied = max(p.findingsApplied, number), relayed
 	}
 }
