clemspread: addresses of a peer that has read nothing are no complete list

Cause: while a large fleet restarts, entries that know only their seeds send them in messages of the form of a small fleet. The receiver took them as the complete list, and sent to cold servers as one of few entries. Change: addresses make the list complete only once their sender has the list of servers and the quarantines; an entry remembers that the peer has sent them. It may still read the rows of entries at that moment, which a field of the message would have to tell.

--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -337,8 +337,9 @@
 			s.peers.setCentre(address, share.GetCentres()[i])
 		}
 	}
-	if len(share.GetEntries()) > 0 && !share.GetGrouped() {
-		// In a fleet of several groups a message has only a part of the addresses.
+	if s.peers.state(share.GetAddress()).hasSentAddresses && !share.GetGrouped() && share.GetView() > 0 && share.GetSynced() {
+		// In a fleet of several groups a message has only a part of the addresses, and one
+		// from an entry that has read nothing from the store only its seeds.
 		s.knowsEntries.Store(true)
 	}
 	s.evacuations.ApplyPeer(share.GetEvacuations(), share.GetName(), now)
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -568,3 +568,23 @@
 	exchange()
 	require.Equal(t, 11, received)
 }
+
+// Guards against a list of entries that counts as complete although its sender has not read
+// anything from the store yet, and knows only its seeds: shares of cold servers would be
+// those of a small fleet while a large one restarts.
+func TestAddressesOfStartingPeersAreNotComplete(t *testing.T) {
+	s := New(Config{Name: "a0", Address: "a0", Table: &clemroute.Table{}, Directory: clempool.New(clempool.Config{}), IsDraining: func() bool { return false }})
+	entries := []string{"a0", "a2"}
+	isComplete := func(share *clemwire.Share) bool {
+		share.Name, share.Address, share.Entries = "a1", "a1", entries
+		entries = nil
+		_, err := s.Share(t.Context(), share)
+		require.NoError(t, err)
+		_, isComplete := s.KnownEntries()
+		return isComplete
+	}
+	require.False(t, isComplete(&clemwire.Share{}))
+	require.False(t, isComplete(&clemwire.Share{View: 5}))
+	require.False(t, isComplete(&clemwire.Share{View: 5, Synced: true, Grouped: true}), "it sends a part of them")
+	require.True(t, isComplete(&clemwire.Share{View: 5, Synced: true}), "it has sent them before")
+}
--- a/clemspread/known.go
+++ b/clemspread/known.go
@@ -9,7 +9,8 @@
 // or from peers, in order, with that of this entry. Entries that do not answer are
 // included until they have been silent for ten minutes (twice rowExpiry), since one that
 // is cut off from the others may still send requests. isComplete is set once this entry
-// has read the rows of entries or a peer has sent it addresses.
+// has read the rows of entries, or a peer that has read from the store and is in a fleet of
+// one group has sent it addresses.
 func (s *Syncer) KnownEntries() (addresses []string, isComplete bool) {
 	return s.peers.knownAddresses(), s.knowsEntries.Load()
 }
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -78,6 +78,8 @@
 	findingsSeen, findingsApplied uint64
 	// relayedSeen and relayedApplied are the same for findings of other entries.
 	relayedSeen, relayedApplied uint64
+	// hasSentAddresses is set if the peer has sent addresses of entries since its start.
+	hasSentAddresses bool
 	// isGrouped is set if the peer's fleet has several groups.
 	isGrouped bool
 }
@@ -207,13 +209,14 @@
 	if clock < p.clock {
 		// The peer restarted and knows neither addresses nor cached parts. In a
 		// large fleet sending it all cached parts would take too much traffic.
-		p.addressesSent, p.findingsApplied, p.relayedApplied = 0, 0, 0
+		p.addressesSent, p.findingsApplied, p.relayedApplied, p.hasSentAddresses = 0, 0, 0, false
 		if len(t.byAddress) < clempool.LargeFleetSize {
 			p.cacheUpdatesSent = 0
 		}
 	}
 	p.version, p.storeVersion, p.wantsDocument, p.wantsRows, p.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
 	p.isLeaving = share.GetLeaving()
+	p.hasSentAddresses = p.hasSentAddresses || len(share.GetEntries()) > 0
 	p.sendsChanges, p.findingsSeen = share.GetSince() > 0, share.GetSeen()
 	p.isGrouped, p.relayedSeen, p.failedAt = share.GetGrouped(), share.GetRelayedSeen(), time.Time{}
 	if p.isGrouped {
