clemspread: drop sums of groups that are gone

Cause: the state of a group, with its last sum, was kept for the life of the process after the group was split, merged or gone, and for any name that a peer sent. Result: TestSumsOfGoneGroupsAreDropped fails before and passes after.

--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -118,6 +118,9 @@
 		if other != group && other.overlaps(group) {
 			state.sum = nil
 		}
+		if now.Sub(state.receivedAt) > rowExpiry && now.Sub(state.calledAt) > rowExpiry && !state.isCalling {
+			delete(t.groups, other)
+		}
 	}
 	state.sum, state.reportedAt = sum, reportedAt
 }
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -588,3 +588,23 @@
 	require.False(t, isComplete(&clemwire.Share{View: 5, Synced: true, Grouped: true}), "it sends a part of them")
 	require.True(t, isComplete(&clemwire.Share{View: 5, Synced: true}), "it has sent them before")
 }
+
+// Guards against sums of groups that are gone, or that a peer made up, which are kept for
+// the life of the process. Groups that are still called are kept, or they would be called
+// without an interval.
+func TestSumsOfGoneGroupsAreDropped(t *testing.T) {
+	l := newLayout("a", manyCentres(100))
+	table := newSumTable("a")
+	now := time.Now()
+	for i := range 50 {
+		table.setSum(l, &clemwire.Sum{Centre: fmt.Sprint("x", i)}, 0, now)
+	}
+	now = now.Add(rowExpiry + time.Second)
+	called := table.takeDue(l, now)
+	for _, group := range called {
+		table.endCall(group)
+	}
+	table.setSum(l, &clemwire.Sum{Centre: "y"}, 0, now)
+	require.Len(t, table.groups, len(called)+1)
+	require.Empty(t, table.takeDue(l, now))
+}
