clempool: a missing sum over other groups counts as all of their entries

Cause: an entry is isolated if most known peers have stopped to report, and takes only its part of a scarce service then. The sum over the other groups counted as one peer, so that an entry that lacked the reports of 24 of 36 entries was not isolated and counted one of them. Change: the sum counts as the live entries that do not report by themselves. Result: TestMissingSumCountsAsItsEntries fails before and passes after; go test ./clempool passes, one run.

--- a/clempool/fleet_test.go
+++ b/clempool/fleet_test.go
@@ -1,12 +1,14 @@
 package clempool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwait"
 )
 
 func peerRunning(d *Directory, n int) int { return d.servers[newRecord(n, 4).ID()].peerRunning }
@@ -81,3 +83,34 @@
 	report(1501, 2)
 	require.InDelta(t, 5, s.limit.level, 0.001)
 }
+
+// Guards against an entry that lacks the sum over the other groups, most of the fleet, and
+// counts it as one missing report: it would admit requests to a scarce service as if those
+// entries sent none.
+func TestMissingSumCountsAsItsEntries(t *testing.T) {
+	d := newEntries(1, 4, 128)[0]
+	d.SetFleetSize(36)
+	members := map[string]bool{}
+	for i := range 11 {
+		members[fmt.Sprint("member", i)] = true
+	}
+	report := func(now time.Time) {
+		for name := range members {
+			d.SetPeerStats(name, nil, now, peerStatsTTL)
+		}
+	}
+	report(epoch)
+	d.SetFleetStats(FleetStats{Entries: 24, Members: members}, epoch, peerStatsTTL)
+	view := func(now time.Time) clemwait.View {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.expirePeers(now)
+		return d.view(d.services["pool"], candidateSet{}, now)
+	}
+	require.False(t, view(epoch).IsIsolated)
+	require.Equal(t, 1, view(epoch).Entries)
+	later := epoch.Add(peerStatsTTL + time.Second)
+	report(later)
+	require.True(t, view(later).IsIsolated)
+	require.Equal(t, 1+24, view(later).Entries)
+}
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -148,8 +148,8 @@
 		v.Own += s.running
 	}
 	v.Peers = max(c.load-v.Own, 0)
-	missing := d.missingPeers(now)
-	v.IsIsolated = 2*missing > len(d.knownPeers)
+	missing, known := d.missingPeers(now)
+	v.IsIsolated = 2*missing > known
 	if v.IsFree() {
 		return v
 	}
@@ -164,22 +164,30 @@
 	return v
 }
 
-// missingPeers returns the number of peers that no longer report but may still send
-// requests.
-func (d *Directory) missingPeers(now time.Time) (missing int) {
+// missingPeers returns the number of known peers, and of those of them that no longer
+// report but may still send requests. The sum over other groups counts as all of their
+// entries.
+func (d *Directory) missingPeers(now time.Time) (missing, known int) {
 	if len(d.knownPeers) == len(d.peers) {
-		return 0
+		return 0, len(d.knownPeers)
 	}
+	outside := max(d.fleet.size-len(d.knownPeers), 1)
 	for peer, at := range d.knownPeers {
+		entries := 1
+		if peer == fleetPeer {
+			entries = outside
+		}
 		switch _, reports := d.peers[peer]; {
 		case reports:
 		case now.Sub(at) > knownPeerTTL:
 			delete(d.knownPeers, peer)
+			continue
 		default:
-			missing++
+			missing += entries
 		}
+		known += entries
 	}
-	return missing
+	return missing, known
 }
 
 // updateWaiting applies a report to what is known of the use of services, and sends
