clemspread: bound the data centres that are learned from peers

Cause: evacuations in a peer's message were kept and passed on in each message for the life of the process, whatever their number and the length of the names. Change: from peers at most 256 data centres are learned, with names of at most 512 bytes. Rows of the store are not bounded. Result: TestEvacuationsOfPeersAreBounded fails before and passes after.

--- a/clemspread/evacuation.go
+++ b/clemspread/evacuation.go
@@ -17,6 +17,13 @@
 // server before it counts as unknown: several reads of the list.
 const unknownCentreDelay = 2 * time.Second
 
+// maxPeerCentres and maxCentreLength bound the data centres that are learned from peers and
+// the bytes of their names: each message has all of them.
+const (
+	maxPeerCentres  = 256
+	maxCentreLength = 512
+)
+
 // evacuation is the latest known state of the operator's row that evacuates a data
 // centre.
 type evacuation struct {
@@ -125,6 +132,9 @@
 	defer t.mu.Unlock()
 	hasChanged := false
 	for _, r := range reported {
+		if _, isKnown := t.byCentre[r.GetCentre()]; !isKnown && (len(t.byCentre) >= maxPeerCentres || len(r.GetCentre()) > maxCentreLength) {
+			continue
+		}
 		e := evacuation{version: r.GetVersion(), isWithdrawn: r.GetWithdrawn()}
 		if e.version > t.byCentre[r.GetCentre()].version && e.version <= t.storeVersion {
 			e = evacuation{version: t.storeVersion, isWithdrawn: true}
--- a/clemspread/evacuation_test.go
+++ b/clemspread/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -341,3 +343,25 @@
 		}
 	})
 }
+
+// Guards against a peer's message with a great number of made-up data centres, which every
+// entry would keep and pass on in each message for the life of the process.
+func TestEvacuationsOfPeersAreBounded(t *testing.T) {
+	table := newEvacuationTable(Config{})
+	now := time.Now()
+	var many []*clemwire.Evacuation
+	for i := range 3 * maxPeerCentres {
+		many = append(many, &clemwire.Evacuation{Centre: strconv.Itoa(i), Version: 5, Withdrawn: true})
+	}
+	many = append(many, &clemwire.Evacuation{Centre: strings.Repeat("x", maxCentreLength+1), Version: 5})
+	table.ApplyPeer(many[len(many)-1:], "peer", now)
+	require.Empty(t, table.Messages())
+	table.ApplyPeer(many, "peer", now)
+	require.Len(t, table.Messages(), maxPeerCentres)
+	table.ApplyPeer([]*clemwire.Evacuation{{Centre: "0", Version: 6}}, "peer", now)
+	require.Equal(t, []string{"0"}, table.Evacuated())
+	table.Apply(clementineturn.NewBatch([]clementineturn.Change{
+		clementineturn.NewChange(clementineturn.ChangeConfig{Key: "east", Version: 7}),
+	}, 7), false, func(key string) (string, bool) { return key, true }, now)
+	require.Equal(t, []string{"0", "east"}, table.Evacuated(), "the store's rows are not bounded")
+}
