clemspread: entries that move into the own group count as live until they report

Cause: when groups merge, or the fleet becomes one group, entries of other groups have sent this entry nothing, so that the number of live entries, from which the parts of the retry slack follow, fell from 32 to 2 in the test. Result: the check added to TestEntriesThatBecomeMembersAreKept fails before and passes after; go test ./clemspread ./clemfront passes, one run.

--- a/clemspread/group.go
+++ b/clemspread/group.go
@@ -157,7 +157,7 @@
 	for address, p := range t.byAddress {
 		_, wasKnown := before.groupOf[address]
 		if wasKnown && !before.isMember(address) && (after == nil || after.isMember(address)) {
-			p.addedAt = now
+			p.addedAt, p.movedAt = now, now
 		}
 	}
 }
@@ -224,10 +224,10 @@
 	defer t.mu.Unlock()
 	for _, address := range l.members[l.own] {
 		p := t.byAddress[address]
-		if p == nil || p.lastSeenAt.IsZero() {
+		if p == nil {
 			continue
 		}
-		if now.Sub(p.lastSeenAt) < liveTimeout {
+		if p.isLive(now) {
 			live++
 		}
 		if p.isServing(now) {
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -454,6 +454,7 @@
 		}
 		require.Nil(t, table.layout())
 		require.Len(t, table.knownAddresses(), others+2)
+		require.Equal(t, others+1, table.liveCount(now), "their messages are still to come")
 		for i := range others {
 			require.False(t, table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now), "the row of a live entry")
 		}
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -89,6 +89,8 @@
 	// lastSeenAt is when the last message came, addedAt when the peer was added or became
 	// a member of the own group.
 	lastSeenAt, addedAt time.Time
+	// movedAt is when it became a member of the own group, or zero.
+	movedAt time.Time
 	// listedAt is when its row was last read, failedAt when a call to it last failed.
 	listedAt, failedAt time.Time
 	calledAt           time.Time
@@ -359,13 +361,19 @@
 	}
 }
 
-// liveCount returns the number of peers seen within liveTimeout.
+// isLive reports whether the peer was seen within liveTimeout. One that has just become a
+// member of the own group counts as live until its messages come.
+func (p *peer) isLive(now time.Time) bool {
+	return !p.lastSeenAt.IsZero() && now.Sub(p.lastSeenAt) < liveTimeout || !p.movedAt.IsZero() && now.Sub(p.movedAt) < liveTimeout
+}
+
+// liveCount returns the number of live peers.
 func (t *peerTable) liveCount(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, p := range t.byAddress {
-		if !p.lastSeenAt.IsZero() && now.Sub(p.lastSeenAt) < liveTimeout {
+		if p.isLive(now) {
 			n++
 		}
 	}
