clempool: peers of other groups are not missing

Cause: when a fleet is split into groups, peers of other groups were dropped only while they had a report. Where reports had expired before the first sum came, 22 of 32 peers counted as missing for two minutes, and the entry as isolated. Change: the sum also drops them from the known peers. Members that have stopped to report stay known; their names are kept apart from their reports.

--- a/clempool/fleet.go
+++ b/clempool/fleet.go
@@ -51,7 +51,8 @@
 	Others map[string]Load
 	// Outcomes holds the outcomes and limits of servers by id.
 	Outcomes map[string]ServerStats
-	// Members are the names of the peers that report by themselves. The reports of others
+	// Members are the names of the peers that report by themselves, also of those that have
+	// stopped. The reports of others
 	// are dropped, since the sum contains them.
 	Members map[string]bool
 }
@@ -154,6 +155,10 @@
 		if peer != fleetPeer && !f.Members[peer] {
 			d.dropPeer(peer)
 			delete(d.reportedAt, peer)
+		}
+	}
+	for peer := range d.knownPeers {
+		if peer != fleetPeer && !f.Members[peer] {
 			delete(d.knownPeers, peer)
 		}
 	}
--- a/clempool/fleet_test.go
+++ b/clempool/fleet_test.go
@@ -114,3 +114,27 @@
 	require.True(t, view(later).IsIsolated)
 	require.Equal(t, 1+24, view(later).Entries)
 }
+
+// Guards against an entry that takes itself for isolated for two minutes after its fleet was
+// split into groups: peers of other groups that had reported by themselves until then counted
+// as missing if their reports expired before the first sum came.
+func TestPeersOfOtherGroupsAreNotMissing(t *testing.T) {
+	d := newEntries(1, 4, 128)[0]
+	for i := range 32 {
+		d.SetPeerStats(fmt.Sprint("peer", i), nil, epoch, peerStatsTTL)
+	}
+	now := epoch.Add(peerStatsTTL + time.Second)
+	d.SetFleetSize(33)
+	members := map[string]bool{}
+	for i := range 10 {
+		members[fmt.Sprint("peer", i)] = true
+		if i > 0 {
+			d.SetPeerStats(fmt.Sprint("peer", i), nil, now, peerStatsTTL)
+		}
+	}
+	d.SetFleetStats(FleetStats{Entries: 22, Members: members}, now, peerStatsTTL)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	missing, _ := d.missingPeers(now)
+	require.Equal(t, 1, missing, "the member that stopped")
+}
--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -39,7 +39,10 @@
 	mu sync.Mutex
 	// reports holds the last report of each member of the group, by address.
 	reports map[string]memberReport
-	groups  map[groupID]*groupState
+	// names holds the names of the members that have reported, by address, also of those
+	// whose reports have expired.
+	names  map[string]string
+	groups map[groupID]*groupState
 	// own is the sum of the group as of ownAt, and merged that of the other groups as
 	// of mergedAt.
 	own, merged     *clemwire.Sum
@@ -59,7 +62,6 @@
 
 // memberReport is the report of a member of the group.
 type memberReport struct {
-	name    string
 	running []*clemwire.Running
 	at      time.Time
 }
@@ -75,25 +77,28 @@
 }
 
 func newSumTable(address string) *sumTable {
-	return &sumTable{ownAddress: address, reports: map[string]memberReport{}, groups: map[groupID]*groupState{}}
+	return &sumTable{ownAddress: address, reports: map[string]memberReport{}, names: map[string]string{}, groups: map[groupID]*groupState{}}
 }
 
 // setReport records the report of a member.
 func (t *sumTable) setReport(share *clemwire.Share, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reports[share.GetAddress()] = memberReport{share.GetName(), share.GetRunning(), now}
+	t.reports[share.GetAddress()] = memberReport{share.GetRunning(), now}
+	t.names[share.GetAddress()] = share.GetName()
 }
 
 // memberNames returns the names of the members that have reported.
 func (t *sumTable) memberNames(l *layout) map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make(map[string]bool, len(t.reports))
-	for address, report := range t.reports {
-		if l.isMember(address) {
-			names[report.name] = true
+	names := make(map[string]bool, len(t.names))
+	for address, name := range t.names {
+		if !l.isMember(address) {
+			delete(t.names, address)
+			continue
 		}
+		names[name] = true
 	}
 	return names
 }
