--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -39,7 +39,10 @@
 	mu sync.Mutex
 	// reports holds the last report of each member of the group, by address.
 	reports map[string]memberReport
-	groups  map[groupID]*groupState
+	// names holds the names of the members that have reported, by address, also of those
+	// whose reports have expired.
+	names  map[string]string
+	groups map[groupID]*groupState
 	// own is the sum of the group as of ownAt, and merged that of the other groups as
 	// of mergedAt.
 	own, merged     *clemwire.Sum
@@ -59,7 +62,6 @@
 
 // memberReport is the report of a member of the group.
 type memberReport struct {
-	name    string
 	running []*clemwire.Running
 	at      time.Time
 }
@@ -75,25 +77,28 @@
 }
 
 func newSumTable(address string) *sumTable {
-	return &sumTable{ownAddress: address, reports: map[string]memberReport{}, groups: map[groupID]*groupState{}}
+	return &sumTable{ownAddress: address, reports: map[string]memberReport{}, names: map[string]string{}, groups: map[groupID]*groupState{}}
 }
 
 // setReport records the report of a member.
 func (t *sumTable) setReport(share *clemwire.Share, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reports[share.GetAddress()] = memberReport{share.GetName(), share.GetRunning(), now}
+	t.reports[share.GetAddress()] = memberReport{share.GetRunning(), now}
+	t.names[share.GetAddress()] = share.GetName()
 }
 
 // memberNames returns the names of the members that have reported.
 func (t *sumTable) memberNames(l *layout) map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make(map[string]bool, len(t.reports))
-	for address, report := range t.reports {
-		if l.isMember(address) {
-			names[report.name] = true
+	names := make(map[string]bool, len(t.names))
+	for address, name := range t.names {
+		if !l.isMember(address) {
+			delete(t.names, address)
+			continue
 		}
+		names[name] = true
 	}
 	return names
 }
@@ -107,13 +112,22 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	state, reportedAt := t.group(group), now.Add(-decodeAge(sum.GetAge())-transit)
+	state.receivedAt = now
+	if ttl := l.sumTTL(); now.Sub(reportedAt) > ttl && t.hasFreshSum(group, ttl, now) {
+		// The first message of an entry, of which the time in transit is unknown, must not
+		// take away counts that are in use.
+		return
+	}
 	for other, state := range t.groups {
 		if other != group && other.overlaps(group) {
 			state.sum = nil
 		}
+		if now.Sub(state.receivedAt) > rowExpiry && now.Sub(state.calledAt) > rowExpiry && !state.isCalling {
+			delete(t.groups, other)
+		}
 	}
-	state := t.group(group)
-	state.sum, state.receivedAt, state.reportedAt = sum, now, now.Add(-sum.GetAge().AsDuration()-transit)
+	state.sum, state.reportedAt = sum, reportedAt
 }
 
 // group returns the state of a group. The caller holds mu.
@@ -487,7 +501,7 @@
 func (s *Syncer) applyRest(l *layout, rest *clemwire.Sum, from string, transit time.Duration, now time.Time) {
 	group, ok := sumGroup(rest)
 	// A sum that leaves out less than the own group would count members twice.
-	age := rest.GetAge().AsDuration() + transit
+	age := decodeAge(rest.GetAge()) + transit
 	if !ok || !group.contains(l.own) {
 		return
 	}
@@ -552,7 +566,7 @@
 // dropped.
 func (s *Syncer) applySums(share *clemwire.Share, l *layout, now time.Time) {
 	transit, ok := s.maxTransitTime(share, now)
-	if !ok && share.GetEcho().AsDuration() > 0 {
+	if !ok && share.GetEcho().AsDuration() != 0 {
 		return
 	}
 	if sum := share.GetSum(); sum != nil {
--- a/clemspread/evacuation_test.go
+++ b/clemspread/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -302,3 +304,64 @@
 		require.Equal(t, []string{"a", "b"}, addresses)
 	})
 }
+
+// Guards against a second reader of the operator's rows in each group, which would make the
+// store's load grow with the fleet.
+func TestOneEntryReadsOperatorChangesForAllGroups(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		f, counting := newFleet(n, store, testFleet, testServers), &silentStore{fakeStore: store}
+		for _, name := range f.names {
+			f.startEntry(ctx, name, counting)
+		}
+		time.Sleep(8 * time.Second)
+		before := counting.reads.Load()
+		time.Sleep(20 * time.Second)
+		require.InDelta(t, 20, counting.reads.Load()-before, 2)
+	})
+}
+
+// Guards against requests at an evacuated data centre from entries of other groups that the
+// store refuses: what they know passes two delegates.
+func TestEvacuationReachesOtherGroups(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		f, cut := newFleet(n, store, testFleet, testServers), &cuttableStore{fakeStore: store}
+		for _, name := range f.names {
+			if fleetCentre(name) == "centre-0" {
+				f.startEntry(ctx, name, store)
+			} else {
+				f.startEntry(ctx, name, cut)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		cut.isCut.Store(true)
+		for _, value := range []string{"{}", ""} {
+			store.set(clementineturn.SectionOperator, "away/east", value)
+			time.Sleep(1500 * time.Millisecond)
+			for name, e := range f.entries {
+				require.Equal(t, value != "", len(e.Evacuated()) == 1, name)
+			}
+		}
+	})
+}
+
+// Guards against a peer's message with a great number of made-up data centres, which every
+// entry would keep and pass on in each message for the life of the process.
+func TestEvacuationsOfPeersAreBounded(t *testing.T) {
+	table := newEvacuationTable(Config{})
+	now := time.Now()
+	var many []*clemwire.Evacuation
+	for i := range 3 * maxPeerCentres {
+		many = append(many, &clemwire.Evacuation{Centre: strconv.Itoa(i), Version: 5, Withdrawn: true})
+	}
+	many = append(many, &clemwire.Evacuation{Centre: strings.Repeat("x", maxCentreLength+1), Version: 5})
+	table.ApplyPeer(many[len(many)-1:], "peer", now)
+	require.Empty(t, table.Messages())
+	table.ApplyPeer(many, "peer", now)
+	require.Len(t, table.Messages(), maxPeerCentres)
+	table.ApplyPeer([]*clemwire.Evacuation{{Centre: "0", Version: 6}}, "peer", now)
+	require.Equal(t, []string{"0"}, table.Evacuated())
+	table.Apply(clementineturn.NewBatch([]clementineturn.Change{
+		clementineturn.NewChange(clementineturn.ChangeConfig{Key: "east", Version: 7}),
+	}, 7), false, func(key string) (string, bool) { return key, true }, now)
+	require.Equal(t, []string{"0", "east"}, table.Evacuated(), "the store's rows are not bounded")
+}
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
+	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -420,3 +424,191 @@
 		require.Contains(t, f.ejectedAt(), firstOfTwo)
 	})
 }
+
+// Guards against a fleet that forgets live entries, and removes their rows from the store,
+// when they become members of this entry's group or the fleet becomes one group: entries of
+// other groups had not sent it anything for as long as the groups lasted.
+func TestEntriesThatBecomeMembersAreKept(t *testing.T) {
+	const others = clempool.LargeFleetSize - 2
+	synctest.Test(t, func(t *testing.T) {
+		table := newPeerTable("a0", "a")
+		now := time.Now()
+		for i := range others {
+			table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now)
+		}
+		for _, address := range []string{"a1", "a2"} {
+			table.add(address, now)
+			table.setCentre(address, "a")
+		}
+		require.NotNil(t, table.layout())
+		for range 12 {
+			time.Sleep(entryReadInterval)
+			now = time.Now()
+			for i := range others {
+				table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now)
+			}
+			table.setListRead(now)
+			table.recordShare(&clemwire.Share{Address: "a1", Grouped: true, Centre: "a"}, now)
+			// a2 never answers, so that the fleet becomes one group.
+			table.takeDue(now)
+			if table.layout() == nil {
+				break
+			}
+		}
+		require.Nil(t, table.layout())
+		require.Len(t, table.knownAddresses(), others+2)
+		require.Equal(t, others+1, table.liveCount(now), "their messages are still to come")
+		for i := range others {
+			require.False(t, table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now), "the row of a live entry")
+		}
+		time.Sleep(2*rowExpiry + time.Minute)
+		table.takeDue(time.Now())
+		require.Len(t, table.knownAddresses(), 1, "silent members expire")
+	})
+}
+
+// Guards against the first message of an entry, of which the time in transit is unknown,
+// that takes away the counts of its group: it replaced a recent sum by one that counts as
+// old as this entry.
+func TestFirstMessageKeepsRecentSum(t *testing.T) {
+	runFleet(t, func(_ context.Context, f *fleet) {
+		e := f.entries[firstOfZero]
+		now := time.Now()
+		l, group := e.peers.layout(), groupID{centre: "centre-2"}
+		require.True(t, e.sums.hasFreshSum(group, l.sumTTL(), now))
+		e.applySums(&clemwire.Share{
+			Name: "first", Address: "10.2.30.007:7340", Grouped: true, Centre: "centre-2",
+			Sum: &clemwire.Sum{Centre: "centre-2", Entries: 12, Live: 12, Serving: 12},
+		}, l, now)
+		require.True(t, e.sums.hasFreshSum(group, l.sumTTL(), now))
+	})
+}
+
+// Guards against ages below 0 in a peer's message: the list would count as read in the
+// future, here and at all peers that it is passed on to, and would not be read again until
+// then; counts, limits and quarantines would not expire. And against limits that are no
+// numbers, which admit no request ever again.
+func TestInvalidAgesAndLimitsOfPeers(t *testing.T) {
+	runFleet(t, func(_ context.Context, f *fleet) {
+		e, now := f.entries[firstOfZero], time.Now()
+		before := durationpb.New(-time.Hour)
+		version, _ := e.servers.StoreVersion(now)
+		e.servers.ApplyShare(&clemwire.Share{View: version + 1, Since: version, Age: before}, 0, now)
+		_, age := e.servers.StoreVersion(now)
+		require.GreaterOrEqual(t, age, time.Duration(0))
+		e.sums.setSum(e.peers.layout(), &clemwire.Sum{Centre: "centre-2", Age: before}, 0, now)
+		require.False(t, e.sums.groups[groupID{centre: "centre-2"}].reportedAt.After(now))
+		e.applySums(&clemwire.Share{Address: firstOfTwo, Echo: durationpb.New(math.MinInt64), Sum: &clemwire.Sum{Centre: "centre-2"}}, e.peers.layout(), now)
+		require.False(t, e.sums.groups[groupID{centre: "centre-2"}].reportedAt.After(now))
+		require.False(t, decodeStats(&clemwire.Running{Stated: before}, now).LimitStatedAt.After(now))
+		require.False(t, decodeFindings([]*clemwire.Finding{{Age: before}}, now)[0].At.After(now))
+		e.applyQuarantine(&clemwire.Share{Quarantines: []*clemwire.Quarantine{{Service: "pool", Part: 5, Crashes: 3, Age: before, Idle: before, Stored: before}}}, now)
+		quarantines := e.config.Quarantine.Quarantines(now)
+		require.Len(t, quarantines, 1)
+		require.False(t, quarantines[0].At.After(now) || quarantines[0].LastSeen.After(now) || quarantines[0].StoredSeen.After(now))
+	})
+	for _, limit := range []float64{math.NaN(), math.Inf(1), -1} {
+		stats := decodeStats(&clemwire.Running{Count: 2, Counted: true, Limited: true, Limit: limit, Stated: durationpb.New(time.Second)}, time.Now())
+		require.Equal(t, clempool.ServerStats{Running: 2}, stats, limit)
+	}
+}
+
+// Guards against addresses of entries that are gone and pass from peer to peer for ever: an
+// entry that forgot one learned it again from a peer that still knew it, for another ten
+// minutes, and passed it on as new.
+func TestForgottenEntriesAreNotLearnedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Name: "a0", Address: "a0", Table: &clemroute.Table{}, Directory: clempool.New(clempool.Config{}), IsDraining: func() bool { return false }})
+		share := func(addresses ...string) {
+			_, err := s.Share(t.Context(), &clemwire.Share{Name: "a1", Address: "a1", Entries: addresses})
+			require.NoError(t, err)
+		}
+		share("gone")
+		known := func() []string { addresses, _ := s.KnownEntries(); return addresses }
+		require.Contains(t, known(), "gone")
+		for range 15 {
+			time.Sleep(time.Minute)
+			share()
+			s.peers.takeDue(time.Now())
+		}
+		require.Equal(t, []string{"a0", "a1"}, known())
+		share("gone")
+		require.Equal(t, []string{"a0", "a1"}, known(), "a peer that forgets later")
+		require.False(t, s.peers.addAndCheckExpired("gone", "", s.sums.isLost, time.Now()))
+		require.Contains(t, known(), "gone", "its row was written again")
+		time.Sleep(11 * time.Minute)
+		s.peers.takeDue(time.Now())
+		require.NotContains(t, known(), "gone")
+		_, err := s.Share(t.Context(), &clemwire.Share{Name: "gone", Address: "gone"})
+		require.NoError(t, err)
+		require.Contains(t, known(), "gone", "it has started again")
+	})
+}
+
+// Guards against findings that no longer reach a peer that has become a member of the group
+// or has left it: those for members and for others are numbered apart, and the peer named
+// the higher number of the other ones as its last.
+func TestFindingsReachPeersThatChangeGroups(t *testing.T) {
+	now := time.Now()
+	sums, peers := newSumTable("a"), newPeerTable("b", "")
+	peers.add("a", now)
+	finding := func(server string) []clemquarantine.Finding {
+		return []clemquarantine.Finding{{Service: "pool", Server: server, At: now}}
+	}
+	isMember, received := true, 0
+	exchange := func() {
+		findings, last := sums.relayedSince(isMember, peers.state("a").relayedApplied, now)
+		received += len(findings)
+		peers.setFindingsApplied("a", 0, last)
+	}
+	for i := range 10 {
+		sums.relayFindings(false, finding(fmt.Sprint(i)), nil, now)
+	}
+	exchange()
+	require.Equal(t, 10, received)
+	isMember = false
+	exchange()
+	sums.relayFindings(true, finding("x"), nil, now)
+	exchange()
+	require.Equal(t, 11, received)
+}
+
+// Guards against a list of entries that counts as complete although its sender has not read
+// anything from the store yet, and knows only its seeds: shares of cold servers would be
+// those of a small fleet while a large one restarts.
+func TestAddressesOfStartingPeersAreNotComplete(t *testing.T) {
+	s := New(Config{Name: "a0", Address: "a0", Table: &clemroute.Table{}, Directory: clempool.New(clempool.Config{}), IsDraining: func() bool { return false }})
+	entries := []string{"a0", "a2"}
+	isComplete := func(share *clemwire.Share) bool {
+		share.Name, share.Address, share.Entries = "a1", "a1", entries
+		entries = nil
+		_, err := s.Share(t.Context(), share)
+		require.NoError(t, err)
+		_, isComplete := s.KnownEntries()
+		return isComplete
+	}
+	require.False(t, isComplete(&clemwire.Share{}))
+	require.False(t, isComplete(&clemwire.Share{View: 5}))
+	require.False(t, isComplete(&clemwire.Share{View: 5, Synced: true, Grouped: true}), "it sends a part of them")
+	require.True(t, isComplete(&clemwire.Share{View: 5, Synced: true}), "it has sent them before")
+}
+
+// Guards against sums of groups that are gone, or that a peer made up, which are kept for
+// the life of the process. Groups that are still called are kept, or they would be called
+// without an interval.
+func TestSumsOfGoneGroupsAreDropped(t *testing.T) {
+	l := newLayout("a", manyCentres(100))
+	table := newSumTable("a")
+	now := time.Now()
+	for i := range 50 {
+		table.setSum(l, &clemwire.Sum{Centre: fmt.Sprint("x", i)}, 0, now)
+	}
+	now = now.Add(rowExpiry + time.Second)
+	called := table.takeDue(l, now)
+	for _, group := range called {
+		table.endCall(group)
+	}
+	table.setSum(l, &clemwire.Sum{Centre: "y"}, 0, now)
+	require.Len(t, table.groups, len(called)+1)
+	require.Empty(t, table.takeDue(l, now))
+}
