--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -72,15 +72,20 @@
 		found = d.leastLoaded(candidates, r, now)
 	}
 	if found.server == nil {
-		return nil, clementineturn.NewError(clementineturn.ErrorConfig{
-			Kind: clementineturn.KindOverloaded, NotRun: true,
-			RetryAfter: svc.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
-			Message:    "every backend server of service " + r.Service + " is full or at its limit",
-		})
+		return nil, svc.fullRefusal(r, found, now)
 	}
 	return d.place(svc, candidates, found, r, now), nil
 }
 
+// fullRefusal returns the refusal of a request for which no server was found.
+func (s *service) fullRefusal(r Request, found choice, now time.Time) error {
+	return clementineturn.NewError(clementineturn.ErrorConfig{
+		Kind: clementineturn.KindOverloaded, NotRun: true,
+		RetryAfter: s.returns.delay(r.Rank, max(fullRetryDelay, found.shortestWait-r.maxWait(), found.limitWait), now),
+		Message:    "every backend server of service " + r.Service + " is full or at its limit",
+	})
+}
+
 // place counts the request at the server that was found.
 func (d *Directory) place(svc *service, candidates candidateSet, found choice, r Request, now time.Time) *Lease {
 	chosen, rank := found.server, found.rank
@@ -101,7 +106,7 @@
 	chosen.running++
 	if chosen.isCold {
 		chosen.cold.reserved++
-		lease.isReserved = true
+		lease.isReserved, lease.wasCold = true, true
 	}
 	chosen.limit.countSent(now)
 	chosen.rest.beginReturn(lease, now)
@@ -134,13 +139,17 @@
 	// of those that are neither closed nor ejected. Closed servers count only if they
 	// drain.
 	utilisation float64
-	// slots is the number of the latter, and load the requests at them.
-	slots, load int
+	// slots is the number of the latter, load the requests at them and own those of this
+	// entry among them.
+	slots, load, own int
 }
 
 // isEmpty reports whether no server may take the request.
 func (c candidateSet) isEmpty() bool { return len(c.servers)+len(c.cold) == 0 }
 
+// areCold reports whether only cold servers are left.
+func (c candidateSet) areCold() bool { return len(c.servers) == 0 && len(c.cold) > 0 }
+
 // emptyRefusal returns the refusal of a request for which no server is left.
 func (d *Directory) emptyRefusal(svc *service, r Request, c candidateSet, now time.Time) error {
 	if err := d.coldRefusal(svc, r, c.coldWait, now); err != nil {
@@ -166,8 +175,8 @@
 func (d *Directory) candidates(svc *service, r Request, now time.Time) candidateSet {
 	untried, reachable, healthy, cold := d.scratch.untried[:0], d.scratch.reachable[:0], d.scratch.healthy[:0], d.scratch.cold[:0]
 	var coldWait time.Duration
-	figures := d.coldFigures(r.Service)
-	totalLoad, slots, openLoad, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0, 0
+	figures := d.coldFigures(svc.name)
+	totalLoad, slots, openLoad, ownLoad, unlimited, unlimitedLoad, unavailable, unavailableLoad := 0, 0, 0, 0, 0, 0, 0, 0
 	isBoundStrict := false
 	for _, server := range svc.servers {
 		load := server.running + server.peerRunning
@@ -205,6 +214,7 @@
 		if !isEjected {
 			slots += server.record.Slots()
 			openLoad += load
+			ownLoad += server.running
 		}
 		if slices.Contains(r.Tried, server.record.ID()) {
 			continue
@@ -221,7 +231,7 @@
 	c := candidateSet{
 		cold: cold, coldWait: coldWait,
 		servers: healthy, meanLoad: float64(totalLoad) / float64(max(len(svc.servers), 1)),
-		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, load: openLoad, isBoundStrict: isBoundStrict,
+		utilisation: float64(totalLoad-unavailableLoad) / float64(max(slots, 1)), slots: slots, load: openLoad, own: ownLoad, isBoundStrict: isBoundStrict,
 	}
 	if unavailable > 0 && !isBoundStrict {
 		c.minBound = float64(totalLoad-unavailableLoad)/float64(max(len(svc.servers)-unavailable, 1)) + loadBoundSlack
@@ -497,13 +507,14 @@
 // leastLoaded returns the server with the least load for its speed that its limit admits,
 // or none if all are full or at their limit. Cold servers are taken if there is no other.
 func (d *Directory) leastLoaded(c candidateSet, r Request, now time.Time) choice {
-	servers := c.servers
+	servers, cold := c.servers, c.cold
 	if bound := d.loadBound(c); c.isBoundStrict {
-		servers = slices.DeleteFunc(slices.Clone(servers), func(s *server) bool { return float64(s.running+s.peerRunning) >= bound })
+		isAtBound := func(s *server) bool { return float64(s.running+s.peerRunning) >= bound }
+		servers, cold = slices.DeleteFunc(slices.Clone(servers), isAtBound), slices.DeleteFunc(slices.Clone(cold), isAtBound)
 	}
 	result := d.leastLoadedIn(servers, r, now)
-	if result.server == nil && len(c.cold) > 0 {
-		result = d.leastLoadedIn(c.cold, r, now)
+	if result.server == nil && len(cold) > 0 {
+		result = d.leastLoadedIn(cold, r, now)
 	}
 	return result
 }
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -115,8 +115,14 @@
 	sweptAt time.Time
 	// fleet is what is known of a fleet of several groups.
 	fleet fleet
-	// knownPeers is when each peer last reported, also of those whose report expired.
-	knownPeers map[string]time.Time
+	// knownPeers holds each peer's last report, also of those whose report expired.
+	knownPeers map[string]knownPeer
+}
+
+// knownPeer is when a peer last reported, and the number of entries of the report.
+type knownPeer struct {
+	at      time.Time
+	entries int
 }
 
 // peerStats is the latest report of a peer, or of the number of entries given.
@@ -168,6 +174,7 @@
 }
 
 type service struct {
+	name    string
 	servers []*server
 	// usage holds the requests of each organisation at this entry, and running
 	// is their sum. lastPruned is when idle organisations were last removed.
@@ -192,15 +199,19 @@
 
 // observe records a request that ended.
 func (s *service) observe(l *Lease, outcome Outcome, now time.Time) {
+	if outcome != OutcomeServed {
+		return
+	}
+	s.returns.recordServed(now)
+	if l.isAtColdServer(now) {
+		return
+	}
 	elapsed := now.Sub(l.acquiredAt)
-	if outcome == OutcomeServed {
-		s.returns.recordServed(now)
-		if s.runTime == 0 {
-			s.runTime = elapsed
-		}
-		s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
+	if s.runTime == 0 {
+		s.runTime = elapsed
 	}
-	if l.isQueued && outcome == OutcomeServed {
+	s.runTime += time.Duration(runTimeWeight * float64(elapsed-s.runTime))
+	if l.isQueued {
 		s.wait.Ended(elapsed, l.load, l.server.record.Slots())
 	}
 }
@@ -219,7 +230,7 @@
 // New returns an empty directory.
 func New(c Config) *Directory {
 	d := &Directory{
-		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{}, knownPeers: map[string]time.Time{},
+		config: c, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]peerStats{}, reportedAt: map[string]time.Time{}, knownPeers: map[string]knownPeer{},
 		leaving: map[string]*leavingMark{}, rests: map[string]*rest{},
 		unlisted: map[string]*coldness{},
 	}
@@ -269,7 +280,7 @@
 	d.servers[record.ID()] = added
 	svc := d.services[record.Service()]
 	if svc == nil {
-		svc = &service{usage: map[string]*organisationUsage{}, users: map[string]time.Time{}}
+		svc = &service{name: record.Service(), usage: map[string]*organisationUsage{}, users: map[string]time.Time{}}
 		d.services[record.Service()] = svc
 	}
 	added.prefill = &svc.prefill
--- a/clempool/fleet_test.go
+++ b/clempool/fleet_test.go
@@ -135,6 +135,6 @@
 	d.SetFleetStats(FleetStats{Entries: 22, Members: members}, now, peerStatsTTL)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	missing, _ := d.missingPeers(now)
+	missing, _ := d.missingEntries(now)
 	require.Equal(t, 1, missing, "the member that stopped")
 }
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -54,6 +54,7 @@
 		lease, err := d.Acquire(r, now)
 		return lease, nil, err
 	}
+	d.lookUpEntries(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expirePeers(now)
@@ -104,7 +105,11 @@
 // leaseOf takes a place for a request that was admitted.
 func (d *Directory) leaseOf(svc *service, c candidateSet, r Request, view clemwait.View, now time.Time) (*Lease, error) {
 	found := d.leastLoaded(c, r, now)
-	if found.server == nil {
+	switch {
+	case found.server != nil:
+	case found.limitWait > 0:
+		return nil, svc.fullRefusal(r, found, now)
+	default:
 		return nil, d.refusal(svc, r, clemwait.ReasonFull, view, now)
 	}
 	svc.touch(r.Organisation, now)
@@ -136,19 +141,17 @@
 
 // view returns what is known of the use of a service.
 func (d *Directory) view(svc *service, c candidateSet, now time.Time) clemwait.View {
-	v := clemwait.View{Slots: c.slots, Entries: 1}
+	v := clemwait.View{Slots: c.slots, Entries: 1, IsUnlimited: c.areCold()}
 	if c.slots == 0 {
 		// Only ejected servers are left.
 		for _, s := range c.servers {
 			v.Slots += s.record.Slots()
 			c.load += s.running + s.peerRunning
+			c.own += s.running
 		}
 	}
-	for _, s := range svc.servers {
-		v.Own += s.running
-	}
-	v.Peers = max(c.load-v.Own, 0)
-	missing, known := d.missingPeers(now)
+	v.Own, v.Peers = c.own, c.load-c.own
+	missing, known := d.missingEntries(now)
 	v.IsIsolated = 2*missing > known
 	if v.IsFree() {
 		return v
@@ -164,28 +167,22 @@
 	return v
 }
 
-// missingPeers returns the number of known peers, and of those of them that no longer
-// report but may still send requests. The sum over other groups counts as all of their
-// entries.
-func (d *Directory) missingPeers(now time.Time) (missing, known int) {
+// missingEntries returns the number of other entries that no longer report but may still
+// send requests, and of all that are known. Both are 0 if every known peer reports.
+func (d *Directory) missingEntries(now time.Time) (missing, known int) {
 	if len(d.knownPeers) == len(d.peers) {
-		return 0, len(d.knownPeers)
+		return 0, 0
 	}
-	outside := max(d.fleet.size-len(d.knownPeers), 1)
-	for peer, at := range d.knownPeers {
-		entries := 1
-		if peer == fleetPeer {
-			entries = outside
-		}
-		switch _, reports := d.peers[peer]; {
+	for name, peer := range d.knownPeers {
+		switch _, reports := d.peers[name]; {
 		case reports:
-		case now.Sub(at) > knownPeerTTL:
-			delete(d.knownPeers, peer)
+		case now.Sub(peer.at) > knownPeerTTL:
+			delete(d.knownPeers, name)
 			continue
 		default:
-			missing += entries
+			missing += peer.entries
 		}
-		known += entries
+		known += peer.entries
 	}
 	return missing, known
 }
@@ -193,7 +190,7 @@
 // updateWaiting applies a report to what is known of the use of services, and sends
 // waiting requests.
 func (d *Directory) updateWaiting(peer string, stats map[string]ServerStats, now time.Time) {
-	d.knownPeers[peer] = now
+	d.knownPeers[peer] = knownPeer{now, max(d.peers[peer].entries, 1)}
 	for id, s := range stats {
 		if server := d.servers[id]; server != nil && s.Running > 0 {
 			if svc := d.services[server.record.Service()]; svc.target > 0 {
@@ -206,7 +203,7 @@
 			continue
 		}
 		d.endScarcity(svc, name, now)
-		interval := max(d.reportLag, minReportInterval)
+		interval := max(d.lag(), minReportInterval)
 		if svc.wait.Len() == 0 && !svc.wait.IsUpdateDue(interval, now) {
 			continue
 		}
@@ -291,7 +288,11 @@
 func (w *Waiter) Result() (*Lease, error) { return w.lease, w.err }
 
 // CheckAt returns when Check must be called next.
-func (w *Waiter) CheckAt(now time.Time) time.Time { return w.ticket.CheckAt(now) }
+func (w *Waiter) CheckAt(now time.Time) time.Time {
+	w.directory.mu.Lock()
+	defer w.directory.mu.Unlock()
+	return w.ticket.CheckAt(now)
+}
 
 // Check looks again whether waiting requests can be sent or must be refused.
 func (w *Waiter) Check(now time.Time) {
@@ -307,6 +308,6 @@
 	isWaiting := w.service.wait.Cancel(w.ticket)
 	w.directory.mu.Unlock()
 	if !isWaiting && w.lease != nil {
-		w.lease.Release(OutcomeAbandoned, nil, now)
+		w.lease.Release(OutcomeWithdrawn, nil, now)
 	}
 }
--- a/clemrouter/wait_test.go
+++ b/clemrouter/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -90,3 +91,55 @@
 		f.closeServers()
 	})
 }
+
+// withDirectory gives the fixture's router a directory with one server.
+func withDirectory(f *fixture, c clempool.Config) *clempool.Directory {
+	c.MaxLoadFactor, c.Rand = func() float64 { return 2 }, func() uint64 { return 0 }
+	directory := clempool.New(c)
+	directory.Put(clempool.NewRecord(clempool.RecordConfig{ID: "s1", Service: "pool", Address: "s1", Slots: 8}))
+	f.router.config.Directory = directory
+	return directory
+}
+
+// Guards against a request that begins to wait just after the entry has refused those that
+// waited, and is held.
+func TestRequestDoesNotBeginToWaitOnceTheEntryDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBareFixture(t)
+		onLookUp := func() {}
+		directory := withDirectory(f, clempool.Config{
+			ColdFigures: func(string) clempool.ColdFigures { return clempool.ColdFigures{} },
+			Entries:     func() ([]string, bool) { onLookUp(); return nil, true },
+		})
+		occupySlots(t, f, 24)
+		time.Sleep(time.Second)
+		began := time.Now()
+		onLookUp = func() { f.router.Drain(began.Add(time.Hour)) }
+		response := f.serve("/unsafe/", nil, nil)
+		require.True(t, f.router.IsDraining())
+		require.Zero(t, time.Since(began))
+		require.Equal(t, http.StatusServiceUnavailable, response.Code)
+		require.Zero(t, directory.Waiting())
+		directory.Remove("s1")
+	})
+}
+
+// Guards against a server that is ejected, and held to be cold, because a client left while
+// a connection to it was opened.
+func TestClientThatLeavesDuringADialSaysNothingOfTheServer(t *testing.T) {
+	f := newBareFixture(t)
+	ctx, leave := context.WithCancel(t.Context())
+	directory := withDirectory(f, clempool.Config{
+		ColdFigures: func(string) clempool.ColdFigures {
+			return clempool.ColdFigures{Limit: 20, StartTime: time.Minute}
+		},
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			leave()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	})
+	require.Zero(t, f.serveUntil(ctx, "/safe/", nil, nil).Code, "aborted")
+	availability, _ := directory.Availability("s1", time.Now())
+	require.Equal(t, clempool.StateOpen, availability.State())
+}
