--- a/clemrouter/intake_test.go
+++ b/clemrouter/intake_test.go
@@ -128,7 +128,7 @@
 		"broken":   "POST /safe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nBroken: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			withConnection(t, func(f *fixture, _ *clemquota.Budget, conn net.Conn) {
+			withConnection(t, func(_ *fixture, _ *clemquota.Budget, conn net.Conn) {
 				require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
 				_, err := io.WriteString(conn, head)
 				require.NoError(t, err)
@@ -145,7 +145,7 @@
 		})
 	}
 	t.Run("responses are not read", func(t *testing.T) {
-		withConnection(t, func(f *fixture, _ *clemquota.Budget, conn net.Conn) {
+		withConnection(t, func(_ *fixture, _ *clemquota.Budget, conn net.Conn) {
 			require.NoError(t, conn.SetWriteDeadline(time.Now().Add(time.Minute)))
 			var err error
 			for range 10000 {
