clemwait: bursts are sent while answers come in time

An entry kept to its part of the limit as soon as over half of the slots were in use, and bursts come to one entry.

An entry now sends without a limit while the known requests are below two for each slot and less than a quarter of its last answers was slow or a rejection. Organisations over their share keep to the limit.

--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -199,6 +199,10 @@
 
 // observe records a request that ended.
 func (s *service) observe(l *Lease, outcome Outcome, now time.Time) {
+	elapsed := now.Sub(l.acquiredAt)
+	if l.isQueued && (outcome == OutcomeServed || outcome == OutcomeRefused) {
+		s.wait.Observe(elapsed, s.target, outcome == OutcomeRefused, now)
+	}
 	if outcome != OutcomeServed {
 		return
 	}
@@ -206,7 +210,6 @@
 	if l.isAtColdServer(now) {
 		return
 	}
-	elapsed := now.Sub(l.acquiredAt)
 	if s.runTime == 0 {
 		s.runTime = elapsed
 	}
--- a/clemwait/admission.go
+++ b/clemwait/admission.go
@@ -19,6 +19,18 @@
 	// 2.7.
 	waitShare  = 0.6
 	maxPerSlot = 2.7
+	// calmPerSlot is the number of known requests for each slot up to which requests are
+	// sent without any limit while the service is not short of capacity: a burst at one
+	// entry is no shortage. Organisations over their share keep to the limit.
+	calmPerSlot = 2.0
+	// slowShare is the part of the latency target above which an answer is slow. A service is
+	// short of capacity if maxSlowAnswers of the last answers were slow or rejections, each
+	// with the weight slowWeight, and for shortTime after that. Single answers are slow on
+	// an idle service too: one of a hundred takes five times as long as the others.
+	slowShare      = 0.75
+	maxSlowAnswers = 0.25
+	slowWeight     = 0.1
+	shortTime      = 10 * time.Second
 	// rankShare is how much less of the limit requests may use with each rank, so that
 	// there is room for those that go first. minRankShare is the least.
 	rankShare    = 0.15
@@ -90,6 +102,10 @@
 	runTime time.Duration
 	// recentStay is the smoothed time that the last requests were at a server.
 	recentStay time.Duration
+	// slow is the smoothed share of slow answers, and shortAt when it last showed that the
+	// service is short of capacity.
+	slow    float64
+	shortAt time.Time
 	// extra is the limit that follows from what others left unused at extraAt.
 	extra   float64
 	extraAt time.Time
@@ -132,12 +148,29 @@
 	return max(share, a.extra)
 }
 
+// isShort reports whether answers lately showed that the service is short of capacity.
+func (a *admission) isShort(now time.Time) bool {
+	return !a.shortAt.IsZero() && now.Sub(a.shortAt) < shortTime
+}
+
+// observe records whether an answer was slow or a rejection.
+func (a *admission) observe(isSlow bool, now time.Time) {
+	a.slow *= 1 - slowWeight
+	if isSlow {
+		a.slow += slowWeight
+	}
+	if a.slow >= maxSlowAnswers {
+		a.shortAt = now
+	}
+}
+
 // admits reports whether a further request may be sent. While requests
 // that can be on time had to wait lately, a late one is sent only within the entry's
 // share of the slots. One of an organisation over its share leaves a
 // part of the limit to others.
 func (a *admission) admits(r Request, isLate, isOver bool, v View, now time.Time) bool {
-	if v.IsUnlimited || v.IsFree() || v.Own == 0 && v.hasRoom(1) {
+	isCalm := v.hasRoom(calmPerSlot) && !a.isShort(now)
+	if v.IsUnlimited || v.IsFree() || v.Own == 0 && v.hasRoom(1) || isCalm && !isOver {
 		return true
 	}
 	isContended := now.Sub(a.contendedAt) < contendedTime && float64(a.recentStay) > queuedStay*float64(a.runTime)
--- a/clemwait/service.go
+++ b/clemwait/service.go
@@ -274,6 +274,12 @@
 	s.admission.ended(elapsed, load, slots)
 }
 
+// Observe records an answer that came after the elapsed time, or a rejection by a server.
+// Answers show whether the service is short of capacity.
+func (s *Service) Observe(elapsed, target time.Duration, isRejected bool, now time.Time) {
+	s.admission.observe(isRejected || float64(elapsed) > slowShare*float64(target), now)
+}
+
 // IsUpdateDue reports whether Update has an effect.
 func (s *Service) IsUpdateDue(interval time.Duration, now time.Time) bool {
 	return now.Sub(s.admission.extraAt) >= interval
--- a/clemwait/service_test.go
+++ b/clemwait/service_test.go
@@ -195,3 +195,26 @@
 	}
 	require.InDelta(t, fast, s.admission.limit(busy, target), 0.1, "the wait at the server does not count")
 }
+
+// A burst at one entry is no shortage. Requests were held and refused by the entry's part
+// of the limit while servers had places: on days without overload up to a third more calls
+// came late.
+func TestBurstsAreSentWhileAnswersAreInTime(t *testing.T) {
+	s := newService()
+	burst := View{Slots: 18, Own: 8, Peers: 20, Entries: 12}
+	for range 20 {
+		s.Observe(run, target, false, epoch)
+	}
+	ticket, _, reason := s.Offer(newRequest("other", 0, 0), burst, epoch)
+	require.Nil(t, ticket)
+	require.Equal(t, ReasonNone, reason)
+	for range 4 {
+		s.Observe(target, target, false, epoch)
+	}
+	ticket, _, _ = s.Offer(newRequest("other", 0, 0), burst, epoch)
+	require.NotNil(t, ticket, "a third of the last answers was slow")
+	require.True(t, s.Cancel(ticket))
+	later := epoch.Add(shortTime)
+	ticket, _, _ = s.Offer(Request{Organisation: "other", Target: target, OwnTarget: target, OnTimeBy: later.Add(target)}, burst, later)
+	require.Nil(t, ticket, "it was long ago")
+}
