--- a/clempool/cold.go
+++ b/clempool/cold.go
@@ -214,8 +214,7 @@
 	c.suspectAt, c.contactAt, c.suspectSource, c.learnedAt = now, time.Time{}, source, now
 }
 
-// used returns the number of requests that were sent within the last second, and when the
-// first one of the given number of last ones leaves it.
+// used returns the number of requests that were sent within the last second.
 func (c *coldness) used(now time.Time) int {
 	n := 0
 	for i := len(c.sent) - 1; i >= 0 && now.Sub(c.sent[i]) <= coldWindow; i-- {
@@ -337,8 +336,8 @@
 	l.suspectCold(now)
 }
 
-// suspectCold records that the server may have ended, unless it is known to have started
-// anew since. The caller holds mu.
+// suspectCold records that the server may have ended, unless a later start of it is known.
+// The caller holds mu.
 func (l *Lease) suspectCold(now time.Time) {
 	if l.cold.incarnation == l.incarnation {
 		l.cold.suspect(SourceOutcome, now)
--- a/clempool/wait.go
+++ b/clempool/wait.go
@@ -105,11 +105,10 @@
 // leaseOf takes a place for a request that was admitted.
 func (d *Directory) leaseOf(svc *service, c candidateSet, r Request, view clemwait.View, now time.Time) (*Lease, error) {
 	found := d.leastLoaded(c, r, now)
-	switch {
-	case found.server != nil:
-	case found.limitWait > 0:
+	if found.server == nil && found.limitWait > 0 {
 		return nil, svc.fullRefusal(r, found, now)
-	default:
+	}
+	if found.server == nil {
 		return nil, d.refusal(svc, r, clemwait.ReasonFull, view, now)
 	}
 	svc.touch(r.Organisation, now)
--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -108,7 +108,9 @@
 
 func (c *Conn) beginHead(timeout func(Limits) time.Duration) {
 	c.limits = c.listener.config.Limits()
-	c.inHead, c.isLate, c.headErr, c.headBytes, c.reads, c.deadline, c.deadlinesSet = true, false, nil, 0, 0, time.Time{}, 0
+	c.inHead, c.isLate, c.headErr = true, false, nil
+	c.headBytes, c.reads = 0, 0
+	c.deadline, c.deadlinesSet = time.Time{}, 0
 	c.waitingSince.Store(time.Now().UnixNano())
 	c.hold.Release()
 	_ = c.setReadDeadline(time.Now().Add(timeout(c.limits)))
--- a/clemwait/service.go
+++ b/clemwait/service.go
@@ -304,8 +304,9 @@
 	return s.admission.stay(v) + time.Duration(onTimeMargin*float64(s.admission.runTime))
 }
 
-// compare orders waiting requests: those that are committed, then those that can be on time, then by rank, then those of
-// organisations within their share, then by the time that is left.
+// compare orders waiting requests: those that are committed come first, then those that can
+// be on time, then by rank, then those of organisations within their share, then by the time
+// that is left.
 func (s *Service) compare(a, b *Ticket, now time.Time) int {
 	if a.isCommitted != b.isCommitted {
 		if a.isCommitted {
