clemfront: readiness checks and metrics have memory of their own

An attack on the clients' listener could take an entry out of service: while the requests of clients held the budget and evicted ones had not ended, the head of a readiness check was refused with 503 too, and the load balancer removes an entry after two.

Heads of the readiness and metrics listeners are now counted in a budget of 4 MiB. TestReadinessHasMemoryOfItsOwn got 503 before and passes now.

--- a/clemfront/intake.go
+++ b/clemfront/intake.go
@@ -37,6 +37,10 @@
 	minConns = 16
 	// probeConns is the limit of connections for readiness checks and for metrics.
 	probeConns = 32
+	// probeBudget is the memory in bytes for the heads of readiness checks and metrics. It is
+	// apart from that of clients, whose attack must not make an entry look unready, and has
+	// room for an ordinary head of each connection.
+	probeBudget = 4 << 20
 	// unconfiguredMaxHead is the size limit of heads in bytes before there is a
 	// configuration, defaultMaxHead under one that states none, which is net/http's.
 	unconfiguredMaxHead = 64 << 10
@@ -155,6 +159,8 @@
 		config.Limits, config.MaxConns = f.clientLimits, func() int { return maxConnsOf(f.settings.Load()) }
 	case listenerControl:
 		config.MaxConns = f.maxPeerConns
+	default:
+		config.Budget = f.probeBudget
 	}
 	if name != listenerClients {
 		server.ReadTimeout, server.WriteTimeout = innerReadTimeout, innerWriteTimeout
--- a/clemfront/intake_test.go
+++ b/clemfront/intake_test.go
@@ -3,12 +3,16 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/clementineturn/clementineturn/clemevent"
+	"github.com/clementineturn/clementineturn/clemmetric"
 	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemroute"
 	"github.com/clementineturn/clementineturn/clemsite"
@@ -53,7 +57,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				network := clemstandin.NewNetwork()
-				f := &front{budget: clemquota.NewBudget(0), settings: &activeSettings{}}
+				f := &front{budget: clemquota.NewBudget(0), probeBudget: clemquota.NewBudget(probeBudget), settings: &activeSettings{}}
 				f.settings.Store(clemsite.NewSettings(clemsite.SettingsConfig{}))
 				server := &http.Server{Handler: http.NotFoundHandler()}
 				listener := f.limitListener(name, network.Listen("front:81"), server)
@@ -76,3 +80,44 @@
 		})
 	}
 }
+
+// Guards against clients that make an entry look unready: with their memory the readiness
+// check was refused as over memory, and the load balancer takes an entry out after two.
+func TestReadinessHasMemoryOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := clemstandin.NewNetwork()
+		f := &front{
+			budget: clemquota.NewBudget(8 << 20), probeBudget: clemquota.NewBudget(probeBudget), settings: &activeSettings{},
+			metrics: clemmetric.New(), events: clemevent.New(zap.NewNop()),
+		}
+		f.settings.Store(clemsite.NewSettings(clemsite.SettingsConfig{}))
+		evicted := f.budget.NewHold(func() {})
+		require.NoError(t, evicted.Charge(4<<20))
+		forwarded := f.budget.NewHold(nil)
+		require.NoError(t, forwarded.Charge(1<<10))
+		require.NoError(t, forwarded.Pin())
+		forwarded.Force(32 << 20)
+		require.True(t, evicted.IsEvicted())
+		// The part for ordinary requests is full but for a kilobyte.
+		for range 34 {
+			require.NoError(t, f.budget.NewHold(nil).Charge(60<<10))
+		}
+		require.NoError(t, f.budget.NewHold(nil).Charge(6000))
+		server := &http.Server{Handler: http.NotFoundHandler()}
+		listener := f.limitListener(listenerReady, network.Listen("front:81"), server)
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve(listener) }()
+		defer func() {
+			require.NoError(t, server.Close())
+			<-ended
+		}()
+		conn, err := network.Dial(t.Context(), "tcp", "front:81")
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nX-Padding: "+strings.Repeat("x", 4000)+"\r\nConnection: close\r\n\r\n")
+		require.NoError(t, err)
+		answer, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		require.Contains(t, string(answer), "404 Not Found")
+	})
+}
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -60,6 +60,8 @@
 	wasReady bool
 	// budget bounds the memory of requests.
 	budget *clemquota.Budget
+	// probeBudget bounds that of readiness checks and metrics.
+	probeBudget *clemquota.Budget
 	// clientListener is the listener for clients.
 	clientListener *clemquota.Listener
 	// endRequests ends the requests of clients with a cause.
@@ -69,7 +71,7 @@
 func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry, budget *clemquota.Budget) *front {
 	return &front{
 		config: c, settings: settings, router: router, syncer: syncer, table: table, servers: servers, quarantine: quarantine, peers: peers,
-		events: events, sink: sink, metrics: metrics, budget: budget,
+		events: events, sink: sink, metrics: metrics, budget: budget, probeBudget: clemquota.NewBudget(probeBudget),
 	}
 }
 
