--- a/clempool/leaving_test.go
+++ b/clempool/leaving_test.go
@@ -56,7 +56,7 @@
 	require.NoError(t, mustAcquire(t, d, Request{Service: "pool"}, epoch).CheckSend(epoch))
 }
 
-// A peer that was told keeps away from the server also after the report has expired, and
+// A peer that was notified keeps away from the server also after the report has expired, and
 // reports only what it has seen itself.
 func TestPeersAreToldOfLeavingServers(t *testing.T) {
 	seer, told := newEntries(1, 0, 8)[0], newEntries(1, 0, 8)[0]
--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -35,7 +35,7 @@
 	retryAfterSeconds = 1
 )
 
-// Reason tells why a connection or request was refused.
+// Reason says why a connection or request was refused.
 type Reason string
 
 // The reasons.
--- a/clemrouter/states.go
+++ b/clemrouter/states.go
@@ -14,7 +14,7 @@
 // maxLoggedStates bounds the servers and events that a onceLog remembers.
 const maxLoggedStates = 4096
 
-// onceLog tells which events were logged of which servers. Its zero value is ready for
+// onceLog records which events were logged of which servers. Its zero value is ready for
 // use.
 type onceLog struct {
 	mu   sync.Mutex
--- a/clemspread/delegate.go
+++ b/clemspread/delegate.go
@@ -352,7 +352,7 @@
 }
 
 // outside returns the numbers of live and of serving entries of other groups, and false
-// if no sum tells them.
+// if no sum states them.
 func (t *sumTable) outside(now time.Time) (live, serving int, isKnown bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/clemspread/evacuation_test.go
+++ b/clemspread/evacuation_test.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// A peer that still reports a withdrawn evacuation is told of the withdrawal, also by an
+// A peer that still reports a withdrawn evacuation is sent the withdrawal, also by an
 // entry that started after it.
 func TestWithdrawalIsReportedToPeersThatMissedIt(t *testing.T) {
 	table, _, calls := newTestTable()
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -154,7 +154,7 @@
 	live, _ := s.peers.groupCounts(l, now)
 	outside, _, isKnown := s.sums.outside(now)
 	if !isKnown {
-		// Entries of other groups may serve although no delegate tells of them.
+		// Entries of other groups may serve although no delegate reports them.
 		outside = len(l.groupOf) - len(l.members[l.own])
 	}
 	return live + 1 + outside
--- a/clemspread/sum.go
+++ b/clemspread/sum.go
@@ -73,7 +73,7 @@
 }
 
 // encodeOutcomes adds the outcomes to the sum: those of servers with failures, here or,
-// as isFailing tells, elsewhere, of servers that leave, and of servers with a limit, which
+// as isFailing says, elsewhere, of servers that leave, and of servers with a limit, which
 // come first if there are too many.
 func (t *tally) encodeOutcomes(sum *clemwire.Sum, isFailing map[string]bool, now time.Time) {
 	var ids []string
