--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -14,9 +14,9 @@
 	"foreign": foreignAnswer,
 	"twice":   orderTwice,
 	"refused": refusedAfterRun,
-	"memory":  endlessAnswers,
 	"reset":   resetAnswer,
 	"stale":   staleServer,
+	"crowd":   crowd,
 }
 
 // maxTime is how long a case may take.
