--- a/review/_stand/server.go
+++ b/review/_stand/server.go
@@ -23,6 +23,7 @@
 	mu         sync.Mutex
 	ran        map[string]int
 	isUnlisted bool
+	conns      []net.Conn
 }
 
 // newBackend starts a server and registers it in the store, where it writes its row with
@@ -44,6 +45,9 @@
 			if err != nil {
 				return
 			}
+			b.mu.Lock()
+			b.conns = append(b.conns, conn)
+			b.mu.Unlock()
 			go b.handle(conn)
 		}
 	}()
@@ -76,6 +80,16 @@
 	b.fleet.store.remove("servers", b.id)
 }
 
+// exit ends the server with the requests that it runs.
+func (b *backend) exit() {
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, conn := range b.conns {
+		_ = conn.Close()
+	}
+}
+
 func (b *backend) handle(conn net.Conn) {
 	defer conn.Close()
 	if b.accept != nil {
