--- a/review/_stand/main.go
+++ b/review/_stand/platform/main.go
@@ -11,12 +11,11 @@
 )
 
 var cases = map[string]func(*fleet){
-	"foreign": foreignAnswer,
-	"twice":   orderTwice,
-	"refused": refusedAfterRun,
-	"reset":   resetAnswer,
-	"stale":   staleServer,
-	"crowd":   crowd,
+	"reset":  resetAnswer,
+	"stale":  staleServer,
+	"stop":   stopAfterOddRequest,
+	"crowd":  crowd,
+	"memory": endlessAnswers,
 }
 
 // maxTime is how long a case may take.
--- a/review/_stand/server.go
+++ b/review/_stand/platform/server.go
@@ -10,6 +10,11 @@
 	"time"
 )
 
+// callsPerSecond is the rate of the site's requests to the application.
+const callsPerSecond = 35
+
+var appService = map[string]any{"name": "khat-app", "health_path": "/healthz", "max_connections": 100}
+
 // backend is a stand-in of a server. It answers each request on a connection in turn.
 type backend struct {
 	fleet       *fleet
@@ -20,14 +25,11 @@
 	// serve answers a request. It returns false to close the connection.
 	serve func(conn net.Conn, request *http.Request, body []byte, number int) bool
 
-	mu         sync.Mutex
-	ran        map[string]int
-	isUnlisted bool
-	conns      []net.Conn
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
-// newBackend starts a server and registers it in the store, where it writes its row with
-// every heartbeat.
+// newBackend starts a server, which writes its row to the store.
 func (f *fleet) newBackend(id, service, zone string, slots int, serve func(net.Conn, *http.Request, []byte, int) bool) *backend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,7 +40,7 @@
 
 // newBackendOn is newBackend with a listener.
 func (f *fleet) newBackendOn(listener net.Listener, id, service, zone string, slots int, serve func(net.Conn, *http.Request, []byte, int) bool) *backend {
-	b := &backend{fleet: f, id: id, service: service, listener: listener, serve: serve, ran: map[string]int{}}
+	b := &backend{fleet: f, id: id, service: service, listener: listener, serve: serve}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -51,34 +53,15 @@
 			go b.handle(conn)
 		}
 	}()
-	born := time.Now().UnixMilli()
-	write := func(seq int) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		if b.isUnlisted {
-			return
-		}
-		f.store.put("servers", id, map[string]any{
-			"service": service, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": born,
-		})
-	}
-	write(1)
-	go func() {
-		for seq := 2; ; seq++ {
-			time.Sleep(1200 * time.Millisecond)
-			write(seq)
-		}
-	}()
+	// Its heartbeats change nothing but seq, which does not change the row.
+	f.store.put("servers", id, map[string]any{
+		"service": service, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
 	return b
 }
 
 // leave removes the server's row. The server serves on.
-func (b *backend) leave() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.isUnlisted = true
-	b.fleet.store.remove("servers", b.id)
-}
+func (b *backend) leave() { b.fleet.store.remove("servers", b.id) }
 
 // exit ends the server with the requests that it runs.
 func (b *backend) exit() {
@@ -119,19 +102,9 @@
 // run records that the server began to work on the request.
 func (b *backend) run(request *http.Request) {
 	id := request.Header.Get("X-Request-Id")
-	b.mu.Lock()
-	b.ran[id]++
-	b.mu.Unlock()
 	b.fleet.log("server %s runs request %s of tenant %s", b.id, id, request.Header.Get("X-Tenant"))
 }
 
-// hasRun reports how often the server ran the request.
-func (b *backend) hasRun(id string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ran[id]
-}
-
 // answer returns an answer of the server with its receipt.
 func answer(status int, id, stamp, headers, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Stamp: %s\r\nContent-Type: text/plain\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), id, stamp, headers, len(body), body)
