clemconn: a reset that the write of the request gets ends an undelimited response as broken

What callers saw: a server answered a long upload early, with a 200 that had neither length nor chunks, sent a part of the body and reset the connection while the upload was still being written.

Cause: bodies above 16 KiB are written in a goroutine while the response is read. The kernel reports a reset to one system call only. If the write gets it, the read sees an ordinary end, which is the end of an undelimited response. The result of the write was looked at only to decide whether the connection can be used again.

Why it works: at the end of an undelimited response the write is ended by a deadline and its result is awaited. If the read saw the end because the write got the reset, that result is the reset, whichever goroutine runs first; the response then ends with that error. A write that was only blocked ends with the deadline's error, and the response is whole: a server that closes its half and does not read on is still answered for at once (TestEndBeforeTheEndOfAnUpload). Responses with a length or chunks show their end themselves.

Other readers: net/http reads for the sidecar, the store and the platform. The sidecar takes no undelimited response for a whole one, except a stream whose last event says that it is; reads of the store and the platform send no body.

--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +40,9 @@
 	keepAliveMargin = 500 * time.Millisecond
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // Match is what a response says about the request that it belongs to.
 type Match uint8
 
@@ -77,8 +82,8 @@
 	pool       *Pool
 	conn       *conn
 	stopCancel func() bool
-	// written receives the result of writing a large body; nil if the body is
-	// written already.
+	// written holds the result of writing a large body once it is known; nil if the
+	// body was written before the response was read.
 	written chan error
 	atEOF   bool
 	// isUnnamed is set if the response names no request.
@@ -186,15 +191,42 @@
 	return clementineturn.Errorf(clementineturn.KindMismatch, "backend server %s: only answers to other requests", r.pool.address)
 }
 
-// Read reads the response's body. io.EOF means that the body is complete.
+// Read reads the response's body. io.EOF means that the body is complete, as far as its
+// framing and the connection show.
 func (r *Response) Read(to []byte) (int, error) {
 	n, err := r.Body.Read(to)
+	if err == io.EOF && r.IsUndelimited() {
+		err = r.checkEnd()
+	}
 	if err == io.EOF {
 		r.atEOF = true
 	}
 	return n, err
 }
 
+// IsUndelimited reports whether the body has neither a length nor chunks, so that it ends
+// with the connection.
+func (r *Response) IsUndelimited() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// checkEnd returns io.EOF if the connection of an undelimited response was closed, and
+// another error if it was reset. The kernel reports a reset to one system call only: if
+// that is the write of the request's body, reads see an ordinary end.
+func (r *Response) checkEnd() error {
+	if r.written == nil {
+		return io.EOF
+	}
+	// The response has ended, so that the rest of the request is of no use.
+	_ = r.conn.SetWriteDeadline(longAgo)
+	err := <-r.written
+	r.written <- err
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("the connection broke before the end of the request: %w", err)
+	}
+	return io.EOF
+}
+
 // Close returns the connection to the pool if the response was read to its end
 // and the connection can carry another request, and closes it otherwise.
 func (r *Response) Close() {
@@ -211,7 +243,7 @@
 	if !r.atEOF || r.isUnnamed || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if r.IsUndelimited() {
 		return false
 	}
 	if r.written == nil {
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -341,7 +341,7 @@
 		result.outcome = clempool.OutcomeRefused
 	}
 	result.sent, result.load = true, responseInfo.Load()
-	result.isUndelimited = isUndelimited(response)
+	result.isUndelimited = response.IsUndelimited()
 	return result
 }
 
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -56,7 +56,7 @@
 			pending = append(pending[:0], pending[at+len(eventEnd):]...)
 		}
 		switch {
-		case err == io.EOF && !part.hasEvents && isUndelimited(response):
+		case err == io.EOF && !part.hasEvents && response.IsUndelimited():
 			// The server may have ended before the first event.
 			err = io.ErrUnexpectedEOF
 		case err == io.EOF && len(pending) == 0:
@@ -75,11 +75,6 @@
 	}
 }
 
-// isUndelimited reports whether the end of the response is that of its connection.
-func isUndelimited(response *clemconn.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // streamFailed returns the result of a stream that broke off.
 func (q *request) streamFailed(result attemptResult, err error) attemptResult {
 	if !time.Now().Before(q.deadline) {
