clemconn, clemhttp: a status code below 100 is no response

What callers saw: a server in trouble answered with status 000 and a body that held the text of another answer; the caller of a front got that text as its 200. If nothing followed, the caller waited until its deadline. With sidecars the claim of an at-most-once call recorded the status as the outcome of the call.

Cause: net/http takes each code of three characters that strconv reads as 0 or more for a status, +20 and 000 as well. clemconn skipped every status below 200 as an interim response, whose body it takes for the next response; clemhttp passed the status on.

Codes that net/http refuses itself, such as -01, are kept as cases.

Why it works: clemhttp.CheckHead refuses the head before anything else looks at it, in both readers of answers of backend servers; clemhttp.Do does so for the platform and the store too. The attempt fails as one that may have run.

--- /dev/null
+++ b/clembackend/broken_test.go
@@ -0,0 +1,65 @@
+package clembackend
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemstandin"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// runRaw sends an at-most-once call to a server that answers with the text and closes the
+// connection, and returns what the sink got.
+func runRaw(t *testing.T, response string) (*recorder, error) {
+	t.Helper()
+	network := clemstandin.NewNetwork()
+	listener := network.Listen("backend:80")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, response)
+	}()
+	b := New(Config{URL: "http://backend:80", Client: network.Client()})
+	r := &recorder{}
+	err := b.Run(t.Context(), reserveOffer(), r)
+	b.Close()
+	_ = listener.Close()
+	<-ended
+	return r, err
+}
+
+// requireNoResponse checks that the text is no response of a backend server.
+func requireNoResponse(t *testing.T, text string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r, err := runRaw(t, text)
+		require.True(t, clementineturn.IsKind(err, clementineturn.KindUnknown), "%q: %v", text, err)
+		require.False(t, clementineturn.IsNotRun(err), text)
+		require.Equal(t, (*clemwire.Start)(nil), r.start, text)
+	})
+}
+
+// Guards against a claim that records a response without a status of HTTP as the outcome
+// of its call.
+func TestStatusOutsideHTTP(t *testing.T) {
+	for _, code := range []string{"000", "099", "+20", "-01"} {
+		requireNoResponse(t, "HTTP/1.1 "+code+" Odd\r\nContent-Length: 3\r\n\r\nodd")
+		requireNoResponse(t, "HTTP/1.1 "+code+" Odd\r\nContent-Length: 0\r\n\r\n")
+	}
+}
--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemhttp"
 )
 
 const (
@@ -171,6 +172,9 @@
 		if err != nil {
 			return err
 		}
+		if err := clemhttp.CheckHead(head); err != nil {
+			return err
+		}
 		if head.StatusCode < http.StatusOK {
 			continue
 		}
--- a/clemhttp/clemhttp.go
+++ b/clemhttp/clemhttp.go
@@ -99,7 +99,8 @@
 }
 
 // Do sends the request. On an error, sent is false only if it is certain that no
-// byte of the request was written, because no connection was established.
+// byte of the request was written, because no connection was established. Errors: those
+// of the client and of CheckHead.
 func Do(client *http.Client, req *http.Request) (resp *http.Response, sent bool, err error) {
 	if err := req.Context().Err(); err != nil {
 		return nil, false, err
@@ -111,6 +112,10 @@
 	}
 	resp, err = client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
+		if err := CheckHead(resp); err != nil {
+			_ = resp.Body.Close()
+			return nil, true, err
+		}
 		return resp, true, nil
 	}
 	if connected.Load() {
--- /dev/null
+++ b/clemrouter/broken_test.go
@@ -0,0 +1,62 @@
+package clemrouter
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// signedHead is the head of a response up to its status line, without its end.
+const signedHead = "Id: " + ownID + "\r\nSigned: s\r\n"
+
+// requireNoAnswer checks what the client gets if a server sends the response, on a request
+// of each kind: another server's response, or a failure that promises nothing.
+func requireNoAnswer(t *testing.T, response string) {
+	t.Helper()
+	two := testEvent(1) + testEvent(2)
+	for _, c := range []struct {
+		path, next string
+		status     int
+		body       string
+		arrivals   int
+	}{
+		{"/safe/", okResponse, http.StatusOK, "good", 2},
+		{"/unsafe/", okResponse, http.StatusBadGateway, "", 1},
+		{"/stream/", streamHead + two, http.StatusBadGateway, "", 1},
+		{"/resumable/", streamHead + two, http.StatusOK, two, 2},
+	} {
+		f := newFixture(t, response, c.next)
+		status, header, body, err := f.post(c.path, nil)
+		require.NoError(t, err, c.path)
+		require.Equal(t, c.status, status, c.path)
+		if status == http.StatusOK {
+			require.Equal(t, c.body, body, c.path)
+		}
+		for name, values := range header {
+			require.NotContains(t, strings.Join(values, ","), "odd", name)
+		}
+		require.Len(t, f.received, c.arrivals, c.path)
+	}
+	f := newFixture(t, streamHead+testEvent(1)+"id: 2\n", response)
+	status, _, body, err := f.post("/resumable/", nil)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, testEvent(1), body)
+	require.Error(t, err, "in place of a stream's rest")
+}
+
+// Guards against responses whose status code HTTP does not have. A code below 100 was
+// skipped like that of an interim response, and the body taken for the response after it.
+func TestStatusOutsideHTTP(t *testing.T) {
+	for _, code := range []string{"000", "001", "099", "+00", "+20", "-01", "0x1", "00", "1000"} {
+		t.Run(code, func(t *testing.T) {
+			head := "HTTP/1.1 " + code + " Odd\r\n" + signedHead
+			requireNoAnswer(t, head+"Content-Length: 3\r\n\r\nodd")
+			requireNoAnswer(t, head+"Content-Length: 0\r\n\r\n")
+			requireNoAnswer(t, head+"\r\nodd!")
+			requireNoAnswer(t, head+"Content-Length: 999\r\n\r\nHTTP/1.1 200 OK\r\n"+signedHead+"Content-Length: 3\r\n\r\nodd")
+			requireNoAnswer(t, head+"\r\nHTTP/1.1 200 OK\r\n"+signedHead+"Content-Type: text/event-stream\r\n\r\n"+strings.ReplaceAll(testEvent(1), "x", "odd")+"!")
+		})
+	}
+}
