clemhttp: a head whose field name holds a blank is no response

What callers saw: a server in trouble answered with a head in which the name of a field held a blank. The caller of a front got the line passed on; with "Transfer-Encoding : chunked" beside a length the body was a part of the chunks, with their framing. With sidecars the body reached the caller in the same way.

Cause: net/http refuses control bytes in names, but accepts blanks and then takes the field for an unknown one. Neither reader looked at the names.

What follows a line end and a blank is the rest of a value, which RFC 9112, section 5.2, lets a proxy join; TestFoldedValueIsJoined keeps that.

--- a/clembackend/broken_test.go
+++ b/clembackend/broken_test.go
@@ -63,3 +63,11 @@
 		requireNoResponse(t, "HTTP/1.1 "+code+" Odd\r\nContent-Length: 0\r\n\r\n")
 	}
 }
+
+// Guards against a response with a line that names no field of HTTP and was to tell how the
+// body is framed: the caller got a part of the body, or its framing.
+func TestNamesOutsideHTTP(t *testing.T) {
+	for _, line := range []string{"Odd Name: odd", "Odd\x01: odd", "Transfer-Encoding : chunked", "Transfer-Encoding\x02: chunked"} {
+		requireNoResponse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 8\r\n\r\n3\r\nodd\r\n0\r\n\r\n")
+	}
+}
--- a/clemrouter/broken_test.go
+++ b/clemrouter/broken_test.go
@@ -60,3 +60,36 @@
 		})
 	}
 }
+
+// oddNames are lines of a head whose field has a name that HTTP does not have.
+var oddNames = map[string]string{
+	"blank": "Odd Name: odd", "blank before the colon": "Odd : odd", "tab": "Odd\tName: odd", "tab before the colon": "Odd\t: odd",
+	"control byte": "Odd\x01Name: odd", "control byte first": "\x0bOdd: odd", "null byte": "Odd\x00: odd", "delete": "Odd\x7f: odd", "carriage return": "Odd\r: odd",
+	"no name": ": odd", "length, blank": "Content-Length : 3", "length, control byte": "Content-Length\x02: 3", "chunks, blank": "Transfer-Encoding : chunked",
+}
+
+// Guards against responses with a line that names no field of HTTP: it was passed on, or it
+// told how the body is framed, which the client got with its framing or a part of.
+func TestNamesOutsideHTTP(t *testing.T) {
+	for name, line := range oddNames {
+		t.Run(name, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\n" + signedHead
+			requireNoAnswer(t, head+line+"\r\nContent-Length: 3\r\n\r\nodd")
+			requireNoAnswer(t, head+"Content-Length: 8\r\n"+line+"\r\n\r\n3\r\nodd\r\n0\r\n\r\n!")
+			requireNoAnswer(t, head+line+"\r\n\r\n3\r\nodd\r\n0\r\n\r\n!")
+			requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+signedHead+"Content-Type: text/event-stream\r\n\r\n"+strings.ReplaceAll(testEvent(1), "x", "odd")+"!")
+			requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+head+"Content-Length: 3\r\n\r\nodd")
+			requireNoAnswer(t, "HTTP/1.1 500 Odd\r\n"+signedHead+line+"\r\nContent-Length: 3\r\n\r\nodd")
+		})
+	}
+}
+
+// A value that goes on in the next line is joined with a blank (RFC 9112, section 5.2).
+func TestFoldedValueIsJoined(t *testing.T) {
+	f := newFixture(t, "HTTP/1.1 200 OK\r\n"+signedHead+"Even: a\r\n \tb\r\nContent-Length: 4\r\n\r\ngood")
+	status, header, body, err := f.post("/unsafe/", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "a b", header.Get("Even"))
+	require.Equal(t, "good", body)
+}
