clemquota, clemrouter: responses that arrive share half of the memory budget

What callers saw: the servers of one service sent bytes without end, in heads and bodies, each below the limit of a single response.

Cause: each response had limits, and nothing bounded all of them. Heads of responses were not charged to the budget, a body without a length only when it was complete, and the rest was charged without a limit, as if it had to be delivered whatever it was.

Why it works: a response is charged as it arrives, before its memory is taken. Responses that arrive hold at most half of the budget. The largest one is evicted above that: it is the one that does not end, not a usual answer of another service. The other half stays for requests. A response that has arrived whole is delivered as before. What is not counted, 16 KiB a response, is bounded by the number of connections.

--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -75,6 +75,9 @@
 	// the server closed an idle connection too early for that to be a timeout: it may have
 	// ended and started again.
 	BeforeSend func(wasLost bool) error
+	// ChargeHead, if set, is called with the memory in bytes that the head of the response
+	// takes, as it grows. Its error ends the exchange.
+	ChargeHead func(size int64) error
 }
 
 // Response is a backend server's response. It must be closed.
@@ -96,7 +99,7 @@
 // not run, if there was no connection; KindMismatch if only responses to other
 // requests arrived; KindTooLarge if the head does not end within maxHeadBytes and maxHeadLines or a
 // response to another request within maxStrayBody; KindUnknown otherwise, with the
-// context's cause if it ended; that of BeforeSend.
+// context's cause if it ended; those of BeforeSend and ChargeHead.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (*Response, error) {
 	c, wasLost, err := p.acquire(ctx, r.MaxIdle)
 	if err != nil {
@@ -166,6 +169,7 @@
 // readHead reads the head of the response to the request.
 func (r *Response) readHead(request *Request) error {
 	r.conn.limit.Set(maxHeadBytes, maxHeadLines)
+	r.conn.limit.Charge(request.ChargeHead)
 	defer r.conn.limit.Lift()
 	for range maxStrayResponses + 1 {
 		head, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
@@ -186,11 +190,13 @@
 			r.Response, r.isUnnamed = head, match == MatchUnnamed
 			return nil
 		}
+		r.conn.limit.Charge(nil)
 		r.conn.limit.Set(maxStrayBody, maxStrayBody)
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
 			return err
 		}
 		r.conn.limit.Set(maxHeadBytes, maxHeadLines)
+		r.conn.limit.Charge(request.ChargeHead)
 	}
 	return clementineturn.Errorf(clementineturn.KindMismatch, "backend server %s: only answers to other requests", r.pool.address)
 }
--- a/clemquota/budget.go
+++ b/clemquota/budget.go
@@ -1,6 +1,7 @@
-// Package clemquota bounds what the clients of a process can make it hold. A Budget
-// counts the memory of requests before they are forwarded, and a Listener bounds the
-// number of connections and the size and time of each request's head, below net/http.
+// Package clemquota bounds what the clients and servers of a process can make it hold. A
+// Budget counts the memory of requests before they are forwarded and of responses while
+// they arrive, and a Listener bounds the number of connections and the size and time of
+// each request's head, below net/http.
 package clemquota
 
 import (
@@ -41,6 +42,10 @@
 	// used is the memory of all holds that are not evicted, large that of holds above
 	// ordinarySize. leaving is the memory of evicted ones.
 	used, large, leaving int64
+	// responses are the responses that arrive and have memory, in no order, and arriving
+	// is their memory. It is a part of used and large.
+	responses []*Response
+	arriving  int64
 	// started numbers the holds in the order of their first charge.
 	started uint64
 }
--- a/clemquota/memory.go
+++ b/clemquota/memory.go
@@ -53,17 +53,28 @@
 // expected one, or -1 if unknown, and the limit the one above which the reader returns an
 // error. Errors: those of Charge and of the reader.
 func (h *Hold) ReadAll(from io.Reader, length, limit int64) ([]byte, error) {
+	var charged int64
+	return readAll(from, length, limit, func(size int64) error {
+		if err := h.Charge(size); err != nil {
+			return err
+		}
+		h.Return(charged)
+		charged = size
+		return nil
+	})
+}
+
+// readAll reads to the end and calls the function with the size of each buffer before it
+// makes it. It returns what was read with an error too.
+func readAll(from io.Reader, length, limit int64, charge func(size int64) error) ([]byte, error) {
 	size := int64(unknownBodySize)
+	longest := limit
 	if length >= 0 {
-		size = min(firstBodySize, length)
+		size, longest = min(firstBodySize, length), length
 	}
-	if err := h.Charge(size); err != nil {
+	if err := charge(size); err != nil {
 		return nil, err
 	}
-	longest := length
-	if length < 0 {
-		longest = limit
-	}
 	body := make([]byte, 0, size)
 	for {
 		if len(body) == cap(body) {
@@ -71,10 +82,9 @@
 				return body, expectEnd(from)
 			}
 			size := min(bodyGrowth*int64(cap(body)), longest)
-			if err := h.Charge(size); err != nil {
-				return nil, err
+			if err := charge(size); err != nil {
+				return body, err
 			}
-			h.Return(int64(cap(body)))
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := from.Read(body[len(body):cap(body)])
@@ -83,7 +93,7 @@
 			return body, nil
 		}
 		if err != nil {
-			return nil, err
+			return body, err
 		}
 	}
 }
--- a/clemrouter/answer.go
+++ b/clemrouter/answer.go
@@ -1,7 +1,6 @@
 package clemrouter
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -65,32 +64,31 @@
 
 // forwardResponse reads a response that is not a stream and forwards it to the
 // client unless it is a failure.
-func (q *request) forwardResponse(response *clemconn.Response, responseInfo clementineturn.ResponseInfo) attemptResult {
+func (q *request) forwardResponse(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, arrival *arrival) attemptResult {
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, responseInfo: responseInfo}
-	var charged int64
-	q.chargeResponse(&charged, expectedSize(response))
-	defer func() {
-		// A failure response may be kept until the end of the request.
-		if buffered.status < http.StatusInternalServerError {
-			q.hold.Return(charged)
-		}
-	}()
 	if responseInfo.NotRun() {
 		result := attemptResult{outcome: clempool.OutcomeRefused, err: clementineturn.Refuse(clementineturn.KindOverloaded, "status %d, not run", buffered.status)}
 		if responseInfo.Misdirected() {
 			result.outcome = clempool.OutcomeMisdirected
 		}
-		_, _ = readAll(io.LimitReader(response, maxRefusalBody), response.ContentLength)
+		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxRefusalBody))
 		return result
 	}
 	failed := attemptResult{outcome: clempool.OutcomeFailed, mayHaveRun: true}
-	body, err := readAll(io.LimitReader(response, maxBufferedBody+1), response.ContentLength)
+	body, err := arrival.readAll(response, maxBufferedBody)
 	if err != nil {
 		failed.err = clementineturn.Errorf(clementineturn.KindCut, "the answer broke off after %d bytes: %w", len(body), err)
 		return failed
 	}
 	buffered.body = body
-	q.chargeResponse(&charged, int64(cap(body)))
+	arrival.memory.Release()
+	q.keepResponse(cap(body))
+	defer func() {
+		// A failure response may be kept until the end of the request.
+		if buffered.status < http.StatusInternalServerError {
+			q.returnResponse(cap(body))
+		}
+	}()
 	switch {
 	case !responseInfo.Signed() || response.Header.Get("Content-Encoding") != "":
 		failed.err = clementineturn.Errorf(clementineturn.KindMismatch, "status %d without the server's signature or with an encoding", buffered.status)
@@ -225,17 +223,6 @@
 	}
 }
 
-// readAll reads to the end. The length is the expected one, or -1 if unknown.
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	var b bytes.Buffer
-	if length >= 0 && length <= maxBufferedBody {
-		// ReadFrom needs bytes.MinRead of free space to find the end without growing.
-		b.Grow(int(length) + bytes.MinRead)
-	}
-	_, err := b.ReadFrom(from)
-	return b.Bytes(), err
-}
-
 func isTooLarge(err error) bool {
 	var tooLarge *http.MaxBytesError
 	return errors.As(err, &tooLarge)
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -287,13 +287,15 @@
 		maxIdle = nonIdempotentMaxIdle
 	}
 	var withdrawn error
+	arrival := q.newArrival(stall.cancel)
+	defer arrival.memory.Release()
 	response, err := lease.Pool().Exchange(stall.ctx, &clemconn.Request{
 		Method: q.http.Method, Target: q.target, Host: q.http.Host, Body: q.body, MaxIdle: maxIdle,
 		Header: q.router.config.Dialect.EncodeRequest(q.http.Header, clementineturn.NewDispatch(clementineturn.DispatchConfig{
 			Server: lease.Server(), Organisation: q.organisation, Timeout: time.Until(q.deadline),
 			LastEventID: q.lastEventID, CacheSource: lease.CacheSource(), Priority: q.priority,
 		})),
-		Match: q.matchResponse,
+		Match: q.matchResponse, ChargeHead: arrival.chargeHead,
 		BeforeSend: func(wasLost bool) error {
 			if wasLost {
 				lease.ConnectionBroken(time.Now())
@@ -306,7 +308,7 @@
 		return attemptResult{outcome: clempool.OutcomeWithdrawn, err: withdrawn}
 	}
 	if err != nil {
-		return q.exchangeFailed(err)
+		return q.exchangeFailed(arrival.explain(err))
 	}
 	defer response.Close()
 	watch.Begin(time.Now())
@@ -324,7 +326,7 @@
 		if q.isStarted {
 			q.logResumed(lease.Server())
 		}
-		result = q.forwardStream(response, responseInfo, func(events eventSummary) {
+		result = q.forwardStream(response, responseInfo, arrival, func(events eventSummary) {
 			lease.RecordFirstEvent(time.Now())
 			stall.progress(events.endsWithID)
 			watch.Progress(time.Now())
@@ -334,7 +336,7 @@
 		result = attemptResult{outcome: clempool.OutcomeFailed, mayHaveRun: true, err: clementineturn.Errorf(clementineturn.KindCut, "status %d in place of a stream's rest", response.StatusCode)}
 	default:
 		stall.observeHead()
-		result = q.forwardResponse(response, responseInfo)
+		result = q.forwardResponse(response, responseInfo, arrival)
 	}
 	if isResting && result.outcome == clempool.OutcomeFailed {
 		// A server that asks for no requests for a while is not at fault.
--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -1,7 +1,9 @@
 package clemrouter
 
 import (
+	"cmp"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -16,9 +18,6 @@
 )
 
 const (
-	// smallResponse is the size in bytes up to which the memory of a response is not
-	// charged.
-	smallResponse = 64 << 10
 	// writeGrace is how long after its deadline a request's response may still be
 	// written: some round trips on a slow link.
 	writeGrace = 5 * time.Second
@@ -93,17 +92,52 @@
 	return err
 }
 
-// chargeResponse charges the memory of a response, which is delivered whatever the
-// budget, as it grows from the charged size. Small responses are left out.
-func (q *request) chargeResponse(charged *int64, size int64) {
-	if size > smallResponse && size > *charged {
-		q.hold.Force(size - *charged)
-		*charged = size
+// arrival is the memory of a response while it arrives: that of its head and of what is
+// kept of its body.
+type arrival struct {
+	memory *clemquota.Response
+	head   int64
+}
+
+// newArrival returns the memory of a response that arrives. The function ends the arrival.
+func (q *request) newArrival(end func()) *arrival {
+	return &arrival{memory: q.hold.NewResponse(end)}
+}
+
+// chargeHead charges the memory of the head. Errors: those of clemquota.Response.
+func (a *arrival) chargeHead(size int64) error {
+	a.head = size
+	return a.memory.Resize(size)
+}
+
+// chargeBody charges what is kept of the body. Errors: those of clemquota.Response.
+func (a *arrival) chargeBody(size int) error { return a.memory.Resize(a.head + int64(size)) }
+
+// readAll reads a body to its end, or up to more than the limit.
+func (a *arrival) readAll(response *clemconn.Response, limit int64) ([]byte, error) {
+	body, err := a.memory.ReadAll(io.LimitReader(response, limit+1), a.head, min(response.ContentLength, limit+1), limit+1)
+	return body, a.explain(err)
+}
+
+// explain returns the error of an eviction in place of that which it caused.
+func (a *arrival) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	return cmp.Or(a.memory.Err(), err)
+}
+
+// keepResponse charges the memory of a response that has arrived, which is delivered
+// whatever the budget. Small responses are left out.
+func (q *request) keepResponse(size int) {
+	if size > clemquota.SmallResponse {
+		q.hold.Force(int64(size))
 	}
 }
 
-// expectedSize returns the memory that a buffered response will take, as far as it is
-// known before it is read.
-func expectedSize(response *clemconn.Response) int64 {
-	return min(max(response.ContentLength, 0), maxBufferedBody)
+// returnResponse gives the memory of keepResponse back.
+func (q *request) returnResponse(size int) {
+	if size > clemquota.SmallResponse {
+		q.hold.Return(int64(size))
+	}
 }
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -26,7 +26,7 @@
 // forwardStream forwards the events of a response as they arrive, complete ones
 // only. It calls progress whenever events with an id or data arrived: a stalled
 // server may still send a byte or a comment now and then.
-func (q *request) forwardStream(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, progress func(eventSummary)) attemptResult {
+func (q *request) forwardStream(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, arrival *arrival, progress func(eventSummary)) attemptResult {
 	result := attemptResult{outcome: clempool.OutcomeFailed, mayHaveRun: true}
 	if !responseInfo.Signed() || response.Header.Get("Content-Encoding") != "" {
 		result.err = clementineturn.Errorf(clementineturn.KindMismatch, "a stream without the server's signature or with an encoding")
@@ -38,13 +38,13 @@
 		return result
 	}
 	var pending []byte
-	var charged int64
-	defer func() { q.hold.Return(charged) }()
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Read(chunk)
 		pending = append(pending, chunk[:n]...)
-		q.chargeResponse(&charged, int64(cap(pending)))
+		if charged := arrival.chargeBody(cap(pending)); charged != nil {
+			return q.streamFailed(result, charged)
+		}
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
 			events := summarizeEvents(pending[:at+len(eventEnd)])
 			if events.hasContent {
@@ -70,7 +70,7 @@
 			err = clementineturn.Errorf(clementineturn.KindTooLarge, "an event is larger than %d bytes", maxEventSize)
 		}
 		if err != nil {
-			return q.streamFailed(result, err)
+			return q.streamFailed(result, arrival.explain(err))
 		}
 	}
 }
