--- a/clemspread/learn.go
+++ b/clemspread/learn.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clempool"
@@ -22,6 +22,9 @@
 	// warmUptime is the uptime from which on a peer is taken to know the cached
 	// parts of the engines and to send them.
 	warmUptime = 5 * time.Second
+	// maxInventoryCalls is how many engines are queried at once: each answer is held whole,
+	// also one that is no list.
+	maxInventoryCalls = 8
 )
 
 // learnCachedParts queries the engines for their cached prompt parts if all
@@ -39,22 +42,24 @@
 	if !sleep(ctx, peerDiscoveryDelay) || !s.peers.shouldQueryEngines() {
 		return
 	}
-	var calls sync.WaitGroup
-	defer calls.Wait()
+	var calls errgroup.Group
+	calls.SetLimit(maxInventoryCalls)
+	defer func() { _ = calls.Wait() }()
 	configuration := s.config.Table.Current()
 	for _, record := range s.config.Directory.Records() {
 		service := configuration.Service(record.Service())
 		if service == nil || service.Engine() == nil || record.IsDraining() || !s.peers.isResponsibleFor(record.ID()) {
 			continue
 		}
-		calls.Go(func() {
+		calls.Go(func() error {
 			parts, err := s.config.Inventory.CachedParts(ctx, record.Address())
 			if err != nil {
 				s.config.Events.Emit(clemevent.CacheInventoryFailed, zap.String("server", record.ID()), zap.Error(err))
-				return
+				return nil
 			}
 			s.config.Directory.AddInventory(record.ID(), parts, time.Now())
 			s.config.Events.Emit(clemevent.CacheInventoryRead, zap.String("server", record.ID()), zap.Int("parts", len(parts)))
+			return nil
 		})
 	}
 }
--- a/cmd/clementine-front/endless_test.go
+++ b/cmd/clementine-front/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"runtime"
 	"strings"
@@ -22,6 +21,10 @@
 	endlessServers  = 4
 	// soundRequests is how many requests to a sound service are sent meanwhile.
 	soundRequests = 40
+	// endlessEngines is the number of engines that list without end, and endlessListSize
+	// what each of them sends at once, in bytes.
+	endlessEngines  = 24
+	endlessListSize = 32 << 20
 )
 
 // endlessAnswers are below the limits of a single response, which would end it.
@@ -49,18 +52,10 @@
 	}
 }
 
-// putTrouble adds the service "trouble" with its routes, and servers that answer in the
-// given way.
-func (f *testFront) putTrouble(answer clemstandin.EndlessConfig) {
-	configuration := configurationOf(2, "/a/")
-	routes := configuration["routes"].([]map[string]any)
-	for prefix, kind := range map[string]string{"/stream/": "stream", "/plain/": "unsafe"} {
-		route := maps.Clone(routes[0])
-		maps.Copy(route, map[string]any{"name": "r" + prefix, "prefix": prefix, "route_type": kind, "service": "trouble", "timeout_ms": 30000, "attempts": 1})
-		routes = append(routes, route)
-	}
-	configuration["routes"], configuration["services"] = routes, []map[string]any{{"name": "app"}, {"name": "trouble"}}
-	for n := range endlessServers {
+// putTrouble writes troubleConfiguration, and servers of its service "trouble" that answer
+// in the given way.
+func (f *testFront) putTrouble(servers int, answer clemstandin.EndlessConfig) {
+	for n := range servers {
 		server, err := clemstandin.StartEndlessServer(answer)
 		require.NoError(f.t, err)
 		f.t.Cleanup(server.Close)
@@ -68,12 +63,21 @@
 			"service": "trouble", "address": server.Address(), "zone": "z", "slots": endlessRequests, "state": "ready", "seq": 1,
 		}))
 	}
-	require.NoError(f.t, f.store.Put("op", "config", configuration))
-	f.eventually(func() bool { return f.hasLogLine(fmt.Sprintf("i-trouble-%d", endlessServers-1)) })
-	f.eventually(func() bool {
-		status, _ := f.get("/a/x", "k1")
-		return status == 200 && f.hasLogLine(`"version":2`)
-	})
+	require.NoError(f.t, f.store.Put("op", "config", troubleConfiguration(2)))
+}
+
+// requireSound checks that requests to the sound service are served for some seconds, and
+// that the process does not take more than its memory.
+func (f *testFront) requireSound(pid int) {
+	f.t.Helper()
+	for range soundRequests {
+		status, body := f.get("/a/x", "k1")
+		require.Equal(f.t, 200, status, body)
+		time.Sleep(50 * time.Millisecond)
+	}
+	peak := processMemory(f.t, pid, "VmHWM")
+	f.t.Logf("resident memory at most %d MiB", peak>>20)
+	require.LessOrEqual(f.t, peak, intakeMemoryMB<<20, "resident memory")
 }
 
 // ask sends a request whose answer the client does not read, and returns its connection.
@@ -94,18 +98,35 @@
 	for name, c := range endlessAnswers() {
 		t.Run(name, func(t *testing.T) {
 			f, pid := startProgram(t, intakeDescriptors)
-			f.putTrouble(c.answer)
+			f.putTrouble(endlessServers, c.answer)
+			f.eventually(func() bool { return f.hasLogLine(fmt.Sprintf("i-trouble-%d", endlessServers-1)) })
+			f.eventually(func() bool {
+				status, _ := f.get("/a/x", "k1")
+				return status == 200 && f.hasLogLine(`"version":2`)
+			})
 			for n := range endlessRequests {
 				defer f.ask(c.path, n).Close()
 			}
-			for range soundRequests {
-				status, body := f.get("/a/x", "k1")
-				require.Equal(t, 200, status, body)
-				time.Sleep(50 * time.Millisecond)
-			}
-			peak := processMemory(t, pid, "VmHWM")
-			t.Logf("resident memory at most %d MiB", peak>>20)
-			require.LessOrEqual(t, peak, intakeMemoryMB<<20, "resident memory")
+			f.requireSound(pid)
+		})
+	}
+}
+
+// Guards against the same while a front starts and asks all engines what they have cached.
+func TestEnginesThatListWithoutEnd(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("memory is read from /proc")
+	}
+	for name, answer := range map[string]clemstandin.EndlessConfig{
+		"no list":    {Body: strings.Repeat("x", endlessListSize)},
+		"parts":      {Body: `{"held":[` + strings.Repeat(`["","1",1,"m"],`, endlessListSize/15)},
+		"nested":     {Body: `{"held":` + strings.Repeat("[", endlessListSize)},
+		"many lines": {Head: shortLines(60 << 10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, pid := startProgram(t, intakeDescriptors, func(f *testFront) { f.putTrouble(endlessEngines, answer) })
+			f.requireSound(pid)
+			f.eventually(func() bool { return f.hasLogLine("engine cache inventory failed") })
 		})
 	}
 }
--- a/cmd/clementine-front/intake_test.go
+++ b/cmd/clementine-front/intake_test.go
@@ -97,8 +97,9 @@
 }
 
 // startProgram builds and starts the front as a process of its own, without the race
-// detector of the test, and waits until it serves.
-func startProgram(t *testing.T, maxDescriptors int) (*testFront, int) {
+// detector of the test, and waits until it serves. The functions are called before the
+// front starts.
+func startProgram(t *testing.T, maxDescriptors int, prepare ...func(*testFront)) (*testFront, int) {
 	dir := t.TempDir()
 	program := os.Getenv(programVariable)
 	if program == "" {
@@ -123,6 +124,9 @@
 	configuration["limits"] = map[string]any{"max_header_bytes": maxIntakeHead, "max_body_bytes": maxIntakeBody, "header_timeout_ms": 20000, "idle_timeout_ms": 60000}
 	require.NoError(t, f.store.Put("op", "config", configuration))
 	f.putServer("i-1", startServer(t, "i-1"))
+	for _, function := range prepare {
+		function(f)
+	}
 	command := exec.Command(program)
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+f.settingsPath)
 	command.Stdout = f
--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// troubleConfiguration returns a version with the service "trouble", which has engines, its
+// routes "/stream/" and "/plain/", whose requests run at most once, and the route "/a/" to
+// another service.
+func troubleConfiguration(version int) map[string]any {
+	configuration := configurationOf(version, "/a/", "/stream/", "/plain/")
+	for _, route := range configuration["routes"].([]map[string]any)[1:] {
+		route["service"], route["timeout_ms"], route["attempts"] = "trouble", 30000, 1
+		route["route_type"] = map[any]string{"/stream/": "stream", "/plain/": "unsafe"}[route["prefix"]]
+	}
+	configuration["services"] = []map[string]any{{"name": "app"}, {"name": "trouble", "engine": map[string]any{"slots": endlessRequests, "kv_tokens": 400000}}}
+	return configuration
+}
+
 func (f *testFront) putServer(id, at string) {
 	require.NoError(f.t, f.store.Put("servers", id, map[string]any{
 		"service": "app", "address": at, "zone": "z", "slots": 4, "state": "ready", "seq": 1,
