clembudget: token counts beyond any model no longer overflow the run times of a route

What callers saw: in a planned stop of one front, requests that came late in the grace period were passed on and cut at its end.

Cause: the estimate of a request's run time multiplies the client's counts. The product overflows, to 0 or below for some counts. Run times are kept as multiples of the estimate, so that the longest one was infinite; converted to a duration it is negative on x86-64, and any request seemed to end before the front.

Why it works: a count is taken as at most 2^24 tokens where a request is decoded, above the context of any model, so that no sum or product of counts overflows, here or in the choice of a server.

--- a/clembudget/runtime.go
+++ b/clembudget/runtime.go
@@ -14,6 +14,10 @@
 	minRunTimes = 8
 	// runTimeMargin multiplies the longest run time.
 	runTimeMargin = 1.5
+	// maxRunTime bounds predictions, which would overflow beyond it.
+	maxRunTime = 24 * time.Hour
+	// minEstimate is used in place of estimates that are not positive.
+	minEstimate = time.Nanosecond
 	// maxRunTimeGroups is the number of groups above which all run times are dropped.
 	maxRunTimeGroups = 1024
 )
@@ -56,7 +60,7 @@
 	return &RunTimeTracker{groups: map[string]*runTimes{}}
 }
 
-// Start records that a request of the group starts to run. The estimate is positive.
+// Start records that a request of the group starts to run.
 func (t *RunTimeTracker) Start(group string, estimate time.Duration, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -68,7 +72,7 @@
 		g = &runTimes{observedSince: now, windowStart: now, running: map[*Run]struct{}{}}
 		t.groups[group] = g
 	}
-	run := &Run{tracker: t, group: g, start: now, estimate: estimate}
+	run := &Run{tracker: t, group: g, start: now, estimate: max(estimate, minEstimate)}
 	g.running[run] = struct{}{}
 	return run
 }
@@ -104,7 +108,7 @@
 }
 
 // Longest returns the longest time for which a request of the group is expected to
-// run. It returns false if the group has been observed for less than runTimeWindow, or
+// run, at most a day. It returns false if the group has been observed for less than runTimeWindow, or
 // if too few requests of it have ended recently.
 func (t *RunTimeTracker) Longest(group string, estimate time.Duration, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
@@ -121,5 +125,6 @@
 	for run := range g.running {
 		largest = max(largest, run.multiple(now))
 	}
-	return time.Duration(runTimeMargin * largest * float64(estimate)), true
+	longest := runTimeMargin * largest * float64(max(estimate, minEstimate))
+	return time.Duration(min(longest, float64(maxRunTime))), true
 }
--- a/clembudget/runtime_test.go
+++ b/clembudget/runtime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -66,3 +67,20 @@
 	}
 	require.LessOrEqual(t, len(tracker.groups), maxRunTimeGroups)
 }
+
+// Guards against run times that overflow, so that requests seem to end in no time.
+func TestLongestRunTimeIsBounded(t *testing.T) {
+	for _, estimate := range []time.Duration{0, -time.Second, 1, math.MaxInt64, math.MinInt64} {
+		tracker := NewRunTimeTracker()
+		observeRuns(tracker, time.Second, runTimeStart, 1, 2, 3, 4, 5, 6, 7, time.Second)
+		observeRuns(tracker, estimate, runTimeStart, time.Second)
+		for _, of := range []time.Duration{time.Second, time.Hour, math.MaxInt64} {
+			longest, ok := tracker.Longest("r", of, runTimeStart.Add(runTimeWindow))
+			require.True(t, ok)
+			require.GreaterOrEqual(t, longest, time.Second, "%d of %d", of, estimate)
+		}
+		longest, ok := tracker.Longest("r", estimate, runTimeStart.Add(runTimeWindow))
+		require.True(t, ok)
+		require.GreaterOrEqual(t, longest, time.Second, "%d", estimate)
+	}
+}
--- a/clemrouter/drain_test.go
+++ b/clemrouter/drain_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -144,6 +146,38 @@
 	})
 }
 
+// Guards against the same loss at an entry that got token counts beyond those of any model:
+// their products overflow, and the run times of all requests on the route are wrong.
+func TestDrainingEntryAfterAbsurdCounts(t *testing.T) {
+	const sample = 24
+	for name, absurd := range map[string]http.Header{
+		"estimate of 0":     {"Tokens": {"111449078778661824"}, "Prompt": {"52"}},
+		"negative estimate": {"Tokens": {"288230376151711680"}},
+		"large output":      {"Tokens": {strconv.Itoa(math.MaxInt)}},
+		"large prompt":      {"Tokens": {"1"}, "Prompt": {strconv.Itoa(math.MaxInt)}},
+		"negative counts":   {"Tokens": {strconv.Itoa(math.MinInt)}, "Prompt": {strconv.Itoa(math.MinInt)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBareFixture(t, repeat(okResponse, 2*sample)...)
+				defer f.closeServers()
+				usual := http.Header{"Tokens": {"1000"}}
+				f.setRunTime(5 * time.Second)
+				f.serveMany(sample, "/unsafe/", usual)
+				f.serveMany(1, "/unsafe/", absurd)
+				time.Sleep(observationTime)
+				f.router.Drain(time.Now().Add(drainPeriod))
+				time.Sleep(3100 * time.Millisecond)
+				before := f.arrivals()
+				for _, header := range []http.Header{usual, absurd} {
+					require.Equal(t, http.StatusServiceUnavailable, f.serve("/unsafe/", header, strings.NewReader("body")).Code)
+				}
+				require.Equal(t, before, f.arrivals(), "refused as not run")
+			})
+		})
+	}
+}
+
 // Guards against the same loss on the paths to a server after the arrival of a
 // request: its body may take longer than the estimate, and a first server may refuse
 // it late.
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -34,8 +34,12 @@
 	}
 	timeout, _ := time.ParseDuration(header.Get("Patience"))
 	tokens, _ := strconv.Atoi(header.Get("Tokens"))
+	var parts []clementineturn.PromptPart
+	if prompt, err := strconv.Atoi(header.Get("Prompt")); err == nil {
+		parts = append(parts, clementineturn.NewPromptPart(clementineturn.PromptPartConfig{ID: 1, Tokens: prompt}))
+	}
 	return clementineturn.NewRequestInfo(clementineturn.RequestInfoConfig{
-		RequestID: header.Get("Id"), APIKey: header.Get("Key"), Timeout: timeout, MaxOutputTokens: tokens,
+		RequestID: header.Get("Id"), APIKey: header.Get("Key"), Timeout: timeout, MaxOutputTokens: tokens, Parts: parts,
 	}), nil
 }
 
--- a/dialect.go
+++ b/dialect.go
@@ -16,8 +16,19 @@
 // PromptPart is one part of a prompt. Backend servers cache prompts by part.
 type PromptPart struct{ config PromptPartConfig }
 
-// NewPromptPart returns a PromptPart for the configuration.
-func NewPromptPart(c PromptPartConfig) PromptPart { return PromptPart{config: c} }
+// MaxTokens is the largest number of tokens of a prompt, a part or an output. It is above
+// the context of any model, and low enough that times of many such parts do not overflow.
+const MaxTokens = 1 << 24
+
+// boundTokens returns the number of tokens that counts: 0 for a negative one, and MaxTokens
+// for a larger one.
+func boundTokens(tokens int) int { return min(max(tokens, 0), MaxTokens) }
+
+// NewPromptPart returns a PromptPart for the configuration, with at most MaxTokens tokens.
+func NewPromptPart(c PromptPartConfig) PromptPart {
+	c.Tokens = boundTokens(c.Tokens)
+	return PromptPart{config: c}
+}
 
 // ID returns the digest of the part, equal in all prompts that contain it.
 func (p PromptPart) ID() uint64 { return p.config.ID }
@@ -49,8 +60,12 @@
 // RequestInfo holds the values decoded from the headers of a client's request.
 type RequestInfo struct{ config RequestInfoConfig }
 
-// NewRequestInfo returns a RequestInfo for the configuration.
-func NewRequestInfo(c RequestInfoConfig) RequestInfo { return RequestInfo{config: c} }
+// NewRequestInfo returns a RequestInfo for the configuration, with at most MaxTokens tokens of
+// the prompt and of the output.
+func NewRequestInfo(c RequestInfoConfig) RequestInfo {
+	c.PromptTokens, c.MaxOutputTokens = boundTokens(c.PromptTokens), boundTokens(c.MaxOutputTokens)
+	return RequestInfo{config: c}
+}
 
 // RequestID returns the client's id of this attempt.
 func (r RequestInfo) RequestID() string { return r.config.RequestID }
