clemquota, clemfront: a stopping front answers requests that arrive late in the grace period

What callers saw: in a planned stop a front read a request on a connection that had been opened before and had had no request yet, some time after the load balancer had taken it out, and closed the connection without an answer. The client of an at-most-once request does not know then whether it ran.

Cause: the front called http.Server.Shutdown 3.2 s after SIGTERM and waited for its end. From that call on net/http returns after it has read a request, before the handler is called.

Why it works: the listener stops to accept and closes connections of whose next head nothing was read; a head and the close exclude each other, so that a request is answered or was not read. Shutdown follows when all connections are closed, or at the end of the grace period. Whether a late request is passed on is decided as before. The port refuses connections and the process ends as early as before: a connection without a first request is closed after 5 s, as Shutdown does.

--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -31,6 +31,11 @@
 	// period, at which the process is killed. Within the first half of it the requests
 	// that are ended get their responses.
 	exitMargin = 400 * time.Millisecond
+	// firstRequestWait is how long a connection of a draining front may wait for its first
+	// request, as with net/http's Shutdown, and closeInterval the interval at which idle
+	// connections are closed.
+	firstRequestWait = 5 * time.Second
+	closeInterval    = 10 * time.Millisecond
 	// settingsPollInterval is the interval at which the settings are read again,
 	// since they may change without a signal.
 	settingsPollInterval = time.Second
@@ -239,15 +244,15 @@
 }
 
 // drain fails the readiness check, waits until the load balancer has removed the
-// front, waits for running requests and closes idle connections. At the end of draining
-// it ends the requests that still run.
+// front, closes idle connections and waits for the others. At the end of draining it ends
+// the requests that still run.
 func (f *front) drain(clients *http.Server) {
 	started := time.Now()
 	end := started.Add(f.settings.Load().Bounds().GracePeriod() - exitMargin)
 	f.router.Drain(end)
 	f.events.Emit(clemevent.ProcessDraining, zap.Int("running", f.router.ActiveRequests()), zap.Int("connections", f.clientListener.Len()))
 	time.Sleep(min(shutdownDelay, time.Until(end)))
-	// Shutdown closes idle connections and waits for the others.
+	f.closeConnections(end)
 	if err := shutdownUntil(clients, end); err == nil {
 		return
 	}
@@ -258,6 +263,20 @@
 	}
 }
 
+// closeConnections accepts no more connections and closes those of clients as they become
+// idle, until all are closed or the given time. Requests that arrive meanwhile on the others
+// are answered; http.Server.Shutdown drops them.
+func (f *front) closeConnections(end time.Time) {
+	if f.clientListener == nil {
+		return
+	}
+	f.clientListener.Stop()
+	for f.clientListener.Len() > 0 && time.Now().Before(end) {
+		f.clientListener.CloseIdle(firstRequestWait)
+		time.Sleep(min(closeInterval, time.Until(end)))
+	}
+}
+
 func shutdownUntil(server *http.Server, end time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/clemquota/budget.go
+++ b/clemquota/budget.go
@@ -147,6 +147,15 @@
 	h.budget.resize(h, 0)
 }
 
+// evict ends the request as if its memory was needed, unless it was forwarded.
+func (h *Hold) evict() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if !h.isPinned && !h.evicted.Load() {
+		h.budget.evict(h)
+	}
+}
+
 // IsEvicted reports whether the request was evicted.
 func (h *Hold) IsEvicted() bool { return h != nil && h.evicted.Load() }
 
--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -67,6 +67,16 @@
 	errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("refused by the limits of the listener")}
 )
 
+// Values of Conn.headState.
+const (
+	// headAwaited is a connection of whose next head nothing was read.
+	headAwaited = iota
+	// headBegun is one of which something was read, or its request is served.
+	headBegun
+	// headLeft is one that is closed in place of reading a head.
+	headLeft
+)
+
 // Conn is a connection of a Listener. It counts the bytes and lines of each head as
 // net/http reads it: a head begins with the connection or when the connection is idle,
 // and ends when net/http reports it as active.
@@ -85,6 +95,8 @@
 	endedSince atomic.Int64
 	isRefused  atomic.Bool
 	removeOnce sync.Once
+	// headState tells whether bytes of the present head were read.
+	headState atomic.Int32
 
 	// The fields below belong to the goroutine that serves the connection and to the one
 	// in which net/http reads while a handler runs; these take turns.
@@ -112,6 +124,7 @@
 	c.headBytes, c.reads = 0, 0
 	c.deadline, c.deadlinesSet = time.Time{}, 0
 	c.waitingSince.Store(time.Now().UnixNano())
+	c.headState.CompareAndSwap(headBegun, headAwaited)
 	c.hold.Release()
 	_ = c.setReadDeadline(time.Now().Add(timeout(c.limits)))
 }
@@ -120,6 +133,10 @@
 // now.
 func (c *Conn) endHead() {
 	c.inHead = false
+	if !c.headState.CompareAndSwap(headAwaited, headBegun) && c.headState.Load() == headLeft {
+		// The head came with the request before. Its request must not be sent.
+		c.hold.evict()
+	}
 	c.waitingSince.Store(0)
 	c.hasServed.Store(true)
 	if c.reads == 0 {
@@ -181,6 +198,10 @@
 		_ = c.setReadDeadline(time.Now().Add(lateReadTime))
 		n, err = c.Conn.Read(to)
 	}
+	if n > 0 && !c.headState.CompareAndSwap(headAwaited, headBegun) && c.headState.Load() == headLeft {
+		// The client may repeat a request that was not read.
+		return 0, errRefused
+	}
 	if n > 0 {
 		lines := headLines(to[:n])
 		if c.reads == 0 && c.deadlinesSet != 1 {
@@ -293,6 +314,9 @@
 	return c.waitingSince.Load(), 1
 }
 
+// leaveHead reports whether nothing of the present head was read. Nothing will be then.
+func (c *Conn) leaveHead() bool { return c.headState.CompareAndSwap(headAwaited, headLeft) }
+
 // evict ends reads of the request.
 func (c *Conn) evict() {
 	c.endedSince.CompareAndSwap(0, time.Now().UnixNano())
--- a/clemquota/listener.go
+++ b/clemquota/listener.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,6 +34,9 @@
 type Listener struct {
 	net.Listener
 	config ListenerConfig
+	// stopped is closed by Stop, closed by Close.
+	stopped, closed     chan struct{}
+	stopOnce, closeOnce sync.Once
 
 	// mu guards conns.
 	mu    sync.Mutex
@@ -50,7 +54,7 @@
 	if c.OnRefused == nil {
 		c.OnRefused = func(Reason, net.Addr) {}
 	}
-	return &Listener{Listener: c.Listener, config: c}
+	return &Listener{Listener: c.Listener, config: c, stopped: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener. At the limit of connections it closes the one that
@@ -59,6 +63,7 @@
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
+			l.awaitClose()
 			return nil, err
 		}
 		c := &Conn{Conn: raw, listener: l}
@@ -89,6 +94,52 @@
 	}
 }
 
+// Stop ends the acceptance of connections. Those that are open are served until Close:
+// http.Server.Shutdown would drop the requests that arrive on them without an answer.
+func (l *Listener) Stop() {
+	l.stopOnce.Do(func() {
+		close(l.stopped)
+		_ = l.Listener.Close()
+	})
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	var err error
+	l.closeOnce.Do(func() {
+		close(l.closed)
+		err = l.Listener.Close()
+	})
+	return err
+}
+
+// awaitClose waits for Close after Stop, since http.Server ends with an error of Accept.
+func (l *Listener) awaitClose() {
+	select {
+	case <-l.stopped:
+		<-l.closed
+	default:
+	}
+}
+
+// CloseIdle closes the connections that wait for the next request, and those that have
+// waited longer than the time for the first one. No request that was read is lost.
+func (l *Listener) CloseIdle(maxWait time.Duration) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	conns := slices.Clone(l.conns)
+	l.mu.Unlock()
+	before := time.Now().Add(-maxWait).UnixNano()
+	for _, c := range conns {
+		since := c.waitingSince.Load()
+		if since != 0 && (c.hasServed.Load() || since < before) && c.leaveHead() {
+			_ = c.Close()
+		}
+	}
+}
+
 // Len returns the number of open connections, 0 for a nil Listener.
 func (l *Listener) Len() int {
 	if l == nil {
--- a/clemrouter/answer.go
+++ b/clemrouter/answer.go
@@ -165,6 +165,9 @@
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // Keeps net/http from detecting one.
 	}
+	if q.router.IsDraining() {
+		header["Connection"] = []string{"close"}
+	}
 	q.isStarted, q.status = true, status
 	q.writer.WriteHeader(status)
 	n, err := q.writer.Write(body)
--- a/clemrouter/drain_test.go
+++ b/clemrouter/drain_test.go
@@ -214,6 +214,21 @@
 	})
 }
 
+// Guards against connections that clients use again although the entry has begun to drain
+// since their request came.
+func TestDrainingEntryAsksToCloseConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBareFixture(t, okResponse, okResponse)
+		defer f.closeServers()
+		require.Empty(t, f.serve("/unsafe/", nil, strings.NewReader("body")).Header().Get("Connection"))
+		f.setRunTime(time.Second)
+		time.AfterFunc(time.Millisecond, func() { f.router.Drain(time.Now().Add(drainPeriod)) })
+		recorder := f.serve("/unsafe/", nil, strings.NewReader("body"))
+		require.Equal(t, http.StatusOK, recorder.Code)
+		require.Equal(t, "close", recorder.Header().Get("Connection"))
+	})
+}
+
 // Guards against callers that are told to come back at once while every entry drains,
 // and use up their attempts.
 func TestDrainingEntryTellsWhenAnotherServes(t *testing.T) {
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -92,9 +92,6 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	q := &request{router: r, writer: w, http: req, arrived: time.Now()}
-	if r.IsDraining() {
-		w.Header().Set("Connection", "close")
-	}
 	err := q.serve()
 	q.finish(clementineturn.AsError(err))
 }
