Tests: heads that break off are no answer

The report of a server that stops in the middle of its answer's head and closes, after which clients of another system got a success with an empty or short body, does not happen here: net/http ends a head without its empty line with an error. TestHeadThatBreaksOff of clemrouter cuts eight heads after each of their bytes, by a close and by a reset, on requests of all kinds and in place of a stream's rest; that of clembackend cuts four. Both passed without a change.

--- a/clembackend/broken_test.go
+++ b/clembackend/broken_test.go
@@ -71,3 +71,16 @@
 		requireNoResponse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 8\r\n\r\n3\r\nodd\r\n0\r\n\r\n")
 	}
 }
+
+// Guards against a backend server that stops in the middle of its response's head and
+// closes the connection: the caller got a success with an empty body.
+func TestHeadThatBreaksOff(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\nServer: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for at := range head {
+			requireNoResponse(t, head[:at])
+		}
+	}
+}
--- a/clemrouter/broken_test.go
+++ b/clemrouter/broken_test.go
@@ -93,3 +93,26 @@
 	require.Equal(t, "a b", header.Get("Even"))
 	require.Equal(t, "good", body)
 }
+
+// Guards against a server that stops in the middle of its response's head and closes or
+// resets the connection: the client got a success with an empty or short body.
+func TestHeadThatBreaksOff(t *testing.T) {
+	signed := strings.ReplaceAll(signedHead, ownID, "r1")
+	for name, head := range map[string]string{
+		"length":          "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 3\r\n\r\n",
+		"no length first": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + signed + "\r\n",
+		"chunks":          "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n",
+		"undelimited":     "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\n\r\n",
+		"no body":         "HTTP/1.1 204 No Content\r\n" + signed + "\r\n",
+		"interim":         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 3\r\n\r\n",
+		"line feeds":      "HTTP/1.1 200 OK\n" + strings.ReplaceAll(signed, "\r", "") + "Content-Length: 3\n\n",
+		"folded value":    "HTTP/1.1 200 OK\r\n" + signed + "Even: a\r\n \tb\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for at := range head {
+				requireNoAnswer(t, head[:at]+"!")
+				requireNoAnswer(t, head[:at]+resetAfter)
+			}
+		})
+	}
+}
