clementry: answers that an entry buffers share half of its memory budget

The writer of an attempt charges its buffer as it grows, and an evicted answer ends as one that broke off (cut): idempotent work may be retried, and a call that runs at most once has its outcome in its claim. Entries without the setting memory bound nothing, as before.

--- a/clementry/http.go
+++ b/clementry/http.go
@@ -71,7 +71,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.activeRequests.Add(1)
 		defer e.activeRequests.Add(-1)
-		c := &callerRequest{requestID: rand.Text(), w: w, r: r, started: time.Now(), response: newCallerResponse(w)}
+		c := &callerRequest{requestID: rand.Text(), w: w, r: r, started: time.Now(), response: newCallerResponse(w, clemquota.FromContext(r.Context()))}
 		w.Header().Set(headerRequest, c.requestID)
 		organisation, err := e.authenticate(r)
 		if err == nil {
--- a/clementry/input_test.go
+++ b/clementry/input_test.go
@@ -181,7 +181,7 @@
 		fetch := &clemwire.Fetch{Request: "r", Attempt: "r.1"}
 		frames := completeFrames(fetch, media, streamEvents[:2])
 		recorder := httptest.NewRecorder()
-		out := newCallerResponse(recorder).newAnswerWriter()
+		out := newCallerResponse(recorder, nil).newAnswerWriter()
 		out.reset("srv-1", false)
 		isOrdered, err := true, error(nil)
 		for i, number := range order {
--- a/clementry/output.go
+++ b/clementry/output.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -33,14 +34,16 @@
 type callerResponse struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	acquired   chan struct{}
+	// hold counts the memory of the request; nil means that it is not counted.
+	hold     *clemquota.Hold
+	acquired chan struct{}
 
 	mu     sync.Mutex
 	writer *answerWriter
 }
 
-func newCallerResponse(w http.ResponseWriter) *callerResponse {
-	return &callerResponse{w: w, controller: http.NewResponseController(w), acquired: make(chan struct{})}
+func newCallerResponse(w http.ResponseWriter, hold *clemquota.Hold) *callerResponse {
+	return &callerResponse{w: w, controller: http.NewResponseController(w), hold: hold, acquired: make(chan struct{})}
 }
 
 // acquire gives the response to the attempt unless another one has acquired it,
@@ -79,11 +82,13 @@
 	start         *clemwire.Start
 	isEventStream bool
 	buffered      []byte
-	statusSent    bool
-	nextSeq       uint64
-	length        uint64
-	digest        *xxhash.Digest
-	resumed       bool
+	// memory is that of buffered.
+	memory     *clemquota.Response
+	statusSent bool
+	nextSeq    uint64
+	length     uint64
+	digest     *xxhash.Digest
+	resumed    bool
 	// retryable says that a 5xx answer may be discarded and retried.
 	retryable bool
 	// complete is set once the end frame was received.
@@ -163,6 +168,9 @@
 	}
 	a.buffered = strconv.AppendUint(append(a.buffered[:0], a.eventIDPrefix...), frame.GetSeq(), 10)
 	a.buffered = append(append(a.buffered, '\n'), data...)
+	if err := a.memory.Resize(int64(cap(a.buffered))); err != nil {
+		return err
+	}
 	if bytes.HasPrefix(data, doneEvent) {
 		return nil
 	}
@@ -172,6 +180,9 @@
 // bufferData buffers data up to maxBufferedBytes.
 func (a *answerWriter) bufferData(data []byte) error {
 	a.buffered = append(a.buffered, data...)
+	if err := a.memory.Resize(int64(cap(a.buffered))); err != nil {
+		return err
+	}
 	if len(a.buffered) <= maxBufferedBytes {
 		return nil
 	}
--- a/clementry/serve.go
+++ b/clementry/serve.go
@@ -186,11 +186,19 @@
 }
 
 // relay copies the answer of one attempt to its writer and resumes a broken
-// stream at the next frame.
+// stream at the next frame. Errors: KindCut if the answer breaks off or the entry has no
+// memory for it, and those of the answer and the writer.
 func (r *router) relay(ctx context.Context, a *acceptedAttempt, out *answerWriter) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out.memory = out.hold.NewResponse(cancel)
+	defer out.memory.Release()
 	for failures := 0; ; {
 		from := out.nextSeq
 		err := a.fetch(ctx, out)
+		if overMemory := out.memory.Err(); overMemory != nil && err != nil {
+			return clementineturn.Errorf(clementineturn.KindCut, "the answer was ended: %w", overMemory)
+		}
 		if out.complete || !clementineturn.IsKind(err, clementineturn.KindCut) {
 			return err
 		}
