clemanswer: the answers of a sidecar share a part of its memory, and events end

All answers together may hold three eighths of the setting memory. Beyond that an answer that is not smaller than the mean ends at its next data, so that one which does not end goes before a usual one; ended answers without readers go first. An event has at most 1 MiB, and short frames count as 64 bytes towards twice the limit of an answer.

--- a/clemanswer/answer.go
+++ b/clemanswer/answer.go
@@ -20,6 +20,14 @@
 	// allocates frames and their data.
 	slabFrames = 32
 	slabBytes  = 4 << 10
+	// maxEventBytes is the size limit of one event: it is buffered until it is complete,
+	// and entries handle it as a whole.
+	maxEventBytes = 1 << 20
+	// minFrameMemory is what a frame with less data counts as, since it takes more than its
+	// data.
+	minFrameMemory = 64
+	// maxOverhead is how much larger an answer's memory may be than the limit of its data.
+	maxOverhead = 2
 )
 
 // eventEnds are the byte sequences that end an event, for each line ending.
@@ -43,8 +51,10 @@
 	request      string
 	attempt      string
 	organisation string
-	// maxBytes is the size limit of the answer's data.
+	// maxBytes is the size limit of the answer.
 	maxBytes int
+	// total is the memory of all answers.
+	total *memoryTotal
 
 	mu     sync.Mutex
 	frames []*clemwire.Frame
@@ -57,7 +67,9 @@
 	isEventStream bool
 	digest        *xxhash.Digest
 	length        uint64
-	ended         bool
+	// memory is the size of the data with minFrameMemory for each short frame.
+	memory int
+	ended  bool
 	// wakeups holds a channel for each reader, which wakes it after a new frame.
 	wakeups []chan struct{}
 	// isRead is set once a reader got the end frame.
@@ -67,9 +79,9 @@
 	done     chan struct{}
 }
 
-func newAnswer(offer *clemwire.Offer, limit int, now time.Time) *Answer {
+func newAnswer(offer *clemwire.Offer, limit int, total *memoryTotal, now time.Time) *Answer {
 	return &Answer{
-		request: offer.GetRequest(), attempt: offer.GetAttempt(), organisation: offer.GetOrganisation(), maxBytes: limit,
+		request: offer.GetRequest(), attempt: offer.GetAttempt(), organisation: offer.GetOrganisation(), maxBytes: limit, total: total,
 		digest: xxhash.New(), lastUsed: now, done: make(chan struct{}),
 	}
 }
@@ -90,16 +102,22 @@
 
 // Data implements clementineturn.Sink. Each frame of an event stream holds one
 // complete event, so that a reader can resume at any frame. Errors: KindTooLarge
-// for data beyond the size limit, KindCancelled after the end.
+// for data beyond the size limits, KindOverloaded if all answers together are beyond theirs
+// and this one is not smaller than most, KindCancelled after the end.
 func (a *Answer) Data(data []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
 		return clementineturn.Errorf(clementineturn.KindCancelled, "answer %s has ended", a.attempt)
 	}
-	if int(a.length)+len(a.partialEvent)+len(data) > a.maxBytes {
+	size := a.memory + len(a.partialEvent) + len(data)
+	if int(a.length)+len(a.partialEvent)+len(data) > a.maxBytes || size > maxOverhead*a.maxBytes {
 		return clementineturn.Errorf(clementineturn.KindTooLarge, "the answer is larger than the buffer of %d bytes", a.maxBytes)
 	}
+	if a.total.isExceededBy(size) {
+		return clementineturn.Errorf(clementineturn.KindOverloaded, "over memory: answers hold more than %d bytes", a.total.limit)
+	}
+	defer a.recordMemory(a.heldMemory())
 	if !a.isEventStream {
 		a.appendData(data)
 		return nil
@@ -108,12 +126,21 @@
 		a.partialEvent = append(a.partialEvent, data...)
 		rest := a.appendEvents(a.partialEvent)
 		a.partialEvent = append(a.partialEvent[:0], rest...)
-		return nil
+	} else {
+		a.partialEvent = append(a.partialEvent, a.appendEvents(data)...)
+	}
+	if len(a.partialEvent) > maxEventBytes {
+		return clementineturn.Errorf(clementineturn.KindTooLarge, "an event is larger than %d bytes", maxEventBytes)
 	}
-	a.partialEvent = append(a.partialEvent, a.appendEvents(data)...)
 	return nil
 }
 
+// heldMemory returns the memory of the answer.
+func (a *Answer) heldMemory() int { return a.memory + cap(a.partialEvent) }
+
+// recordMemory adds what the answer takes more than before to the memory of all.
+func (a *Answer) recordMemory(before int) { a.total.used.Add(int64(a.heldMemory() - before)) }
+
 // appendEvents appends a frame for each complete event and returns the rest.
 func (a *Answer) appendEvents(data []byte) []byte {
 	for {
@@ -130,6 +157,7 @@
 func (a *Answer) appendData(data []byte) {
 	_, _ = a.digest.Write(data)
 	a.length += uint64(len(data))
+	a.memory += max(len(data), minFrameMemory)
 	if len(a.freeBytes) < len(data) {
 		a.freeBytes = make([]byte, max(slabBytes, len(data)))
 	}
@@ -165,10 +193,12 @@
 	if a.ended {
 		return 0, false
 	}
+	before := a.heldMemory()
 	if len(a.partialEvent) > 0 && err == nil {
 		a.appendData(a.partialEvent)
 	}
 	a.partialEvent = nil
+	a.recordMemory(before)
 	end := &clemwire.End{Length: a.length, Digest: a.digest.Sum64()}
 	if err != nil {
 		end.Refusal = clementineturn.AsError(err).Refusal()
@@ -268,12 +298,12 @@
 	a.isRead = true
 }
 
-// usage returns the size of the data, the number of readers, and when the answer
-// was last used.
-func (a *Answer) usage() (size, readers int, lastUsed time.Time) {
+// usage returns the size of the data, the memory, the number of readers, and when the
+// answer was last used.
+func (a *Answer) usage() (size, memory, readers int, lastUsed time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int(a.length), len(a.wakeups), a.lastUsed
+	return int(a.length), a.heldMemory(), len(a.wakeups), a.lastUsed
 }
 
 func (a *Answer) isEnded() bool {
--- a/clemanswer/store.go
+++ b/clemanswer/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -17,6 +18,9 @@
 	// MaxBytes limits the total data of the ended answers that are kept, and the
 	// data of each answer.
 	MaxBytes int
+	// MaxMemory limits the memory of all answers in bytes, running ones too; 0 bounds
+	// nothing.
+	MaxMemory int64
 	// Linger is how long an ended answer is kept after its end or its last reader,
 	// and how long a running one may have no reader until Orphans returns it.
 	Linger time.Duration
@@ -26,6 +30,7 @@
 type Store struct {
 	maxBytes int
 	linger   time.Duration
+	total    memoryTotal
 
 	mu      sync.Mutex
 	answers map[string]*Answer
@@ -37,7 +42,28 @@
 
 // New returns an empty store.
 func New(c Config) *Store {
-	return &Store{maxBytes: c.MaxBytes, linger: c.Linger, answers: map[string]*Answer{}}
+	return &Store{maxBytes: c.MaxBytes, linger: c.Linger, total: memoryTotal{limit: c.MaxMemory}, answers: map[string]*Answer{}}
+}
+
+// memoryTotal is the memory of all answers of a store.
+type memoryTotal struct {
+	limit         int64
+	used, answers atomic.Int64
+}
+
+// isOver reports whether the answers hold more than their limit.
+func (t *memoryTotal) isOver() bool { return t.limit > 0 && t.used.Load() > t.limit }
+
+// isExceededBy reports whether an answer of the size must end because of the limit. Answers
+// below the mean go on: those that do not end are above it.
+func (t *memoryTotal) isExceededBy(size int) bool {
+	return t.isOver() && int64(size)*max(t.answers.Load(), 1) >= t.used.Load()
+}
+
+// remove takes an answer that is no longer held out of the total.
+func (t *memoryTotal) remove(size int) {
+	t.used.Add(-int64(size))
+	t.answers.Add(-1)
 }
 
 // Open creates the answer of an attempt. Errors: KindConflict if the attempt has
@@ -48,8 +74,9 @@
 	if _, ok := s.answers[offer.GetAttempt()]; ok {
 		return nil, clementineturn.Errorf(clementineturn.KindConflict, "attempt %s has an answer", offer.GetAttempt())
 	}
-	a := newAnswer(offer, s.maxBytes, now)
+	a := newAnswer(offer, s.maxBytes, &s.total, now)
 	s.answers[offer.GetAttempt()] = a
+	s.total.answers.Add(1)
 	return a, nil
 }
 
@@ -73,6 +100,8 @@
 	defer s.mu.Unlock()
 	if s.answers[a.attempt] == a {
 		delete(s.answers, a.attempt)
+		_, memory, _, _ := a.usage()
+		s.total.remove(memory)
 	}
 }
 
@@ -88,10 +117,11 @@
 func (s *Store) evict(now time.Time) {
 	kept := s.ended[:0]
 	for _, a := range s.ended {
-		size, readers, lastUsed := a.usage()
-		if readers == 0 && (s.endedBytes > s.maxBytes || now.Sub(lastUsed) > s.linger) {
+		size, memory, readers, lastUsed := a.usage()
+		if readers == 0 && (s.endedBytes > s.maxBytes || s.total.isOver() || now.Sub(lastUsed) > s.linger) {
 			delete(s.answers, a.attempt)
 			s.endedBytes -= size
+			s.total.remove(memory)
 			continue
 		}
 		kept = append(kept, a)
@@ -107,7 +137,7 @@
 	defer s.mu.Unlock()
 	var attempts []string
 	for attempt, a := range s.answers {
-		_, readers, lastUsed := a.usage()
+		_, _, readers, lastUsed := a.usage()
 		if !a.isEnded() && readers == 0 && now.Sub(lastUsed) > s.linger {
 			attempts = append(attempts, attempt)
 		}
--- a/clemnode/sidecar.go
+++ b/clemnode/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/clementineturn/clementineturn/clemgate"
 	"github.com/clementineturn/clementineturn/clemmember"
 	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemquota"
 	"github.com/clementineturn/clementineturn/clemrelay"
 	"github.com/clementineturn/clementineturn/clemrpc"
 	"github.com/clementineturn/clementineturn/clemsetting"
@@ -54,7 +55,9 @@
 func newSidecar(settings *clemsetting.Settings, board *clemboard.Board, gate *clemgate.Gate, relay *clemrelay.Relay, backend *clembackend.Backend, ledger *clemclaim.Ledger, events *clemevent.Logger) *clemsidecar.Sidecar {
 	return clemsidecar.New(clemsidecar.Config{
 		Server: settings.Name(), Pool: settings.Pool(), Board: board, Gate: gate, Backend: backend, Relay: relay, Ledger: ledger, Events: events,
-		Answers: clemanswer.New(clemanswer.Config{MaxBytes: int(settings.AnswerBufferBytes()), Linger: settings.Linger()}),
+		Answers: clemanswer.New(clemanswer.Config{
+			MaxBytes: int(settings.AnswerBufferBytes()), MaxMemory: clemquota.BudgetFor(settings.MemoryLimit()), Linger: settings.Linger(),
+		}),
 	})
 }
 
--- a/clemsetting/table.go
+++ b/clemsetting/table.go
@@ -89,7 +89,7 @@
 	{path: "address", kind: KindAddress, doc: "Where other processes reach this one; the value of listen if absent. Required if listen has the unspecified IP address."},
 	{path: "platform", kind: KindURL, required: true, doc: "Base URL of the platform's services."},
 	{path: "fleet", kind: KindSecret, required: true, minValue: minSecretLength, maxValue: 1024, doc: "Key shared by all processes of the fleet. Sidecars take work and orders only from its holders."},
-	{path: "memory", kind: KindInteger, defaultValue: int64(0), maxValue: 16 * 1024 * gib, doc: "Memory of the process in bytes. Requests that have not been dispatched hold at most three eighths of it; 0 bounds nothing."},
+	{path: "memory", kind: KindInteger, defaultValue: int64(0), maxValue: 16 * 1024 * gib, doc: "Memory of the process in bytes. Requests that have not been dispatched, with answers that an entry buffers, hold at most three eighths of it, and the answers of a sidecar as much; 0 bounds nothing."},
 	{path: "connections", kind: KindInteger, defaultValue: int64(0), maxValue: 1 << 24, doc: "Largest number of open connections of a listener; beyond it the one that waited longest without a request is closed. 0 bounds nothing."},
 	{path: "level", kind: KindChoice, defaultValue: "info", choices: []string{"debug", "info", "warn", "error"}, doc: "Lowest level of the events that are logged."},
 	{path: "grace", kind: KindDuration, defaultValue: 10 * time.Minute, maxValue: int64(24 * time.Hour), doc: "Longest time a graceful shutdown waits for running work; 0s waits without limit."},
