clemrouter: what is pending of an event is searched once for its end

A server in trouble that goes on with an event in small pieces made the front search all that it had of the event, up to 1 MiB, with each of them: processor time that requests to other servers need.

What is pending has no end of an event, so that one can only begin with its last byte; TestEventThatArrivesInParts splits two events at each byte.

--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -41,11 +41,14 @@
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Read(chunk)
+		// Only the last byte of what is pending may begin the end of an event.
+		searched := max(len(pending)-1, 0)
 		pending = append(pending, chunk[:n]...)
 		if charged := arrival.chargeBody(cap(pending)); charged != nil {
 			return q.streamFailed(result, charged)
 		}
-		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
+		if at := bytes.LastIndex(pending[searched:], eventEnd); at >= 0 {
+			at += searched
 			events := summarizeEvents(pending[:at+len(eventEnd)])
 			if events.hasContent {
 				progress(events)
--- a/clemrouter/undelimited_test.go
+++ b/clemrouter/undelimited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -62,3 +63,19 @@
 	require.GreaterOrEqual(t, f.dials, 2)
 	require.Len(t, f.received, 3)
 }
+
+// Guards against an end of an event that is not found because it arrives in two reads.
+func TestEventThatArrivesInParts(t *testing.T) {
+	text := testEvent(1) + testEvent(2)
+	for at := range text {
+		f := newFixture(t, streamHead+text[:at]+shortPause+text[at:])
+		status, _, body, err := f.post("/stream/", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, text, body)
+	}
+	f := newFixture(t, streamHead+strings.Join(strings.Split(text, ""), shortPause))
+	_, _, body, err := f.post("/stream/", nil)
+	require.NoError(t, err)
+	require.Equal(t, text, body)
+}
