--- a/clembackend/broken_test.go
+++ b/clembackend/broken_test.go
@@ -64,6 +64,11 @@
 	}
 }
 
+// Guards against a claim that records bytes of another protocol, for which no call asks.
+func TestResponseOfAnotherProtocol(t *testing.T) {
+	requireNoResponse(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: odd\r\n\r\nodd")
+}
+
 // Guards against a response with a line that names no field of HTTP and was to tell how the
 // body is framed: the caller got a part of the body, or its framing.
 func TestNamesOutsideHTTP(t *testing.T) {
--- a/clemconn/exchange.go
+++ b/clemconn/exchange.go
@@ -176,6 +176,9 @@
 		if err != nil {
 			return err
 		}
+		if head.ProtoMajor != 1 {
+			return fmt.Errorf("malformed response: version %.20q", head.Proto)
+		}
 		if err := clemhttp.CheckHead(head); err != nil {
 			return err
 		}
--- a/clemrouter/broken_test.go
+++ b/clemrouter/broken_test.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// Guards against bytes of another protocol that look like a response. No request asks for
+// one, and net/http accepts any version.
+func TestResponseOfAnotherProtocol(t *testing.T) {
+	rest := signedHead + "Content-Length: 3\r\n\r\nodd"
+	for name, start := range map[string]string{
+		"switched":           "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"switched unasked":   "HTTP/1.1 101 Odd\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"version 0.9":        "HTTP/0.9 200 OK\r\n",
+		"version 2.0":        "HTTP/2.0 200 OK\r\n",
+		"interim, version 3": "HTTP/3.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, start+rest) })
+	}
+}
+
 // oddNames are lines of a head whose field has a name that HTTP does not have.
 var oddNames = map[string]string{
 	"blank": "Odd Name: odd", "blank before the colon": "Odd : odd", "tab": "Odd\tName: odd", "tab before the colon": "Odd\t: odd",
