Tests: the addresses of a front under test are taken by no other server

Likely cause: a front's three addresses are found by opening and closing a listener on 127.0.0.1, and a server of the same test may get one of the ports before the front listens.

The addresses have IP addresses of their own, so that neither servers on 127.0.0.1 nor the other two can have them, and a condition that is never satisfied shows the last lines of the front's log. Nothing is checked less.

--- a/cmd/clementine-front/main_test.go
+++ b/cmd/clementine-front/main_test.go
@@ -13,10 +13,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/clementineturn/clementineturn/clemfront"
@@ -27,6 +29,8 @@
 const (
 	waitTimeout  = time.Minute
 	pollInterval = 5 * time.Millisecond
+	// maxShownLines is how much of a front's log a failed test shows.
+	maxShownLines = 20
 )
 
 // startServer starts a stand-in of the platform's backend servers and returns its
@@ -37,9 +41,13 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// freeAddress returns an unused address of the loopback interface.
+// addressCount is the number of addresses that freeAddress has returned.
+var addressCount atomic.Uint32
+
+// freeAddress returns an unused address of the loopback interface. Each has an IP address of
+// its own: on 127.0.0.1 a server of the same test may get the port until it is used.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", os.Getpid()&255, 1+addressCount.Add(1)%250))
 	require.NoError(t, err)
 	defer listener.Close()
 	return listener.Addr().String()
@@ -175,7 +183,11 @@
 
 func (f *testFront) eventually(condition func() bool) {
 	f.t.Helper()
-	require.Eventually(f.t, condition, waitTimeout, pollInterval)
+	if !assert.Eventually(f.t, condition, waitTimeout, pollInterval) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.t.Fatal("the front's last lines:\n" + strings.Join(f.logLines[max(len(f.logLines)-maxShownLines, 0):], "\n"))
+	}
 }
 
 // TestFrontOnStandins runs a front from start to stop: without a configuration,
