clemquota: Close after Stop is no second close of the inner listener

A front that stopped without running requests logged that it had ended some, and ended the contexts of requests that had ended. Close closed the inner listener again after Stop, and http.Server.Shutdown returned the error of that, which looked like its timeout.

TestLateRequestsOfAStop asks for the log line now and failed with the code before. Stop and Close share one close and its error.

--- a/clemquota/listener.go
+++ b/clemquota/listener.go
@@ -34,9 +34,10 @@
 type Listener struct {
 	net.Listener
 	config ListenerConfig
-	// stopped is closed by Stop, closed by Close.
+	// stopped is closed once the inner listener is, with stopErr, and closed by Close.
 	stopped, closed     chan struct{}
 	stopOnce, closeOnce sync.Once
+	stopErr             error
 
 	// mu guards conns.
 	mu    sync.Mutex
@@ -96,21 +97,21 @@
 
 // Stop ends the acceptance of connections. Those that are open are served until Close:
 // http.Server.Shutdown would drop the requests that arrive on them without an answer.
-func (l *Listener) Stop() {
+func (l *Listener) Stop() { _ = l.stop() }
+
+// stop closes the inner listener, once, and returns the error of that.
+func (l *Listener) stop() error {
 	l.stopOnce.Do(func() {
+		l.stopErr = l.Listener.Close()
 		close(l.stopped)
-		_ = l.Listener.Close()
 	})
+	return l.stopErr
 }
 
 // Close implements net.Listener.
 func (l *Listener) Close() error {
-	var err error
-	l.closeOnce.Do(func() {
-		close(l.closed)
-		err = l.Listener.Close()
-	})
-	return err
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.stop()
 }
 
 // awaitClose waits for Close after Stop, since http.Server ends with an error of Accept.
--- a/cmd/clementine-front/stop_test.go
+++ b/cmd/clementine-front/stop_test.go
@@ -96,4 +96,5 @@
 	}
 	require.Zero(t, arrivals.Load(), "not passed on")
 	require.NoError(t, <-f.ended)
+	require.False(t, f.hasLogLine("requests ended by the stop"), "none was")
 }
