clemquota, clemrouter: names and parts of the memory of responses

No change of behaviour: the conditions of an eviction have names, the type of a response's memory is not called like its variables, and a head that is not read any more is abandoned.

--- a/clemquota/budget.go
+++ b/clemquota/budget.go
@@ -178,7 +178,7 @@
 	granted := true
 	for !b.fits(h, n) {
 		victim := b.largest()
-		if victim == nil || b.leaving > int64(maxLeavingShare*float64(b.Limit())) || !force && !victim.goesBefore(h, h.size+n) {
+		if victim == nil || !b.mayEvict() || !force && !victim.goesBefore(h, h.size+n) {
 			granted = force
 			break
 		}
--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -73,8 +73,8 @@
 	headAwaited = iota
 	// headBegun is one of which something was read, or its request is served.
 	headBegun
-	// headLeft is one that is closed in place of reading a head.
-	headLeft
+	// headAbandoned is one that is closed in place of reading a head.
+	headAbandoned
 )
 
 // Conn is a connection of a Listener. It counts the bytes and lines of each head as
@@ -133,7 +133,7 @@
 // now.
 func (c *Conn) endHead() {
 	c.inHead = false
-	if !c.headState.CompareAndSwap(headAwaited, headBegun) && c.headState.Load() == headLeft {
+	if !c.headState.CompareAndSwap(headAwaited, headBegun) && c.headState.Load() == headAbandoned {
 		// The head came with the request before. Its request must not be sent.
 		c.hold.evict()
 	}
@@ -198,7 +198,7 @@
 		_ = c.setReadDeadline(time.Now().Add(lateReadTime))
 		n, err = c.Conn.Read(to)
 	}
-	if n > 0 && !c.headState.CompareAndSwap(headAwaited, headBegun) && c.headState.Load() == headLeft {
+	if n > 0 && !c.headState.CompareAndSwap(headAwaited, headBegun) && c.headState.Load() == headAbandoned {
 		// The client may repeat a request that was not read.
 		return 0, errRefused
 	}
@@ -314,8 +314,9 @@
 	return c.waitingSince.Load(), 1
 }
 
-// leaveHead reports whether nothing of the present head was read. Nothing will be then.
-func (c *Conn) leaveHead() bool { return c.headState.CompareAndSwap(headAwaited, headLeft) }
+// abandonHead reports whether nothing of the present head was read, and nothing will be from
+// then on.
+func (c *Conn) abandonHead() bool { return c.headState.CompareAndSwap(headAwaited, headAbandoned) }
 
 // evict ends reads of the request.
 func (c *Conn) evict() {
--- a/clemquota/listener.go
+++ b/clemquota/listener.go
@@ -135,7 +135,7 @@
 	before := time.Now().Add(-maxWait).UnixNano()
 	for _, c := range conns {
 		since := c.waitingSince.Load()
-		if since != 0 && (c.hasServed.Load() || since < before) && c.leaveHead() {
+		if since != 0 && (c.hasServed.Load() || since < before) && c.abandonHead() {
 			_ = c.Close()
 		}
 	}
--- a/clemquota/response.go
+++ b/clemquota/response.go
@@ -104,11 +104,10 @@
 		b.started++
 		r.number = b.started
 	}
-	grown := size - r.size
-	for grown > 0 && b.arriving+grown > int64(responseShare*float64(b.Limit())) && (len(b.responses) > 1 || r.size == 0 && len(b.responses) > 0) {
-		victim := b.largestResponse(r, size)
-		if b.leaving > int64(maxLeavingShare*float64(b.Limit())) {
-			victim = r
+	for !b.hasShare(r, size) {
+		victim := r
+		if b.mayEvict() {
+			victim = b.largestResponse(r, size)
 		}
 		b.evictResponse(victim)
 		victims = append(victims, victim.onEvict)
@@ -116,7 +115,7 @@
 			return victims, false
 		}
 	}
-	for grown > 0 && b.used+grown > b.Limit() && b.leaving <= int64(maxLeavingShare*float64(b.Limit())) {
+	for size > r.size && b.used+size-r.size > b.Limit() && b.mayEvict() {
 		h := b.largest()
 		if h == nil {
 			break
@@ -128,6 +127,17 @@
 	return victims, true
 }
 
+// hasShare reports whether the response may have the size within the share of responses. A
+// single one may have any.
+func (b *Budget) hasShare(r *Response, size int64) bool {
+	isOnlyOne := len(b.responses) == 0 || len(b.responses) == 1 && r.size > 0
+	return size <= r.size || isOnlyOne || b.arriving+size-r.size <= int64(responseShare*float64(b.Limit()))
+}
+
+// mayEvict reports whether the memory of those that were evicted and have not ended is small
+// enough to evict another one.
+func (b *Budget) mayEvict() bool { return b.leaving <= int64(maxLeavingShare*float64(b.Limit())) }
+
 // largestResponse returns the largest response, the newest of several, where the size is
 // that of the given one.
 func (b *Budget) largestResponse(r *Response, size int64) *Response {
--- a/clemquota/stop_test.go
+++ b/clemquota/stop_test.go
@@ -81,14 +81,14 @@
 		return c
 	}
 	c := newConn()
-	require.True(t, c.leaveHead())
+	require.True(t, c.abandonHead())
 	go func() { _, _ = io.WriteString(far, "GET") }()
 	n, err := c.Read(make([]byte, 16))
 	require.ErrorIs(t, err, errRefused)
 	require.Zero(t, n)
 
 	c = newConn()
-	require.True(t, c.leaveHead())
+	require.True(t, c.abandonHead())
 	c.endHead()
 	require.Error(t, c.hold.Pin(), "a head that came with the request before is not sent either")
 
@@ -96,5 +96,5 @@
 	go func() { _, _ = io.WriteString(far, "GET") }()
 	_, err = c.Read(make([]byte, 16))
 	require.NoError(t, err)
-	require.False(t, c.leaveHead())
+	require.False(t, c.abandonHead())
 }
--- a/clemrouter/answer.go
+++ b/clemrouter/answer.go
@@ -64,7 +64,7 @@
 
 // forwardResponse reads a response that is not a stream and forwards it to the
 // client unless it is a failure.
-func (q *request) forwardResponse(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, arrival *arrival) attemptResult {
+func (q *request) forwardResponse(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, arrival *arrivingResponse) attemptResult {
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, responseInfo: responseInfo}
 	if responseInfo.NotRun() {
 		result := attemptResult{outcome: clempool.OutcomeRefused, err: clementineturn.Refuse(clementineturn.KindOverloaded, "status %d, not run", buffered.status)}
--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -92,35 +92,36 @@
 	return err
 }
 
-// arrival is the memory of a response while it arrives: that of its head and of what is
+// arrivingResponse is the memory of a response while it arrives: that of its head and of what is
 // kept of its body.
-type arrival struct {
+type arrivingResponse struct {
 	memory *clemquota.Response
 	head   int64
 }
 
 // newArrival returns the memory of a response that arrives. The function ends the arrival.
-func (q *request) newArrival(end func()) *arrival {
-	return &arrival{memory: q.hold.NewResponse(end)}
+func (q *request) newArrival(end func()) *arrivingResponse {
+	return &arrivingResponse{memory: q.hold.NewResponse(end)}
 }
 
 // chargeHead charges the memory of the head. Errors: those of clemquota.Response.
-func (a *arrival) chargeHead(size int64) error {
+func (a *arrivingResponse) chargeHead(size int64) error {
 	a.head = size
 	return a.memory.Resize(size)
 }
 
 // chargeBody charges what is kept of the body. Errors: those of clemquota.Response.
-func (a *arrival) chargeBody(size int) error { return a.memory.Resize(a.head + int64(size)) }
+func (a *arrivingResponse) chargeBody(size int) error { return a.memory.Resize(a.head + int64(size)) }
 
 // readAll reads a body to its end, or up to more than the limit.
-func (a *arrival) readAll(response *clemconn.Response, limit int64) ([]byte, error) {
+func (a *arrivingResponse) readAll(response *clemconn.Response, limit int64) ([]byte, error) {
 	body, err := a.memory.ReadAll(io.LimitReader(response, limit+1), a.head, min(response.ContentLength, limit+1), limit+1)
 	return body, a.explain(err)
 }
 
-// explain returns the error of an eviction in place of that which it caused.
-func (a *arrival) explain(err error) error {
+// explain returns the error of the eviction if that caused the error, which is that of a
+// closed connection then.
+func (a *arrivingResponse) explain(err error) error {
 	if err == nil {
 		return nil
 	}
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -26,7 +26,7 @@
 // forwardStream forwards the events of a response as they arrive, complete ones
 // only. It calls progress whenever events with an id or data arrived: a stalled
 // server may still send a byte or a comment now and then.
-func (q *request) forwardStream(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, arrival *arrival, progress func(eventSummary)) attemptResult {
+func (q *request) forwardStream(response *clemconn.Response, responseInfo clementineturn.ResponseInfo, arrival *arrivingResponse, progress func(eventSummary)) attemptResult {
 	result := attemptResult{outcome: clempool.OutcomeFailed, mayHaveRun: true}
 	if !responseInfo.Signed() || response.Header.Get("Content-Encoding") != "" {
 		result.err = clementineturn.Errorf(clementineturn.KindMismatch, "a stream without the server's signature or with an encoding")
