--- a/clemanswer/answer.go
+++ b/clemanswer/answer.go
@@ -102,8 +102,8 @@
 
 // Data implements clementineturn.Sink. Each frame of an event stream holds one
 // complete event, so that a reader can resume at any frame. Errors: KindTooLarge
-// for data beyond the size limits, KindOverloaded if all answers together are beyond theirs
-// and this one is not smaller than most, KindCancelled after the end.
+// for data beyond the size limits, KindOverloaded if all answers together exceed theirs and
+// this one is not below their mean, KindCancelled after the end.
 func (a *Answer) Data(data []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/clembudget/runtime.go
+++ b/clembudget/runtime.go
@@ -108,7 +108,8 @@
 }
 
 // Longest returns the longest time for which a request of the group is expected to
-// run, at most a day. It returns false if the group has been observed for less than runTimeWindow, or
+// run, at most maxRunTime. It returns false if the group has been observed for less than
+// runTimeWindow, or
 // if too few requests of it have ended recently.
 func (t *RunTimeTracker) Longest(group string, estimate time.Duration, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
--- a/clemquota/conn.go
+++ b/clemquota/conn.go
@@ -73,7 +73,7 @@
 	headAwaited = iota
 	// headBegun is one of which something was read, or its request is served.
 	headBegun
-	// headAbandoned is one that is closed in place of reading a head.
+	// headAbandoned is one that is closed before anything of a head is read.
 	headAbandoned
 )
 
--- a/clemquota/readlimit.go
+++ b/clemquota/readlimit.go
@@ -30,8 +30,9 @@
 // Set limits the bytes and line ends that are read from now on.
 func (l *ReadLimit) Set(maxBytes, maxLines int) { l.bytes, l.lines, l.isSet = maxBytes, maxLines, true }
 
-// Charge sets a function that is called after each read under limits with the memory in
-// bytes that all of these take, as parsed by net/http. Its error ends the reads.
+// Charge sets a function that is called after each read under limits. Its argument is the
+// memory in bytes of all that was read since Charge, as net/http parses it. Its error ends
+// the reads.
 func (l *ReadLimit) Charge(charge func(size int64) error) { l.charge, l.memory = charge, 0 }
 
 // Lift removes the limits and the function.
--- a/clemrouter/intake.go
+++ b/clemrouter/intake.go
@@ -92,8 +92,8 @@
 	return err
 }
 
-// arrivingResponse is the memory of a response while it arrives: that of its head and of what is
-// kept of its body.
+// arrivingResponse is the memory of a response while it arrives: that of its head and of
+// what is kept of its body.
 type arrivingResponse struct {
 	memory *clemquota.Response
 	head   int64
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -41,7 +41,7 @@
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Read(chunk)
-		// Only the last byte of what is pending may begin the end of an event.
+		// What is pending has no end of an event; its last byte may be the first of one.
 		searched := max(len(pending)-1, 0)
 		pending = append(pending, chunk[:n]...)
 		if charged := arrival.chargeBody(cap(pending)); charged != nil {
