clemspread: a removal is passed on to peers although the row was not known

What callers saw: a front that was in touch all the while kept servers whose rows had been removed, sent them about half of its orders, and lost those that ran when the servers exited (DRAIN).

Cause: the store's feed returns each changed row once, in its latest state. An entry that was suspended while a row was written and removed reads only the removal. applyChange dropped the removal of a row that it did not know, and kept the older version of a removal that it knew already, while the version of the list moved past both. RowsSince then told a peer that had read the row that nothing changed, and the peer, now at the newer version, never read the removal itself.

TestRemovalOfARowThatTheSenderDidNotSeeIsSent failed in both cases before ("unknown", "removed twice").

Why it works: every removal that the store returns is recorded with its version, so that RowsSince returns what it promises: every removal after the version.

--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -119,8 +119,10 @@
 		return
 	}
 	if change.Removed() {
+		// A peer may have the row although this list does not: the store returns only the
+		// last change of a row that was written and removed since the last read.
+		l.rows[id] = serverRow{change: change, record: old.record, version: change.Version()}
 		if known && !old.change.Removed() {
-			l.rows[id] = serverRow{change: change, record: old.record, version: change.Version()}
 			l.removeOrDefer(id, now)
 		}
 		return
--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -175,6 +175,33 @@
 	require.Equal(t, uint64(20), shareFrom(from, 20, atMillisecond(900)).GetSince())
 }
 
+// Guards against an entry that was suspended while a server came and left, and passes on its
+// newer version of the list without the removal: the peer kept the server for good.
+func TestRemovalOfARowThatTheSenderDidNotSeeIsSent(t *testing.T) {
+	rows := newBatch(5, writtenRow("a", "x", 3))
+	for name, earlier := range map[string][]clementineturn.Change{
+		"unknown":       nil,
+		"removed twice": {writtenRow("b", "y", 6), removedRow("b", 7)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			suspended, peer := newTestServerList(), newTestServerList()
+			for _, l := range []*serverList{suspended, peer} {
+				l.Apply(rows, true, atMillisecond(0), atMillisecond(0))
+				for _, change := range earlier {
+					l.Apply(newBatch(change.Version(), change), false, atMillisecond(100), atMillisecond(100))
+				}
+			}
+			peer.Apply(newBatch(10, writtenRow("b", "y", 10)), false, atMillisecond(600), atMillisecond(600))
+			require.Equal(t, 2, peer.directory.Len())
+			// The store's feed has the last change of each row.
+			suspended.Apply(newBatch(20, removedRow("b", 20)), false, atMillisecond(1100), atMillisecond(1100))
+			require.True(t, peer.ApplyShare(shareFrom(suspended, 10, atMillisecond(1200)), 0, atMillisecond(1200)))
+			require.Equal(t, 1, peer.directory.Len(), "b is gone")
+			require.Equal(t, 1, suspended.directory.Len())
+		})
+	}
+}
+
 // The list's version never decreases, whatever batches are applied.
 func FuzzServerList(f *testing.F) {
 	f.Add([]byte{1, 2, 3, 4, 5, 6, 7, 8, 9})
