clemspread: changes of the list are sent only after versions that the list knows

What callers saw: nothing that we know of. By the tests an entry loses a sound server, or keeps one that has left (DRAIN), until its row changes otherwise or the entry restarts.

Cause: the changes after any version were promised, but what happened between two versions of a list is not known. A row that was removed and written again there, as it was, counted as a heartbeat and was left out; a peer that had read the removal never got it back. Rows that expire in an outage of the store come back like this. A gap in what a sender knows (a read of the whole list) was not a gap at the peer that it sent the changes to, which passed them on as complete. And a list that had moved on took changes after an earlier version than its own.

Evidence: TestRowThatWasRemovedAndWrittenAgainIsSent and all three cases of TestVersionsThatAPeerSkippedAreNotCovered failed before. A random test of three lists with a store (it follows) found each of them.

Why it works: a history holds the versions that the list was at, and whether it came to each by a read of the store's changes. Between two of these all rows that were touched are known, and sent whether they look like a heartbeat or not; in other spans none is promised, and the peer reads the store or, if it cannot, asks for the whole list. A version that the list was at is covered whatever came after it, so that start and gap of before are not needed.

The check and the change of ApplyShare are one step under the lock now; a read of the store could come between them.

--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -44,7 +44,7 @@
 	readAt       time.Time
 	// recoveredAt is the time of the first update after the last outage.
 	recoveredAt time.Time
-	// history is the range of versions whose removals are known.
+	// history is the versions that the list was at.
 	history history
 	// pendingRemovals holds the servers whose rows disappeared around an outage,
 	// with the time at which they are removed from the directory.
@@ -84,6 +84,13 @@
 func (l *serverList) Apply(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.applyLocked(batch, isComplete, !isComplete, readAt, now)
+}
+
+// applyLocked is Apply for a batch of the store or of a peer. If hasAllChanges is set, the
+// batch holds every row that was written or removed since the list's version. The caller
+// holds mu.
+func (l *serverList) applyLocked(batch clementineturn.Batch, isComplete, hasAllChanges bool, readAt, now time.Time) {
 	if batch.Version() < l.storeVersion {
 		return
 	}
@@ -102,9 +109,7 @@
 			}
 		}
 	}
-	if isComplete {
-		l.history.skip(l.storeVersion, batch.Version())
-	}
+	l.history.add(batch.Version(), hasAllChanges)
 	l.storeVersion = batch.Version()
 	if readAt.After(l.readAt) {
 		l.readAt = readAt
@@ -183,20 +188,23 @@
 }
 
 // RowsSince returns the rows that a peer with the given store version lacks, and
-// the version after which they changed. Rows with a new heartbeat only are left
-// out. If removals after the peer's version are not known, the version is 0 and
-// the rows are the whole list.
+// the version after which they changed. If these rows are not known, the version
+// is 0 and the rows are the whole list.
 func (l *serverList) RowsSince(version uint64) (rows []*clemwire.ServerRow, since uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.history.covers(version) {
 		since = version
 	}
+	wasAtVersion := l.history.includes(version)
 	for id, r := range l.rows {
-		if r.version <= since {
-			continue
+		changedAt := r.version
+		if !wasAtVersion {
+			// What looks like a heartbeat may be a row that was removed at the peer's
+			// version and written again.
+			changedAt = r.change.Version()
 		}
-		if since == 0 && r.change.Removed() {
+		if changedAt <= since || since == 0 && r.change.Removed() {
 			continue
 		}
 		rows = append(rows, &clemwire.ServerRow{
@@ -219,16 +227,20 @@
 }
 
 // ApplyShare applies the rows in a peer's report that was in transit for at most
-// the given time. It returns false if the report is older than the list or
-// leaves out changes that this entry lacks.
+// the given time. It returns false if the report is older than the list, or if its
+// rows are those that changed after another version than the list's, so that it may
+// leave out some that this entry lacks.
 func (l *serverList) ApplyShare(share *clemwire.Share, transit time.Duration, now time.Time) bool {
-	version, _ := l.StoreVersion(now)
-	if share.GetBare() || share.GetView() == 0 || share.GetView() < version {
+	if share.GetBare() || share.GetView() == 0 {
 		return false
 	}
-	since := share.GetSince()
-	isComplete := since == 0 && share.GetView() > version
-	if version < since || !isComplete && version < share.GetFloor() && version != since {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if share.GetView() < l.storeVersion {
+		return false
+	}
+	isComplete := share.GetSince() == 0 && share.GetView() > l.storeVersion
+	if !isComplete && l.storeVersion != share.GetSince() && l.storeVersion != share.GetView() {
 		return false
 	}
 	readAt := now.Add(-decodeAge(share.GetAge()) - transit)
@@ -238,41 +250,7 @@
 			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
 		})
 	}
-	l.Apply(clementineturn.NewBatch(changes, share.GetView()), isComplete, readAt, now)
+	// Peers leave out heartbeats, and rows that were written and removed in between.
+	l.applyLocked(clementineturn.NewBatch(changes, share.GetView()), isComplete, false, readAt, now)
 	return true
 }
-
-// HistoryStart returns the version after which every removal is known.
-func (l *serverList) HistoryStart() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.history.end()
-}
-
-// history tells for which versions of the store the removals after them are
-// known: those after start, except for the versions within the last gap.
-//
-// A read of the whole list shows which of the rows known before it are gone, but
-// not which rows were written and removed since the read before it. Only a peer
-// whose version lies between the two reads may hold such rows.
-type history struct{ start, gapStart, gapEnd uint64 }
-
-// skip records that the list was read whole at the second version, and last
-// known at the first one, which is 0 if it was not known.
-func (h *history) skip(from, to uint64) {
-	if from == 0 {
-		*h = history{start: to}
-		return
-	}
-	if to > from {
-		*h = history{start: h.end(), gapStart: from, gapEnd: to}
-	}
-}
-
-// end returns the version after which every removal is known.
-func (h *history) end() uint64 { return max(h.start, h.gapEnd) }
-
-// covers reports whether every removal after the version is known.
-func (h *history) covers(version uint64) bool {
-	return version >= h.start && (version <= h.gapStart || version >= h.gapEnd)
-}
--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -93,7 +93,7 @@
 func shareFrom(l *serverList, since uint64, now time.Time) *clemwire.Share {
 	version, age := l.StoreVersion(now)
 	rows, since := l.RowsSince(since)
-	return &clemwire.Share{View: version, Age: durationpb.New(age), Rows: rows, Floor: l.HistoryStart(), Since: since}
+	return &clemwire.Share{View: version, Age: durationpb.New(age), Rows: rows, Floor: version, Since: since}
 }
 
 // An entry that restarted is sent the changes since the version that it had
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -236,7 +236,7 @@
 	share := &clemwire.Share{
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
 		View: storeVersion, Age: durationpb.New(age), Entries: s.peers.takeUnsentAddresses(address), Leaving: s.config.IsDraining(),
-		Floor: s.servers.HistoryStart(), Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
+		Floor: storeVersion, Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
 		Since: peer.storeVersion,
 	}
 	s.addRequests(share, peer, age, now)
