clemspread: a row of a peer's whole list holds although its version is older

What callers saw: nothing that we know of. By the tests an entry that is cut off from the store lacks a listed server, or keeps an earlier state of its row, after it was sent the whole list.

Cause: rows were compared by their own versions alone. A peer that has its list from other entries gets no heartbeats, so that it has a row with the version of the last change that it saw. A receiver that had read a removal or a change of the row in between took its own state for the newer one.

Evidence: TestRowOfAWholeListReplacesALaterState failed in both cases before.

Why it works: a whole list is that of its version, so that each of its rows is there at that version. A row that is older than the known state, and differs, counts as written at the list's version; mere heartbeats stay as they are, so that what a row states of its own time does not count anew.

--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -100,6 +100,9 @@
 	present := map[string]bool{}
 	for _, change := range batch.Changes() {
 		present[change.Key()] = true
+		if isComplete {
+			change = l.withListVersion(change, batch.Version())
+		}
 		l.applyChange(change, readAt, now)
 	}
 	if isComplete {
@@ -117,6 +120,24 @@
 	l.directory.ListRead(l.readAt)
 }
 
+// withListVersion returns the change of a row in the whole list at the version. The list may
+// be a peer's, which does not get heartbeats, so that its version of the row may be older. If
+// this entry knows a later state of the row, the row was written again since: the result then
+// has the list's version.
+func (l *serverList) withListVersion(change clementineturn.Change, version uint64) clementineturn.Change {
+	old, known := l.rows[change.Key()]
+	if !known || old.change.Version() <= change.Version() {
+		return change
+	}
+	if !old.change.Removed() {
+		record, err := l.decode(change.Key(), change.Value())
+		if err == nil && clempool.EqualExceptCold(old.record, record) {
+			return change
+		}
+	}
+	return clementineturn.NewChange(clementineturn.ChangeConfig{Key: change.Key(), Value: change.Value(), Version: version})
+}
+
 func (l *serverList) applyChange(change clementineturn.Change, readAt, now time.Time) {
 	id := change.Key()
 	old, known := l.rows[id]
--- a/clemspread/history_test.go
+++ b/clemspread/history_test.go
@@ -1,9 +1,12 @@
 package clemspread
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 )
@@ -58,6 +61,55 @@
 	}
 }
 
+// Guards against a row of a peer's whole list that is dropped because this entry knows a
+// later state of it: the peer does not get heartbeats, so that its row has an older version.
+func TestRowOfAWholeListReplacesALaterState(t *testing.T) {
+	for name, seen := range map[string]clementineturn.Change{"removed": removedRow("a", 10), "changed": writtenRow("a", "z", 10)} {
+		t.Run(name, func(t *testing.T) {
+			sender, l := newTestServerList(), newTestServerList()
+			rows := newBatch(5, writtenRow("a", "x", 3), writtenRow("b", "y", 4))
+			l.Apply(rows, true, atMillisecond(0), atMillisecond(0))
+			l.Apply(newBatch(11, seen, writtenRow("b", "y", 11)), false, atMillisecond(500), atMillisecond(500))
+			// Row a was written again at version 20, which the sender has as a heartbeat.
+			sender.Apply(newBatch(20, rows.Changes()...), true, atMillisecond(600), atMillisecond(600))
+			require.True(t, l.ApplyShare(shareFrom(sender, 0, atMillisecond(700)), 0, atMillisecond(700)))
+			require.Equal(t, map[string]string{"a": "x", "b": "y"}, l.servers())
+			require.Equal(t, 2, l.directory.Len())
+			require.Equal(t, uint64(20), l.rows["a"].change.Version(), "the row is newer than what was known")
+			require.Equal(t, uint64(11), l.rows["b"].change.Version(), "a heartbeat of the same row stays")
+		})
+	}
+}
+
+// modelStore is a store whose feed has each changed row once, in its latest state.
+type modelStore struct{ log []clementineturn.Change }
+
+func (s *modelStore) version() uint64 { return uint64(len(s.log)) + 1 }
+
+func (s *modelStore) put(key, value string) {
+	s.log = append(s.log, writtenRow(key, value, s.version()+1))
+}
+
+func (s *modelStore) remove(key string) {
+	s.log = append(s.log, removedRow(key, s.version()+1))
+}
+
+// latest returns the last change of each row after one version and up to another, in order.
+func (s *modelStore) latest(after, upTo uint64) []clementineturn.Change {
+	byKey := map[string]clementineturn.Change{}
+	for _, change := range s.log {
+		if change.Version() > after && change.Version() <= upTo {
+			byKey[change.Key()] = change
+		}
+	}
+	return slices.SortedFunc(maps.Values(byKey), func(a, b clementineturn.Change) int { return int(a.Version()) - int(b.Version()) })
+}
+
+// present returns the rows that there are at the version.
+func (s *modelStore) present(version uint64) []clementineturn.Change {
+	return slices.DeleteFunc(s.latest(0, version), clementineturn.Change.Removed)
+}
+
 // servers returns the servers that the list has, with their addresses.
 func (l *serverList) servers() map[string]string {
 	servers := map[string]string{}
@@ -68,3 +120,74 @@
 	}
 	return servers
 }
+
+// An entry whose list is at a version of the store has the rows of that version, whichever
+// entries it has them from and whatever these did not see of the changes before.
+func TestListIsThatOfItsVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &modelStore{}
+		lists := []*serverList{newTestServerList(), newTestServerList(), newTestServerList()}
+		ms := 0
+		list := rapid.IntRange(0, len(lists)-1)
+		key := rapid.SampledFrom([]string{"a", "b"})
+		// pending are responses of the store and messages of peers that have not arrived.
+		var pending []func()
+		deliver := func(t *rapid.T, apply func()) {
+			if rapid.Bool().Draw(t, "is delayed") {
+				pending = append(pending, apply)
+				return
+			}
+			apply()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				store.put(key.Draw(t, "key"), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "value"))
+			},
+			"remove": func(t *rapid.T) { store.remove(key.Draw(t, "key")) },
+			"read": func(t *rapid.T) {
+				l := lists[list.Draw(t, "list")]
+				version, _ := l.StoreVersion(atMillisecond(ms))
+				isComplete := version == 0 || rapid.Bool().Draw(t, "is complete")
+				batch := newBatch(store.version(), store.latest(version, store.version())...)
+				if isComplete {
+					batch = newBatch(store.version(), store.present(store.version())...)
+				}
+				deliver(t, func() { l.Apply(batch, isComplete, atMillisecond(ms), atMillisecond(ms)) })
+			},
+			"send": func(t *rapid.T) {
+				from, to := list.Draw(t, "from"), list.Draw(t, "to")
+				known, _ := lists[to].StoreVersion(atMillisecond(ms))
+				if version, _ := lists[from].StoreVersion(atMillisecond(ms)); version > known {
+					share := shareFrom(lists[from], known, atMillisecond(ms))
+					deliver(t, func() { lists[to].ApplyShare(share, 0, atMillisecond(ms)) })
+				}
+			},
+			"arrive": func(t *rapid.T) {
+				if len(pending) == 0 {
+					t.Skip("nothing is pending")
+				}
+				i := rapid.IntRange(0, len(pending)-1).Draw(t, "pending")
+				apply := pending[i]
+				pending = slices.Delete(pending, i, i+1)
+				apply()
+			},
+			"restart": func(t *rapid.T) { lists[list.Draw(t, "list")] = newTestServerList() },
+			"": func(t *rapid.T) {
+				ms += 10
+				for i, l := range lists {
+					version, _ := l.StoreVersion(atMillisecond(ms))
+					if version == 0 {
+						continue
+					}
+					want := map[string]string{}
+					for _, change := range store.present(version) {
+						want[change.Key()] = string(change.Value())
+					}
+					if got := l.servers(); !maps.Equal(got, want) {
+						t.Fatalf("list %d at version %d has the servers %v, the store has %v", i, version, got, want)
+					}
+				}
+			},
+		})
+	})
+}
