clemsoak: servers come and leave while an entry is suspended

In half of the pauses of an entry a server is started, and its row is removed before the entry goes on; the server serves on. Then that entry's next read of the store has only the removal.

--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -147,9 +147,24 @@
 	}
 }
 
+// pauseEntry suspends an entry. Half of the time a server comes and leaves meanwhile, so
+// that the entry's next read of the store has only the removal of its row.
 func pauseEntry(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	f := s.pickFront(rng)
-	return f.wrapFault(f.pause())
+	resume := f.wrapFault(f.pause())
+	if rng.IntN(2) == 0 {
+		return resume
+	}
+	slot := s.env.slots[rng.IntN(len(s.env.slots))]
+	remove, err := s.env.addServer(slot.service, slot.centre)
+	if err != nil {
+		s.recordError(err)
+		return resume
+	}
+	return func() {
+		remove()
+		resume()
+	}
 }
 
 // stopEntry asks an entry to stop, sometimes twice, and kills it if it still runs
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,8 @@
 	storeAddress string
 	storeServer  *http.Server
 	slots        []*serverSlot
+	// added are the slots of the servers that addServer started. mu guards it.
+	added []*serverSlot
 	// isQuiet reports whether entries and the store were free of faults for the
 	// given time, stall returns the lateness of the soak's own timers.
 	isQuiet func(span time.Duration) bool
@@ -156,7 +159,10 @@
 }
 
 func (e *environment) close() {
-	for _, s := range e.slots {
+	e.mu.Lock()
+	slots := slices.Concat(e.slots, e.added)
+	e.mu.Unlock()
+	for _, s := range slots {
 		s.link.close()
 		_ = s.http.Close()
 	}
@@ -216,6 +222,32 @@
 	return e.putRow(s, rowReady)
 }
 
+// addServer starts another server of a service. The returned function removes its row: the
+// server serves on until the soak ends, and never says that it leaves. The load bound is not
+// checked while there is a row.
+func (e *environment) addServer(service, centre string) (remove func(), err error) {
+	s := &serverSlot{service: service, centre: centre}
+	if s.link, err = newLink(""); err != nil {
+		return nil, err
+	}
+	if err := e.startServer(s, ""); err != nil {
+		s.link.close()
+		return nil, err
+	}
+	end := e.serversQuiet.beginFault()
+	e.mu.Lock()
+	e.added = append(e.added, s)
+	e.mu.Unlock()
+	return func() {
+		id := e.backend(s).ID()
+		e.store.DeleteServer(id)
+		e.mu.Lock()
+		e.drainingSince[id] = time.Now()
+		e.mu.Unlock()
+		end()
+	}, nil
+}
+
 // The states of a server's row.
 const rowReady, rowDraining = "ready", "draining"
 
