clemspread: a message states the version that its rows reflect

What callers saw: nothing that we know of.

Cause: newShare read the version of the list first and the rows later. A read of the store that ends in between puts newer rows under the older version. The receiver then claims a version at which its list was not, and what it promises to others, or is promised by them, is not what they lack.

Evidence: TestMessageStatesTheVersionOfItsRows, which changes the list between the two steps, failed before: a row of version 9 in a message of version 5.

Why it works: RowsSince returns the rows and their version under one lock. The age is still that of the first step, so that it is too high rather than too low.

--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -208,10 +208,10 @@
 	}
 }
 
-// RowsSince returns the rows that a peer with the given store version lacks, and
-// the version after which they changed. If these rows are not known, the version
-// is 0 and the rows are the whole list.
-func (l *serverList) RowsSince(version uint64) (rows []*clemwire.ServerRow, since uint64) {
+// RowsSince returns the rows that a peer with the given store version lacks, the
+// version after which they changed and the one that they reflect. If these rows are
+// not known, the first of the two is 0 and the rows are the whole list.
+func (l *serverList) RowsSince(version uint64) (rows []*clemwire.ServerRow, since, view uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.history.covers(version) {
@@ -233,7 +233,7 @@
 			Removed: r.change.Removed(),
 		})
 	}
-	return rows, since
+	return rows, since, l.storeVersion
 }
 
 // ChangesBase returns the version after which RowsSince would return the changes:
--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -91,8 +91,8 @@
 // shareFrom returns the message that the list's owner sends to an entry that is
 // at the given version.
 func shareFrom(l *serverList, since uint64, now time.Time) *clemwire.Share {
-	version, age := l.StoreVersion(now)
-	rows, since := l.RowsSince(since)
+	_, age := l.StoreVersion(now)
+	rows, since, version := l.RowsSince(since)
 	return &clemwire.Share{View: version, Age: durationpb.New(age), Rows: rows, Floor: version, Since: since}
 }
 
@@ -117,7 +117,7 @@
 	require.Equal(t, 150*time.Millisecond, age)
 	require.Equal(t, 2, to.directory.Len())
 	from.Apply(newBatch(7, writtenRow("a", "x", 7)), false, atMillisecond(500), atMillisecond(500))
-	rows, since := from.RowsSince(5)
+	rows, since, _ := from.RowsSince(5)
 	require.Empty(t, rows)
 	require.Equal(t, uint64(5), since)
 	from.Apply(newBatch(9, removedRow("b", 9)), false, atMillisecond(600), atMillisecond(600))
@@ -236,7 +236,7 @@
 		before := version
 		version++
 		l.Apply(newBatch(version, writtenRow("a", remaining, version)), false, atMillisecond(ms), atMillisecond(ms))
-		rows, _ := l.RowsSince(before)
+		rows, _, _ := l.RowsSince(before)
 		return len(rows)
 	}
 	l.Apply(newBatch(1), true, atMillisecond(0), atMillisecond(0))
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -236,7 +236,7 @@
 	share := &clemwire.Share{
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
 		View: storeVersion, Age: durationpb.New(age), Entries: s.peers.takeUnsentAddresses(address), Leaving: s.config.IsDraining(),
-		Floor: storeVersion, Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
+		Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
 		Since: peer.storeVersion,
 	}
 	s.addRequests(share, peer, age, now)
@@ -247,9 +247,11 @@
 		if share.Bare = !peer.wantsRows; share.Bare {
 			share.Since = s.servers.ChangesBase(peer.storeVersion)
 		} else {
-			share.Rows, share.Since = s.servers.RowsSince(peer.storeVersion)
+			// The list may have changed since its version was read above.
+			share.Rows, share.Since, share.View = s.servers.RowsSince(peer.storeVersion)
 		}
 	}
+	share.Floor = share.GetView()
 	if l := s.peers.layout(); l != nil {
 		s.addSums(share, l, address, peer, now)
 	} else {
--- a/clemspread/history_test.go
+++ b/clemspread/history_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemroute"
+	"github.com/clementineturn/clementineturn/clemwire"
 )
 
 // Guards against a row that is taken for a heartbeat although it was removed and written again
@@ -81,6 +83,30 @@
 	}
 }
 
+// Guards against a message with rows that are newer than the version that it states: the
+// receiver passed the list on as that of a version that it was not at.
+func TestMessageStatesTheVersionOfItsRows(t *testing.T) {
+	l := newTestServerList()
+	l.Apply(newBatch(5, writtenRow("a", "x", 3)), true, atMillisecond(0), atMillisecond(0))
+	changes := []clementineturn.Change{writtenRow("b", "y", 9)}
+	syncer := New(Config{
+		Name: "e1", Address: "e1", Table: &clemroute.Table{}, Directory: l.directory,
+		// The list changes while the message is made.
+		IsDraining: func() bool {
+			l.Apply(newBatch(9, changes...), false, atMillisecond(500), atMillisecond(500))
+			return false
+		},
+	})
+	syncer.servers = l
+	syncer.peers.add("e2", testStart)
+	syncer.peers.recordShare(&clemwire.Share{Address: "e2", Name: "e2", View: 4, Lacks: true}, testStart)
+	share := syncer.newShare("e2")
+	require.NotEmpty(t, share.GetRows())
+	for _, row := range share.GetRows() {
+		require.LessOrEqual(t, row.GetVersion(), share.GetView(), row.GetKey())
+	}
+}
+
 // modelStore is a store whose feed has each changed row once, in its latest state.
 type modelStore struct{ log []clementineturn.Change }
 
