clemspread: changes of the list are verified by a digest

Change: a message with changes has the digest of the sender's servers. A list takes the changes only if it has the same digest with them, whatever version either is at; otherwise it reads the store as a list that nobody confirms, and if it cannot, requests the whole list of a peer. Event 942 names the peer.

Evidence: TestEntryCutFromTheStoreGetsARowBack fails on (1 server where 2 are listed) and passes.

Receivers of earlier versions ignore the fields.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -40,6 +40,7 @@
 	QuarantineNotLifted   Event = 933
 	ServerStateChanged    Event = 940
 	ServerColdInvalid     Event = 941
+	ServerListDiverged    Event = 942
 	CentreEvacuated       Event = 950
 	EvacuationWithdrawn   Event = 951
 	EvacuationUnknown     Event = 952
@@ -68,6 +69,7 @@
 	ConfigurationRejected: {zapcore.ErrorLevel, "configuration document rejected", "The document is not valid; the error names the field. The previous version stays in force."},
 	ServerListed:          {zapcore.InfoLevel, "backend server listed", "The row of a backend server is new or changed by more than its heartbeat."},
 	ServerUnlisted:        {zapcore.InfoLevel, "backend server no longer listed", "The row of a backend server is gone; the server gets no new work."},
+	ServerListDiverged:    {zapcore.InfoLevel, "changes do not lead to the peer's list of backend servers", "A server was removed and listed again, or the other way round, between two versions that the peer knows. The changes are not applied; the entry reads the store, or gets the whole list."},
 	ServerInvalid:         {zapcore.WarnLevel, "backend server row invalid", "The row describes no usable server. Find out what writes it."},
 	ServerEjected:         {zapcore.WarnLevel, "backend server ejected", "Its requests failed more often than those of its service's other servers, or it could not be reached. After the time in the until field it gets one probe request at a time."},
 	PeerUnavailable:       {zapcore.WarnLevel, "peer entry unavailable", "Its counts of running requests expire after a second."},
--- a/clempool/record.go
+++ b/clempool/record.go
@@ -3,7 +3,12 @@
 // their prefix caches and their health, and ejects servers that fail.
 package clempool
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // RecordConfig describes a Record to construct.
 type RecordConfig struct {
@@ -76,6 +81,12 @@
 // EqualExceptCold reports whether two records differ at most in how long the server is cold.
 func EqualExceptCold(a, b Record) bool { return a.withoutCold() == b.withoutCold() }
 
+// Digest returns a hash of the record without the statement of how long the server is cold.
+func (r Record) Digest() uint64 {
+	c := r.config
+	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %t %d", c.ID, c.Service, c.Address, c.Centre, c.Slots, c.Draining, c.Incarnation))
+}
+
 // Outcome is how a request to a backend server ended.
 type Outcome uint8
 
--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -26,6 +26,9 @@
 	// outageThreshold is the time without an update of the list, from the store
 	// or from a peer, that counts as an outage: several read intervals.
 	outageThreshold = 1500 * time.Millisecond
+	// emptyDigest is the digest of a list without servers. It is not 0, which stands for
+	// no digest.
+	emptyDigest = 1
 )
 
 // serverList holds the rows of backend servers and applies their changes to
@@ -44,8 +47,12 @@
 	readAt       time.Time
 	// recoveredAt is the time of the first update after the last outage.
 	recoveredAt time.Time
-	// history is the versions that the list was at.
+	// history is the range of versions whose removals are known.
 	history history
+	// digest is that of the servers in rows, whatever the versions of their rows.
+	digest uint64
+	// needsWholeList is set if the list did not get a peer's digest by its changes.
+	needsWholeList bool
 	// pendingRemovals holds the servers whose rows disappeared around an outage,
 	// with the time at which they are removed from the directory.
 	pendingRemovals map[string]time.Time
@@ -57,12 +64,17 @@
 	record clempool.Record
 	// version is the store's version at the last change other than a heartbeat.
 	version uint64
+	// digest is that of the record, or 0 if the row names no server.
+	digest uint64
 }
 
+// listState identifies a state of the list.
+type listState struct{ version, digest uint64 }
+
 func newServerList(c Config) *serverList {
 	return &serverList{
 		directory: c.Directory, decode: c.DecodeServer, events: c.Events,
-		rows: map[string]serverRow{}, pendingRemovals: map[string]time.Time{},
+		rows: map[string]serverRow{}, pendingRemovals: map[string]time.Time{}, digest: emptyDigest,
 	}
 }
 
@@ -84,13 +96,11 @@
 func (l *serverList) Apply(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.applyLocked(batch, isComplete, !isComplete, readAt, now)
+	l.applyLocked(batch, isComplete, readAt, now)
 }
 
-// applyLocked is Apply for a batch of the store or of a peer. If hasAllChanges is set, the
-// batch holds every row that was written or removed since the list's version. The caller
-// holds mu.
-func (l *serverList) applyLocked(batch clementineturn.Batch, isComplete, hasAllChanges bool, readAt, now time.Time) {
+// applyLocked is Apply for callers that hold mu.
+func (l *serverList) applyLocked(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) {
 	if batch.Version() < l.storeVersion {
 		return
 	}
@@ -112,7 +122,12 @@
 			}
 		}
 	}
-	l.history.add(batch.Version(), hasAllChanges)
+	if isComplete {
+		l.history.skip(l.storeVersion, batch.Version())
+	}
+	if batch.Version() > l.storeVersion {
+		l.needsWholeList = false
+	}
 	l.storeVersion = batch.Version()
 	if readAt.After(l.readAt) {
 		l.readAt = readAt
@@ -147,7 +162,7 @@
 	if change.Removed() {
 		// A peer may have the row although this list does not: the store returns only the
 		// last change of a row that was written and removed since the last read.
-		l.rows[id] = serverRow{change: change, record: old.record, version: change.Version()}
+		l.setRow(id, serverRow{change: change, record: old.record, version: change.Version()})
 		if known && !old.change.Removed() {
 			l.removeOrDefer(id, now)
 		}
@@ -158,7 +173,7 @@
 		if !known || !slices.Equal(old.change.Value(), change.Value()) {
 			l.events.Emit(clemevent.ServerInvalid, zap.String("server", id), zap.Uint64("version", change.Version()), zap.Error(err))
 		}
-		l.rows[id] = serverRow{change: change, version: change.Version()}
+		l.setRow(id, serverRow{change: change, version: change.Version()})
 		l.removeOrDefer(id, now)
 		return
 	}
@@ -173,16 +188,43 @@
 	} else {
 		isChanged, isColdMoved = l.directory.PutRow(record, readAt, now)
 	}
-	if known && clempool.EqualExceptCold(old.record, record) && !isColdMoved && !old.change.Removed() {
+	digest := old.digest
+	if !known || old.change.Removed() || !clempool.EqualExceptCold(old.record, record) {
+		digest = record.Digest()
+	} else if !isColdMoved {
 		version = old.version
 	}
-	l.rows[id] = serverRow{change: change, record: record, version: version}
+	l.setRow(id, serverRow{change: change, record: record, version: version, digest: digest})
 	if isChanged {
 		l.events.Emit(clemevent.ServerListed, zap.String("server", id), zap.String("service", record.Service()),
 			zap.String("address", record.Address()), zap.Bool("leaving", record.IsDraining()), zap.Uint64("version", change.Version()))
 	}
 }
 
+func (l *serverList) setRow(id string, row serverRow) {
+	l.digest ^= l.rows[id].digest ^ row.digest
+	l.rows[id] = row
+}
+
+// digestAfter returns the digest that the list would have with the changes.
+func (l *serverList) digestAfter(changes []clementineturn.Change) uint64 {
+	digest := l.digest
+	for _, change := range changes {
+		old := l.rows[change.Key()]
+		if old.change.Version() > change.Version() {
+			continue
+		}
+		digest ^= old.digest
+		if change.Removed() {
+			continue
+		}
+		if record, err := l.decode(change.Key(), change.Value()); err == nil {
+			digest ^= record.Digest()
+		}
+	}
+	return digest
+}
+
 // removeOrDefer removes a server from the directory. During the grace period
 // after an outage of the store it only schedules the removal.
 func (l *serverList) removeOrDefer(id string, now time.Time) {
@@ -209,23 +251,24 @@
 }
 
 // RowsSince returns the rows that a peer with the given store version lacks, the
-// version after which they changed and the one that they reflect. If these rows are
-// not known, the first of the two is 0 and the rows are the whole list.
-func (l *serverList) RowsSince(version uint64) (rows []*clemwire.ServerRow, since, view uint64) {
+// version after which they changed and the list's state. Rows with a new heartbeat
+// only are left out. If removals after the peer's version are not known, the version
+// is 0 and the rows are the whole list.
+//
+// Rows may be missing if the peer's version is one that this list never was at: of a
+// row that was removed at that version and is as before again, the list knows only a
+// heartbeat. The digest shows it.
+func (l *serverList) RowsSince(version uint64) (rows []*clemwire.ServerRow, since uint64, state listState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.history.covers(version) {
 		since = version
 	}
-	wasAtVersion := l.history.includes(version)
 	for id, r := range l.rows {
-		changedAt := r.version
-		if !wasAtVersion {
-			// What looks like a heartbeat may be a row that was removed at the peer's
-			// version and written again.
-			changedAt = r.change.Version()
+		if r.version <= since {
+			continue
 		}
-		if changedAt <= since || since == 0 && r.change.Removed() {
+		if since == 0 && r.change.Removed() {
 			continue
 		}
 		rows = append(rows, &clemwire.ServerRow{
@@ -233,7 +276,7 @@
 			Removed: r.change.Removed(),
 		})
 	}
-	return rows, since, l.storeVersion
+	return rows, since, listState{l.storeVersion, l.digest}
 }
 
 // ChangesBase returns the version after which RowsSince would return the changes:
@@ -248,30 +291,89 @@
 }
 
 // ApplyShare applies the rows in a peer's report that was in transit for at most
-// the given time. It returns false if the report is older than the list, or if its
-// rows are those that changed after another version than the list's, so that it may
-// leave out some that this entry lacks.
+// the given time. It returns false if the report is older than the list or
+// leaves out changes that this entry lacks.
 func (l *serverList) ApplyShare(share *clemwire.Share, transit time.Duration, now time.Time) bool {
 	if share.GetBare() || share.GetView() == 0 {
 		return false
 	}
+	changes := make([]clementineturn.Change, len(share.GetRows()))
+	for i, r := range share.GetRows() {
+		changes[i] = clementineturn.NewChange(clementineturn.ChangeConfig{
+			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
+		})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if share.GetView() < l.storeVersion {
 		return false
 	}
-	isComplete := share.GetSince() == 0 && share.GetView() > l.storeVersion
-	if !isComplete && l.storeVersion != share.GetSince() && l.storeVersion != share.GetView() {
+	isNewer := share.GetView() > l.storeVersion
+	isComplete := isNewer && share.GetSince() == 0
+	if isNewer && !isComplete && !l.areAllChanges(share, changes) {
 		return false
 	}
 	readAt := now.Add(-decodeAge(share.GetAge()) - transit)
-	changes := make([]clementineturn.Change, len(share.GetRows()))
-	for i, r := range share.GetRows() {
-		changes[i] = clementineturn.NewChange(clementineturn.ChangeConfig{
-			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
-		})
-	}
-	// Peers leave out heartbeats, and rows that were written and removed in between.
-	l.applyLocked(clementineturn.NewBatch(changes, share.GetView()), isComplete, false, readAt, now)
+	l.applyLocked(clementineturn.NewBatch(changes, share.GetView()), isComplete, readAt, now)
 	return true
 }
+
+// areAllChanges reports whether the changes in a peer's report lead from this list to the
+// peer's. The caller holds mu.
+func (l *serverList) areAllChanges(share *clemwire.Share, changes []clementineturn.Change) bool {
+	if share.GetDigest() == 0 {
+		// Only entries of earlier versions send changes without a digest.
+		return l.storeVersion >= share.GetSince() && (l.storeVersion >= share.GetFloor() || l.storeVersion == share.GetSince())
+	}
+	if l.digestAfter(changes) == share.GetDigest() {
+		return true
+	}
+	if l.storeVersion == share.GetSince() && !l.needsWholeList {
+		l.needsWholeList = true
+		l.events.Emit(clemevent.ServerListDiverged, zap.String("entry", share.GetName()), zap.Uint64("version", l.storeVersion), zap.Uint64("view", share.GetView()))
+	}
+	return false
+}
+
+// NeedsWholeList reports whether changes did not lead to a peer's list, so that this entry
+// has to read the store or get a whole list.
+func (l *serverList) NeedsWholeList() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.needsWholeList
+}
+
+// HistoryStart returns the version after which every removal is known.
+func (l *serverList) HistoryStart() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.history.end()
+}
+
+// history tells for which versions of the store the removals after them are
+// known: those after start, except for the versions within the last gap.
+//
+// A read of the whole list shows which of the rows known before it are gone, but
+// not which rows were written and removed since the read before it. Only a peer
+// whose version lies between the two reads may hold such rows.
+type history struct{ start, gapStart, gapEnd uint64 }
+
+// skip records that the list was read whole at the second version, and last
+// known at the first one, which is 0 if it was not known.
+func (h *history) skip(from, to uint64) {
+	if from == 0 {
+		*h = history{start: to}
+		return
+	}
+	if to > from {
+		*h = history{start: h.end(), gapStart: from, gapEnd: to}
+	}
+}
+
+// end returns the version after which every removal is known.
+func (h *history) end() uint64 { return max(h.start, h.gapEnd) }
+
+// covers reports whether every removal after the version is known.
+func (h *history) covers(version uint64) bool {
+	return version >= h.start && (version <= h.gapStart || version >= h.gapEnd)
+}
--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -92,8 +92,8 @@
 // at the given version.
 func shareFrom(l *serverList, since uint64, now time.Time) *clemwire.Share {
 	_, age := l.StoreVersion(now)
-	rows, since, version := l.RowsSince(since)
-	return &clemwire.Share{View: version, Age: durationpb.New(age), Rows: rows, Floor: version, Since: since}
+	rows, since, state := l.RowsSince(since)
+	return &clemwire.Share{View: state.version, Age: durationpb.New(age), Rows: rows, Floor: l.HistoryStart(), Since: since, Digest: state.digest}
 }
 
 // An entry that restarted is sent the changes since the version that it had
--- a/clemspread/cut_test.go
+++ b/clemspread/cut_test.go
@@ -88,3 +88,36 @@
 		require.ElementsMatch(t, []string{"10.0.0.1:80", "10.0.0.9:80"}, addresses)
 	})
 }
+
+// An entry that has read the removal of a row, and lost its connection to the store before the
+// row was written again, gets it back from a peer that has seen neither: the peer's changes do
+// not lead to its list, so that the entry requests the whole one.
+func TestEntryCutFromTheStoreGetsARowBack(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		stores := map[string]*cuttableStore{"a": {fakeStore: store}, "b": {fakeStore: store}}
+		store.set(clementineturn.SectionServers, "y", "10.0.0.8:80")
+		entries := map[string]*Syncer{}
+		for address, connection := range stores {
+			entries[address] = n.start(ctx, address, connection)
+		}
+		time.Sleep(3 * time.Second)
+		n.leave("a")
+		n.leave("b")
+		stores["b"].isCut.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		store.set(clementineturn.SectionServers, "y", "")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, entries["a"].config.Directory.Len())
+		stores["a"].isCut.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		store.set(clementineturn.SectionServers, "y", "10.0.0.8:80")
+		stores["b"].isCut.Store(false)
+		time.Sleep(4 * time.Second)
+		for address, e := range entries {
+			n.join(address, e)
+		}
+		time.Sleep(wholeListDelay + unreachableInterval)
+		require.Equal(t, 2, entries["b"].config.Directory.Len())
+		require.Equal(t, 2, entries["a"].config.Directory.Len())
+	})
+}
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -200,9 +200,10 @@
 func (s *Syncer) shouldRequestRows(address string) bool {
 	now := time.Now()
 	version, age := s.servers.StoreVersion(now)
+	needsWholeList := s.servers.NeedsWholeList()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mayRequestRows(s.peers.state(address), version, age, now)
+	return s.mayRequestRows(s.peers.state(address), needsWholeList, version, age, now)
 }
 
 // mayRequestRows reports whether the rows of a peer may be requested by an entry
@@ -210,11 +211,11 @@
 // ago. The whole list is only requested from a peer if this entry has none, or
 // has failed to read it from the store by the time at which every entry does. The
 // caller holds mu.
-func (s *Syncer) mayRequestRows(peer peerState, version uint64, age time.Duration, now time.Time) bool {
+func (s *Syncer) mayRequestRows(peer peerState, needsWholeList bool, version uint64, age time.Duration, now time.Time) bool {
 	if peer.storeVersion <= version || !s.mayRequest(s.rowsRequestedAt, now) {
 		return false
 	}
-	return peer.sendsChanges || version == 0 || age > wholeListDelay
+	return peer.sendsChanges && !needsWholeList || version == 0 || age > wholeListDelay
 }
 
 // NoPeerServes reports whether no other entry is known that holds a configuration and
@@ -236,7 +237,7 @@
 	share := &clemwire.Share{
 		Name: s.config.Name, Address: s.config.Address, Version: s.config.Table.Version(),
 		View: storeVersion, Age: durationpb.New(age), Entries: s.peers.takeUnsentAddresses(address), Leaving: s.config.IsDraining(),
-		Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
+		Floor: s.servers.HistoryStart(), Clock: durationpb.New(now.Sub(s.start)), Echo: durationpb.New(peer.clock),
 		Since: peer.storeVersion,
 	}
 	s.addRequests(share, peer, age, now)
@@ -247,11 +248,16 @@
 		if share.Bare = !peer.wantsRows; share.Bare {
 			share.Since = s.servers.ChangesBase(peer.storeVersion)
 		} else {
+			since := peer.storeVersion
+			if peer.wantsWholeList {
+				since = 0
+			}
+			var state listState
+			share.Rows, share.Since, state = s.servers.RowsSince(since)
 			// The list may have changed since its version was read above.
-			share.Rows, share.Since, share.View = s.servers.RowsSince(peer.storeVersion)
+			share.View, share.Digest = state.version, state.digest
 		}
 	}
-	share.Floor = share.GetView()
 	if l := s.peers.layout(); l != nil {
 		s.addSums(share, l, address, peer, now)
 	} else {
@@ -267,10 +273,11 @@
 // this entry lacks. A document is only requested once the store has had the
 // time that it usually takes to deliver one.
 func (s *Syncer) addRequests(share *clemwire.Share, peer peerState, age time.Duration, now time.Time) {
+	needsWholeList := s.servers.NeedsWholeList()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mayRequestRows(peer, share.GetView(), age, now) {
-		share.Lacks, s.rowsRequestedAt = true, now
+	if s.mayRequestRows(peer, needsWholeList, share.GetView(), age, now) {
+		share.Lacks, share.Whole, s.rowsRequestedAt = true, needsWholeList, now
 	}
 	version := s.config.Table.Version()
 	if peer.version > version && (version == 0 || now.Sub(peer.versionChangedAt) > documentRequestDelay) && s.mayRequest(s.documentRequestedAt, now) {
--- a/clemspread/history_test.go
+++ b/clemspread/history_test.go
@@ -15,25 +15,27 @@
 
 // Guards against a row that is taken for a heartbeat although it was removed and written again
 // since the sender's last read: a peer that had read the removal never got the server back.
-func TestRowThatWasRemovedAndWrittenAgainIsSent(t *testing.T) {
+func TestRowThatWasRemovedAndWrittenAgainIsNotLost(t *testing.T) {
 	sender, peer := newTestServerList(), newTestServerList()
 	for _, l := range []*serverList{sender, peer} {
 		l.Apply(newBatch(5, writtenRow("a", "x", 3)), true, atMillisecond(0), atMillisecond(0))
 	}
 	peer.Apply(newBatch(10, removedRow("a", 10)), false, atMillisecond(500), atMillisecond(500))
-	early := shareFrom(sender, 5, atMillisecond(550))
 	sender.Apply(newBatch(20, writtenRow("a", "x", 20)), false, atMillisecond(600), atMillisecond(600))
 
-	require.False(t, peer.ApplyShare(early, 0, atMillisecond(650)), "the list is newer")
 	require.False(t, peer.ApplyShare(shareFrom(sender, 5, atMillisecond(650)), 0, atMillisecond(650)), "the changes after version 5 have no heartbeats")
-	require.True(t, peer.ApplyShare(shareFrom(sender, 10, atMillisecond(700)), 0, atMillisecond(700)))
+	require.False(t, peer.NeedsWholeList(), "they are not for this version of the list")
+	require.False(t, peer.ApplyShare(shareFrom(sender, 10, atMillisecond(700)), 0, atMillisecond(700)))
+	require.True(t, peer.NeedsWholeList())
+	require.True(t, peer.ApplyShare(shareFrom(sender, 0, atMillisecond(800)), 0, atMillisecond(800)))
+	require.False(t, peer.NeedsWholeList())
 	require.Equal(t, map[string]string{"a": "x"}, peer.servers())
 	require.Equal(t, 1, peer.directory.Len())
 }
 
-// Guards against changes that are sent by an entry that got them from a peer: it has neither
-// the heartbeats nor the rows that were written and removed between the peer's two versions.
-func TestVersionsThatAPeerSkippedAreNotCovered(t *testing.T) {
+// Guards against changes from an entry that has them from a peer: it has neither the heartbeats
+// nor the rows that were written and removed between the peer's two versions.
+func TestChangesOfAnEntryThatSkippedVersions(t *testing.T) {
 	for name, c := range map[string]struct {
 		between, after clementineturn.Change
 		isComplete     bool
@@ -55,10 +57,10 @@
 			reader.Apply(batch, c.isComplete, atMillisecond(600), atMillisecond(600))
 			require.True(t, relay.ApplyShare(shareFrom(reader, 5, atMillisecond(600)), 0, atMillisecond(600)))
 
-			require.Zero(t, relay.ChangesBase(10))
-			require.Equal(t, uint64(5), relay.ChangesBase(5))
-			share := shareFrom(relay, 10, atMillisecond(700))
-			require.Zero(t, share.GetSince(), "it is sent the whole list")
+			require.False(t, peer.ApplyShare(shareFrom(relay, 10, atMillisecond(700)), 0, atMillisecond(700)))
+			require.True(t, peer.NeedsWholeList())
+			require.True(t, peer.ApplyShare(shareFrom(relay, 0, atMillisecond(800)), 0, atMillisecond(800)))
+			require.Equal(t, reader.servers(), peer.servers())
 		})
 	}
 }
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -66,8 +66,8 @@
 	clock time.Duration
 	// wantsDocument is set if the peer requested the configuration's document,
 	// wantsRows if it requested the rows of backend servers that changed after
-	// its store version.
-	wantsDocument, wantsRows bool
+	// its store version, and wantsWholeList if these do not lead to this entry's list.
+	wantsDocument, wantsRows, wantsWholeList bool
 	// isLeaving is set if the peer drains before it stops.
 	isLeaving bool
 	// sendsChanges is set if the peer can send the changes of the list since this
@@ -217,7 +217,7 @@
 		}
 	}
 	p.version, p.storeVersion, p.wantsDocument, p.wantsRows, p.clock = share.GetVersion(), share.GetView(), share.GetAsks(), share.GetLacks(), clock
-	p.isLeaving = share.GetLeaving()
+	p.isLeaving, p.wantsWholeList = share.GetLeaving(), share.GetWhole()
 	p.hasSentAddresses = p.hasSentAddresses || len(share.GetEntries()) > 0
 	p.sendsChanges, p.findingsSeen = share.GetSince() > 0, share.GetSeen()
 	p.isGrouped, p.relayedSeen, p.failedAt = share.GetGrouped(), share.GetRelayedSeen(), time.Time{}
