clemspread, clempool: names and comments of the list's digest

The state of a row that is the same as before but for its heartbeat has a name; setRow, listState and the fields say what they hold. No change of behaviour.

--- a/clempool/record.go
+++ b/clempool/record.go
@@ -82,6 +82,7 @@
 func EqualExceptCold(a, b Record) bool { return a.withoutCold() == b.withoutCold() }
 
 // Digest returns a hash of the record without the statement of how long the server is cold.
+// Entries of different versions compare it, so that it is part of their protocol.
 func (r Record) Digest() uint64 {
 	c := r.config
 	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %t %d", c.ID, c.Service, c.Address, c.Centre, c.Slots, c.Draining, c.Incarnation))
--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -49,9 +49,10 @@
 	recoveredAt time.Time
 	// history is the range of versions whose removals are known.
 	history history
-	// digest is that of the servers in rows, whatever the versions of their rows.
+	// digest is that of the servers in rows: two lists with the same servers have the same,
+	// whatever versions of the rows they have.
 	digest uint64
-	// needsWholeList is set if the list did not get a peer's digest by its changes.
+	// needsWholeList is set if the changes that a peer sent do not lead to the peer's list.
 	needsWholeList bool
 	// pendingRemovals holds the servers whose rows disappeared around an outage,
 	// with the time at which they are removed from the directory.
@@ -68,7 +69,7 @@
 	digest uint64
 }
 
-// listState identifies a state of the list.
+// listState is the version of the store that a list reflects and the digest of its servers.
 type listState struct{ version, digest uint64 }
 
 func newServerList(c Config) *serverList {
@@ -188,10 +189,11 @@
 	} else {
 		isChanged, isColdMoved = l.directory.PutRow(record, readAt, now)
 	}
-	digest := old.digest
-	if !known || old.change.Removed() || !clempool.EqualExceptCold(old.record, record) {
+	digest, isSame := old.digest, known && !old.change.Removed() && clempool.EqualExceptCold(old.record, record)
+	if !isSame {
 		digest = record.Digest()
-	} else if !isColdMoved {
+	}
+	if isSame && !isColdMoved {
 		version = old.version
 	}
 	l.setRow(id, serverRow{change: change, record: record, version: version, digest: digest})
@@ -201,6 +203,7 @@
 	}
 }
 
+// setRow sets the state of a row, and with it the digest of the list.
 func (l *serverList) setRow(id string, row serverRow) {
 	l.digest ^= l.rows[id].digest ^ row.digest
 	l.rows[id] = row
@@ -291,8 +294,8 @@
 }
 
 // ApplyShare applies the rows in a peer's report that was in transit for at most
-// the given time. It returns false if the report is older than the list or
-// leaves out changes that this entry lacks.
+// the given time. It returns false if the report is older than the list or, as its
+// digest shows, leaves out changes that this entry lacks.
 func (l *serverList) ApplyShare(share *clemwire.Share, transit time.Duration, now time.Time) bool {
 	if share.GetBare() || share.GetView() == 0 {
 		return false
