--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the program with the stand-ins of the cases 11 to 15.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-3 ./review/_third/platform
