--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name. They return an exit status.
 var cases = map[string]func(w *world, hasTrouble bool) (int, error){
-	"lost-bystanders": lostBystanders,
+	"lost-bystanders":         lostBystanders,
+	"evacuation-after-rewind": evacuationAfterRewind,
 }
 
 func main() {
