--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(w *world, hasTrouble bool) (int, error){
 	"lost-bystanders":         lostBystanders,
 	"evacuation-after-rewind": evacuationAfterRewind,
+	"drain-after-rewind":      drainAfterRewind,
 }
 
 func main() {
