--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -21,6 +21,7 @@
 	"lost-bystanders":         lostBystanders,
 	"evacuation-after-rewind": evacuationAfterRewind,
 	"drain-after-rewind":      drainAfterRewind,
+	"ran-and-refused":         ranAndRefused,
 }
 
 func main() {
