--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -22,6 +22,7 @@
 	"evacuation-after-rewind": evacuationAfterRewind,
 	"drain-after-rewind":      drainAfterRewind,
 	"ran-and-refused":         ranAndRefused,
+	"repeated-crashes":        repeatedCrashes,
 }
 
 func main() {
