--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. They return an exit status.
 var cases = map[string]func(w *world, hasTrouble bool) (int, error){
 	"evacuation-after-rewind": evacuationAfterRewind,
+	"slow-readers":            slowReaders,
 	"drain-after-rewind":      drainAfterRewind,
 }
 
