--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -21,6 +21,7 @@
 	"evacuation-after-rewind": evacuationAfterRewind,
 	"slow-readers":            slowReaders,
 	"drain-after-rewind":      drainAfterRewind,
+	"rest-cut-short":          restCutShort,
 }
 
 func main() {
