--- a/review/_third/platform/main.go
+++ b/review/_third/platform/main.go
@@ -22,6 +22,7 @@
 	"slow-readers":            slowReaders,
 	"drain-after-rewind":      drainAfterRewind,
 	"rest-cut-short":          restCutShort,
+	"last-tenant-removed":     lastTenantRemoved,
 }
 
 func main() {
