--- a/clemstandin/provider.go
+++ b/clemstandin/provider.go
@@ -28,6 +28,7 @@
 	mu               sync.Mutex
 	rows             []ProviderRow
 	version          uint64
+	era              uint64
 	compactedVersion uint64
 	changed          chan struct{}
 	failureStatus    int
@@ -107,9 +108,7 @@
 func (p *Provider) put(row ProviderRow) {
 	p.version++
 	row.Version = p.version
-	p.rows = append(slices.DeleteFunc(p.rows, func(r ProviderRow) bool {
-		return r.Table == row.Table && r.Part == row.Part && r.Key == row.Key
-	}), row)
+	p.rows = append(slices.DeleteFunc(p.rows, func(r ProviderRow) bool { return isSameRow(r, row) }), row)
 	p.notifyFeeds()
 }
 
@@ -123,12 +122,15 @@
 	Rows      []ProviderRow `json:"rows"`
 	Truncated bool          `json:"truncated"`
 	Version   uint64        `json:"ver"`
+	// era is that of the store at the same time.
+	era uint64
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Provider) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	status, response := p.respond(r)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatUint(response.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(response)
 }
@@ -174,11 +176,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.failureStatus != 0 {
-		return p.failureStatus, providerResponse{}
+		return p.failureStatus, providerResponse{era: p.era}
 	}
 	query := r.URL.Query()
 	rows, version := p.visibleRows()
-	response := providerResponse{Rows: []ProviderRow{}, Version: version}
+	response := providerResponse{Rows: []ProviderRow{}, Version: version, era: p.era}
 	for _, row := range rows {
 		if row.Table == query.Get("table") && row.Part == query.Get("part") && !row.Removed && row.Key >= query.Get("from") {
 			response.Rows = append(response.Rows, row)
@@ -217,11 +219,11 @@
 func (p *Provider) changesAfter(table string, after uint64) (int, providerResponse, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	response := providerResponse{Rows: []ProviderRow{}, Version: p.version}
+	response := providerResponse{Rows: []ProviderRow{}, Version: p.version, era: p.era}
 	if p.failureStatus != 0 {
 		return p.failureStatus, response, p.changed
 	}
-	if after < p.compactedVersion {
+	if after < p.compactedVersion || after > p.version {
 		return http.StatusGone, response, p.changed
 	}
 	for _, row := range p.rows {
@@ -242,16 +244,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.failureStatus != 0 {
-		return p.failureStatus, providerResponse{}
+		return p.failureStatus, providerResponse{era: p.era}
 	}
 	for _, want := range body.Expected {
 		if p.rowVersion(want) != want.Version {
-			return http.StatusPreconditionFailed, providerResponse{Version: p.version}
+			return http.StatusPreconditionFailed, providerResponse{Version: p.version, era: p.era}
 		}
 	}
 	for _, row := range body.Writes {
 		if row.Table == "op" || row.Table == "servers" {
-			return http.StatusForbidden, providerResponse{Version: p.version}
+			return http.StatusForbidden, providerResponse{Version: p.version, era: p.era}
 		}
 		p.put(row)
 	}
@@ -259,7 +261,7 @@
 		row.Removed = true
 		p.put(row)
 	}
-	return http.StatusOK, providerResponse{Version: p.version}
+	return http.StatusOK, providerResponse{Version: p.version, era: p.era}
 }
 
 // rowVersion returns the version of a row, or 0 if there is none.
