clemspread, platform: order versions of the store by its era (EVAC)

Cause: versions were taken to grow only. After a restore they go back; no code read the header Store-Era, which says so. A front that knew the operator's rows up to a version before the restore took a peer's report of the evacuation, which was written again at a lower version, for one that was withdrawn since, and told all others. The row of the store, with its lower version, was dropped.

Evidence: a trace of the old code in virtual time has event 950 from the store and then 951 from a peer with the version from before.

Versions now hold the era above the number, so that every comparison, also between entries, has the versions after a restore above those before. A read from a version of an earlier era is stale even if the number was given out again; a long poll from before is ended once a peer reports the new era; an evacuation that the restored store lacks stays in force for ten seconds or more until the store is found to lack it still.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -49,6 +49,7 @@
 	ServerLeavingInvalid  Event = 955
 	ServerRestInvalid     Event = 956
 	ServerRestTooLong     Event = 957
+	StoreRestored         Event = 958
 	HeadRefused           Event = 960
 	ConnectionClosed      Event = 961
 	BodyRefused           Event = 962
@@ -109,6 +110,7 @@
 	ServerLeavingInvalid:  {zapcore.WarnLevel, "backend server announcement invalid", "A response of the server announces something else than that the server leaves; the error names the header. It has no effect, and is logged once for each server."},
 	ServerRestInvalid:     {zapcore.WarnLevel, "backend server rest invalid", "A refusal of the server names a time that is no positive number of seconds, or several; the error names the header. It has no effect, and is logged once for each server."},
 	ServerRestTooLong:     {zapcore.WarnLevel, "backend server rest too long", "A refusal of the server asks for no requests for the time in the asked field. A minute is used. Ask the owner of the service whether the unit is seconds."},
+	StoreRestored:         {zapcore.WarnLevel, "store restored", "The platform's store was restored from a copy; era is its new era. Rows that are older than what this entry knows do not replace it. An evacuation that the store lacks stays in force for ten seconds or more."},
 	HeadRefused:           {zapcore.WarnLevel, "request head refused", "The head of a request was above the limits; its request never runs. The reason field says which: head for its size (431), time for the time until its end, memory for the budget (503)."},
 	ConnectionClosed:      {zapcore.WarnLevel, "connection closed at the limit", "The listener has as many connections as its limit allows. The one that waited longest without a complete request was closed, or the new one if all have one."},
 	BodyRefused:           {zapcore.WarnLevel, "request body left unread", "The memory budget has no room for the body. The request was refused as not run; event 920 has its id."},
--- a/clemspread/catalogue_test.go
+++ b/clemspread/catalogue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,11 +19,13 @@
 func atMillisecond(ms int) time.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
 
 // decodeServer uses the row's text as the server's address.
+// decodeServer decodes an address, which " draining" may follow.
 func decodeServer(id string, value []byte) (clempool.Record, error) {
 	if len(value) == 0 {
 		return clempool.Record{}, errors.New("empty")
 	}
-	return clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: string(value), Slots: 1}), nil
+	address, state, _ := strings.Cut(string(value), " ")
+	return clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: address, Slots: 1, Draining: state == "draining"}), nil
 }
 
 func newTestServerList() *serverList {
--- a/clemspread/evacuation.go
+++ b/clemspread/evacuation.go
@@ -17,6 +17,10 @@
 // server before it counts as unknown: several reads of the list.
 const unknownCentreDelay = 2 * time.Second
 
+// evacuationRecoveryGrace is how long at least an evacuation stays in force that a restored
+// store lacks. The operator writes it again unless it was withdrawn meanwhile.
+const evacuationRecoveryGrace = 10 * time.Second
+
 // maxPeerCentres and maxCentreLength bound the data centres that are learned from peers and
 // the bytes of their names: each message has all of them.
 const (
@@ -32,6 +36,8 @@
 	isWithdrawn bool
 	// since is when this entry learned that the data centre is evacuated.
 	since time.Time
+	// lostAt is when the evacuation was found missing in a restored store, or zero.
+	lostAt time.Time
 	// isReported is set once the data centre was logged as unknown.
 	isReported bool
 }
@@ -99,7 +105,9 @@
 
 // Apply applies rows of the operator's table. If isComplete is set, the batch holds
 // every row: an evacuation without one was withdrawn, unless it is newer than the batch,
-// since reads of the store may be stale.
+// since reads of the store may be stale. One of an earlier era of the store may have been
+// lost with the restore, and stays in force until the store still lacks it after
+// evacuationRecoveryGrace.
 func (t *evacuationTable) Apply(batch clementineturn.Batch, isComplete bool, centreOf func(key string) (string, bool), now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,8 +119,16 @@
 			hasChanged = t.update(centre, evacuation{version: change.Version(), isWithdrawn: change.Removed()}, "store", now) || hasChanged
 		}
 	}
+	isRestored := isOfEarlierEra(t.storeVersion, batch.Version())
 	for centre, e := range t.byCentre {
-		if isComplete && !present[centre] && !e.isWithdrawn {
+		isLost := isOfEarlierEra(e.version, batch.Version())
+		switch {
+		case present[centre] || e.isWithdrawn:
+		case isLost && (isRestored || e.lostAt.IsZero()):
+			e.lostAt = now
+			t.byCentre[centre] = e
+		case isLost && now.Sub(e.lostAt) < evacuationRecoveryGrace:
+		case isLost || isComplete:
 			hasChanged = t.update(centre, evacuation{version: batch.Version(), isWithdrawn: true}, "store", now) || hasChanged
 		}
 	}
@@ -123,7 +139,8 @@
 }
 
 // ApplyPeer applies what a peer reports. An evacuation that is older than the rows that
-// this entry has read, and is not among them, was withdrawn meanwhile.
+// this entry has read, and is not among them, was withdrawn meanwhile. If it is of an
+// earlier era of the store, it may instead have been lost, as in Apply.
 func (t *evacuationTable) ApplyPeer(reported []*clemwire.Evacuation, peer string, now time.Time) {
 	if len(reported) == 0 {
 		return
@@ -136,8 +153,12 @@
 			continue
 		}
 		e := evacuation{version: r.GetVersion(), isWithdrawn: r.GetWithdrawn()}
-		if e.version > t.byCentre[r.GetCentre()].version && e.version <= t.storeVersion {
+		switch {
+		case e.version <= t.byCentre[r.GetCentre()].version || e.version > t.storeVersion:
+		case !isOfEarlierEra(e.version, t.storeVersion):
 			e = evacuation{version: t.storeVersion, isWithdrawn: true}
+		case !e.isWithdrawn:
+			e.lostAt = now
 		}
 		hasChanged = t.update(r.GetCentre(), e, peer, now) || hasChanged
 	}
@@ -155,7 +176,7 @@
 	}
 	wasInForce := isKnown && !old.isWithdrawn
 	e.since, e.isReported = old.since, old.isReported
-	fields := []zap.Field{zap.String("centre", centre), zap.Uint64("version", e.version), zap.String("source", source)}
+	fields := []zap.Field{zap.String("centre", centre), zap.Uint64("version", clementineturn.VersionNumber(e.version)), zap.String("source", source)}
 	switch {
 	case !e.isWithdrawn && !wasInForce:
 		e.since, e.isReported = now, false
@@ -188,7 +209,7 @@
 		}
 		e.isReported = true
 		t.byCentre[centre] = e
-		t.events.Emit(clemevent.EvacuationUnknown, zap.String("centre", centre), zap.Uint64("version", e.version), zap.Strings("listed", listed))
+		t.events.Emit(clemevent.EvacuationUnknown, zap.String("centre", centre), zap.Uint64("version", clementineturn.VersionNumber(e.version)), zap.Strings("listed", listed))
 	}
 	evacuated := t.evacuatedLocked()
 	areAllEvacuated := len(listed) > 0 && !slices.ContainsFunc(listed, func(centre string) bool { return !slices.Contains(evacuated, centre) })
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -340,6 +340,7 @@
 	if s.peers.recordShare(share, now) {
 		s.config.Events.Emit(clemevent.PeerAvailable, zap.String("entry", share.GetAddress()), zap.String("name", share.GetName()))
 	}
+	s.recordEra(share.GetView())
 	for i, address := range share.GetEntries() {
 		s.peers.learn(address, now)
 		if i < len(share.GetCentres()) && share.GetCentres()[i] != "" {
--- a/clemspread/operator.go
+++ b/clemspread/operator.go
@@ -119,6 +119,7 @@
 		}
 		// The other loops record failures of the store.
 		if err == nil {
+			s.recordEra(batch.Version())
 			s.applyOperatorRows(batch, isComplete)
 			s.operator.recordRead(batch)
 		}
@@ -139,5 +140,5 @@
 	if cancel != nil {
 		cancel()
 	}
-	s.config.Events.Emit(clemevent.LongPollRenewed, zap.Uint64("version", version), zap.Uint64("polled", polled))
+	s.config.Events.Emit(clemevent.LongPollRenewed, zap.Uint64("version", clementineturn.VersionNumber(version)), zap.Uint64("polled", clementineturn.VersionNumber(polled)))
 }
--- /dev/null
+++ b/clemspread/restore_test.go
@@ -0,0 +1,236 @@
+package clemspread
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemwire"
+)
+
+// copyAge is how old the copies are that stores are restored from.
+const copyAge = 8 * time.Second
+
+// storeCopy is the content of a store at one time.
+type storeCopy struct {
+	sections map[clementineturn.Section]map[string]clementineturn.Change
+	version  uint64
+}
+
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := storeCopy{sections: map[clementineturn.Section]map[string]clementineturn.Change{}, version: s.version}
+	for section, rows := range s.sections {
+		copied.sections[section] = maps.Clone(rows)
+	}
+	return copied
+}
+
+// restore sets the content to that of a copy, in the next era.
+func (s *fakeStore) restore(from storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := clementineturn.VersionEra(s.version) + 1
+	inEra := func(version uint64) uint64 {
+		version, err := clementineturn.NewVersion(era, clementineturn.VersionNumber(version))
+		if err != nil {
+			panic(err)
+		}
+		return version
+	}
+	s.version = inEra(from.version)
+	s.sections = map[clementineturn.Section]map[string]clementineturn.Change{}
+	for section, rows := range from.sections {
+		s.sections[section] = map[string]clementineturn.Change{}
+		for key, row := range rows {
+			s.sections[section][key] = clementineturn.NewChange(clementineturn.ChangeConfig{
+				Key: key, Value: row.Value(), Version: inEra(row.Version()), Removed: row.Removed(),
+			})
+		}
+	}
+}
+
+// restoreAfter lets the copy age while the servers write heartbeats, and restores it. The
+// store does not answer for the time away before that.
+func (s *fakeStore) restoreAfter(away time.Duration, change func()) {
+	copied := s.copy()
+	for range int(copyAge / time.Second) {
+		s.set(clementineturn.SectionServers, "a", "10.0.0.1:80")
+		time.Sleep(time.Second)
+	}
+	change()
+	time.Sleep(2 * time.Second)
+	s.setFailing(true)
+	time.Sleep(away)
+	s.restore(copied)
+	s.setFailing(false)
+}
+
+// requireAlways checks a condition every 50 ms for the time.
+func requireAlways(t *testing.T, during time.Duration, condition func() bool, message string) {
+	t.Helper()
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		require.True(t, condition(), message)
+	}
+}
+
+// startThree starts three entries.
+func startThree(ctx context.Context, n *network, store clementineturn.Store) []*Syncer {
+	entries := []*Syncer{n.start(ctx, "a", store), n.start(ctx, "b", store), n.start(ctx, "c", store)}
+	time.Sleep(5 * time.Second)
+	return entries
+}
+
+// allEvacuated returns a condition: every entry has evacuated these data centres only.
+func allEvacuated(entries []*Syncer, centres ...string) func() bool {
+	return func() bool {
+		for _, e := range entries {
+			evacuated := e.Evacuated()
+			if len(evacuated) != len(centres) || len(centres) > 0 && evacuated[0] != centres[0] {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against requests at an evacuated data centre after the store was restored from a
+// copy without the evacuation, while the operator has not written it again and later.
+func TestEvacuationOutlastsRestore(t *testing.T) {
+	for name, away := range map[string]time.Duration{"without an outage": 0, "with an outage": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+				entries := startThree(ctx, n, store)
+				for range 2 {
+					store.restoreAfter(away, func() { store.set(clementineturn.SectionOperator, "away/east", "{}") })
+					requireAlways(t, 4*time.Second, allEvacuated(entries, "east"), "before it is written again")
+					store.set(clementineturn.SectionOperator, "away/east", "{}")
+					late := n.start(ctx, "d", store, "a")
+					requireAlways(t, 15*time.Second, allEvacuated(entries, "east"), "after it was written again")
+					require.Equal(t, []string{"east"}, late.Evacuated())
+					store.set(clementineturn.SectionOperator, "away/east", "")
+					time.Sleep(2 * time.Second)
+					require.True(t, allEvacuated(append(entries, late))(), "withdrawn")
+				}
+			})
+		})
+	}
+}
+
+// Guards against an evacuation that never ends, since the operator withdrew it in place of
+// writing it again.
+func TestEvacuationThatIsNotWrittenAgainEnds(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		entries := startThree(ctx, n, store)
+		store.restoreAfter(time.Second, func() { store.set(clementineturn.SectionOperator, "away/east", "{}") })
+		requireAlways(t, evacuationRecoveryGrace-time.Second, allEvacuated(entries, "east"), "within the grace period")
+		time.Sleep(5 * time.Second)
+		require.True(t, allEvacuated(entries)())
+	})
+}
+
+// Guards against a restored store hiding all changes of the operator and of servers from
+// entries, for as long as its copy was old, and against reads without a pause meanwhile.
+func TestChangesAfterRestoreReachEntries(t *testing.T) {
+	for name, away := range map[string]time.Duration{"without an outage": 0, "with an outage": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+				entries := startThree(ctx, n, store)
+				cut := &cuttableStore{fakeStore: store}
+				entries = append(entries, n.start(ctx, "d", cut, "a"))
+				time.Sleep(2 * time.Second)
+				for _, document := range []string{"2", "3"} {
+					cut.isCut.Store(document == "3")
+					store.restoreAfter(away, func() {})
+					calls := store.callCount()
+					time.Sleep(3 * time.Second)
+					require.Less(t, store.callCount()-calls, 60)
+					store.set(clementineturn.SectionServers, "a", "10.0.0.1:80 draining")
+					store.set(clementineturn.SectionOperator, "config", document)
+					time.Sleep(2 * time.Second)
+					for _, e := range entries {
+						require.True(t, e.config.Directory.Records()[0].IsDraining())
+						require.Equal(t, document, string(e.config.Table.Current().Document()))
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against an entry that starts while it cannot reach the restored store, and learns
+// the list and the evacuations from its peers only, also those of before.
+func TestEntryLearnsAcrossRestoreFromPeersOnly(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		startThree(ctx, n, store)
+		cut := &cuttableStore{fakeStore: store}
+		cut.isCut.Store(true)
+		var late *Syncer
+		store.restoreAfter(time.Second, func() {
+			store.set(clementineturn.SectionOperator, "away/east", "{}")
+			late = n.start(ctx, "d", cut, "a")
+		})
+		requireAlways(t, 2*time.Second, allEvacuated([]*Syncer{late}, "east"), "lost by the store")
+		store.set(clementineturn.SectionOperator, "away/east", "{}")
+		store.set(clementineturn.SectionServers, "z", "10.0.0.9:80")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 2, late.config.Directory.Len())
+		require.True(t, allEvacuated([]*Syncer{late}, "east")())
+		store.set(clementineturn.SectionOperator, "away/east", "")
+		time.Sleep(2 * time.Second)
+		require.True(t, allEvacuated([]*Syncer{late})())
+		cut.isCut.Store(false)
+		requireAlways(t, 5*time.Second, allEvacuated([]*Syncer{late}), "when the entry reaches the store")
+	})
+}
+
+// Guards against reads without a pause while a peer knows of a restore that the store does
+// not show to this entry.
+func TestReadsPauseUntilTheStoreShowsTheRestore(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		e := n.start(ctx, "a", store)
+		time.Sleep(time.Second)
+		version, err := clementineturn.NewVersion(1, 1)
+		require.NoError(t, err)
+		calls := store.callCount()
+		_, err = e.Share(ctx, &clemwire.Share{Name: "b", Address: "b", View: version})
+		require.NoError(t, err)
+		time.Sleep(3 * time.Second)
+		require.Less(t, store.callCount()-calls, 40)
+	})
+}
+
+// Guards against an evacuation that ends while the store does not answer, so that the
+// operator cannot write it again.
+func TestLostEvacuationStaysWhileTheStoreIsAway(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		entries := startThree(ctx, n, store)
+		store.restoreAfter(time.Second, func() { store.set(clementineturn.SectionOperator, "away/east", "{}") })
+		time.Sleep(2 * time.Second)
+		store.setFailing(true)
+		requireAlways(t, 2*evacuationRecoveryGrace, allEvacuated(entries, "east"), "while the store is away")
+		store.set(clementineturn.SectionOperator, "away/east", "{}")
+		store.setFailing(false)
+		requireAlways(t, 5*time.Second, allEvacuated(entries, "east"), "after it was written again")
+	})
+}
+
+// A withdrawal that a restored store lost holds again once the operator repeats it.
+func TestWithdrawalIsRepeatedAfterRestore(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		store.set(clementineturn.SectionOperator, "away/east", "{}")
+		entries := startThree(ctx, n, store)
+		require.True(t, allEvacuated(entries, "east")())
+		store.restoreAfter(time.Second, func() { store.set(clementineturn.SectionOperator, "away/east", "") })
+		time.Sleep(2 * time.Second)
+		require.True(t, allEvacuated(entries, "east")())
+		store.set(clementineturn.SectionOperator, "away/east", "")
+		time.Sleep(2 * time.Second)
+		require.True(t, allEvacuated(entries)())
+	})
+}
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -107,6 +107,9 @@
 	// storeRecovered is closed when the store answers again. It is nil unless
 	// the store is unavailable.
 	storeRecovered chan struct{}
+	// era is the highest known era of the store, once isEraKnown is set.
+	era        uint64
+	isEraKnown bool
 	// cancelLongPoll ends the long poll in progress.
 	cancelLongPoll context.CancelFunc
 	// documentRequestedAt and rowsRequestedAt are the times of the last requests
@@ -288,13 +291,21 @@
 			}
 			continue
 		}
-		if after > 0 {
-			reread = backoff{}
-		}
+		hasFollowed := after > 0
 		retry, wait = backoff{}, longPollWait
-		s.applyOperatorRows(batch, after == 0)
+		s.recordEra(batch.Version())
+		s.applyOperatorRows(batch, !hasFollowed)
 		after = max(after, batch.Version())
 		s.operator.recordPoll(after)
+		switch {
+		case s.isBeforeRestore(after):
+			// A peer has read from the restored store already.
+			if !reread.wait(ctx, s.config.Rand) {
+				return
+			}
+		case hasFollowed:
+			reread = backoff{}
+		}
 	}
 }
 
@@ -304,6 +315,10 @@
 	s.operator.setRenewing(false)
 	s.mu.Lock()
 	s.cancelLongPoll = cancel
+	if clementineturn.VersionEra(after) < s.era {
+		// A long poll from before the restore may never be answered.
+		wait = 0
+	}
 	s.mu.Unlock()
 	if after == 0 {
 		return s.config.Store.Read(ctx, clementineturn.SectionOperator)
@@ -362,6 +377,7 @@
 		}
 		retry, isStale = backoff{}, false
 		s.operator.recordListRead(now)
+		s.recordEra(batch.Version())
 		s.servers.Apply(batch, isComplete, now, time.Now())
 	}
 }
--- a/clemspread/spread_test.go
+++ b/clemspread/spread_test.go
@@ -131,6 +131,9 @@
 	expired := time.After(wait)
 	for {
 		found, changed, isHanging := s.since(section, after)
+		if after > 0 && isOfEarlierEra(after, found.Version()) {
+			return clementineturn.Batch{}, clementineturn.NewError(clementineturn.ErrorConfig{Kind: clementineturn.KindStale, Message: "restored"})
+		}
 		if isHanging {
 			<-ctx.Done()
 			return clementineturn.Batch{}, clementineturn.Errorf(clementineturn.KindUnavailable, "store: %w", ctx.Err())
--- a/store.go
+++ b/store.go
@@ -29,7 +29,7 @@
 	// Value is the row's value. It must not be modified afterwards.
 	Value []byte
 	// Version is the version of the store at which the row was written or
-	// removed.
+	// removed, as NewVersion returns it.
 	Version uint64
 	// Removed is set if the row was removed.
 	Removed bool
@@ -76,14 +76,15 @@
 
 // Store is the platform's store as a front uses it: it reads the configuration,
 // the backend servers and the entries, and writes its own row. The store's
-// version is a number that grows with each write.
+// version grows with each write. A store that is restored from a copy loses
+// writes and is in the next era, in which every version is higher than before.
 type Store interface {
 	// Read returns every row of the section. Errors: KindUnavailable.
 	Read(ctx context.Context, section Section) (Batch, error)
 	// Follow returns the rows that changed after the version. It blocks until
 	// there is one, or until the wait is over, and then returns none. Errors:
 	// KindUnavailable; KindStale if the store no longer has the history since
-	// the version, so that the caller has to call Read.
+	// the version or is in a later era, so that the caller has to call Read.
 	Follow(ctx context.Context, section Section, after uint64, wait time.Duration) (Batch, error)
 	// Write inserts or replaces a row unconditionally. Errors: KindUnavailable
 	// if the write had no effect, KindUnknown if it may have taken effect.
