--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// rowRecoveryGrace is how long after a store outage a backend server
-	// without a row stays in use: rows that expired during the outage are
-	// rewritten about two seconds after its end.
+	// rowRecoveryGrace is how long after a store outage, or a restore of the
+	// store, a backend server without a row stays in use: rows that expired
+	// during the outage or were lost are rewritten about two seconds after its
+	// end.
 	rowRecoveryGrace = 2200 * time.Millisecond
 	// outageThreshold is the time without an update of the list, from the store
 	// or from a peer, that counts as an outage: several read intervals.
@@ -45,7 +46,7 @@
 	// the latest time at which the store was known to be at it.
 	storeVersion uint64
 	readAt       time.Time
-	// recoveredAt is the time of the first update after the last outage.
+	// recoveredAt is the time of the first update after the last outage or restore.
 	recoveredAt time.Time
 	// history is the range of versions whose removals are known.
 	history history
@@ -54,7 +55,7 @@
 	digest uint64
 	// needsWholeList is set if the changes that a peer sent do not lead to the peer's list.
 	needsWholeList bool
-	// pendingRemovals holds the servers whose rows disappeared around an outage,
+	// pendingRemovals holds the servers whose rows disappeared around an outage or restore,
 	// with the time at which they are removed from the directory.
 	pendingRemovals map[string]time.Time
 }
@@ -93,26 +94,30 @@
 
 // Apply applies changed rows. If isComplete is set, the batch holds every row
 // and servers without one are removed. Batches older than the current version
-// are dropped, since reads of the store may be stale.
-func (l *serverList) Apply(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) {
+// are dropped, since reads of the store may be stale; Apply then returns false.
+func (l *serverList) Apply(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.applyLocked(batch, isComplete, readAt, now)
+	return l.applyLocked(batch, isComplete, readAt, now)
 }
 
 // applyLocked is Apply for callers that hold mu.
-func (l *serverList) applyLocked(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) {
+func (l *serverList) applyLocked(batch clementineturn.Batch, isComplete bool, readAt, now time.Time) bool {
 	if batch.Version() < l.storeVersion {
-		return
+		return false
 	}
-	if l.storeVersion > 0 && readAt.Sub(l.readAt) > outageThreshold {
+	isRestored := l.storeVersion > 0 && isOfEarlierEra(l.storeVersion, batch.Version())
+	if isRestored || l.storeVersion > 0 && readAt.Sub(l.readAt) > outageThreshold {
 		l.recoveredAt = readAt
 	}
+	if isRestored {
+		l.deferPendingRemovals()
+	}
 	present := map[string]bool{}
 	for _, change := range batch.Changes() {
 		present[change.Key()] = true
 		if isComplete {
-			change = l.withListVersion(change, batch.Version())
+			change = l.withKnownState(l.withListVersion(change, batch.Version()))
 		}
 		l.applyChange(change, readAt, now)
 	}
@@ -123,7 +128,10 @@
 			}
 		}
 	}
-	if isComplete {
+	switch {
+	case isRestored:
+		l.history = history{start: batch.Version()}
+	case isComplete:
 		l.history.skip(l.storeVersion, batch.Version())
 	}
 	if batch.Version() > l.storeVersion {
@@ -134,6 +142,7 @@
 		l.readAt = readAt
 	}
 	l.directory.ListRead(l.readAt)
+	return true
 }
 
 // withListVersion returns the change of a row in the whole list at the version. The list may
@@ -157,7 +166,8 @@
 func (l *serverList) applyChange(change clementineturn.Change, readAt, now time.Time) {
 	id := change.Key()
 	old, known := l.rows[id]
-	if known && old.change.Version() > change.Version() {
+	isLeaving := old.change.Removed() || old.record.IsDraining()
+	if known && (old.change.Version() > change.Version() || old.change.Version() == change.Version() && isLeaving) {
 		return
 	}
 	if change.Removed() {
@@ -172,7 +182,7 @@
 	record, err := l.decode(id, change.Value())
 	if err != nil {
 		if !known || !slices.Equal(old.change.Value(), change.Value()) {
-			l.events.Emit(clemevent.ServerInvalid, zap.String("server", id), zap.Uint64("version", change.Version()), zap.Error(err))
+			l.events.Emit(clemevent.ServerInvalid, zap.String("server", id), zap.Uint64("version", clementineturn.VersionNumber(change.Version())), zap.Error(err))
 		}
 		l.setRow(id, serverRow{change: change, version: change.Version()})
 		l.removeOrDefer(id, now)
@@ -180,11 +190,13 @@
 	}
 	delete(l.pendingRemovals, id)
 	if problem := record.Cold().Problem; problem != "" && (!known || old.record.Cold().Problem != problem) {
-		l.events.Emit(clemevent.ServerColdInvalid, zap.String("server", id), zap.Uint64("version", change.Version()), zap.String("problem", problem))
+		l.events.Emit(clemevent.ServerColdInvalid, zap.String("server", id), zap.Uint64("version", clementineturn.VersionNumber(change.Version())), zap.String("problem", problem))
 	}
 	version, isChanged, isColdMoved := change.Version(), false, false
-	if known && old.change.Version() == version && !old.change.Removed() {
-		// The same row as before: it counts from its first reading.
+	isSameRow := old.change.Version() == version || isOfEarlierEra(old.change.Version(), version) && old.record.Incarnation() == record.Incarnation()
+	if known && isSameRow && !old.change.Removed() {
+		// The same row as before, or an earlier one of a restored store: it counts from
+		// its first reading.
 		isChanged = l.directory.Put(record)
 	} else {
 		isChanged, isColdMoved = l.directory.PutRow(record, readAt, now)
@@ -199,7 +211,7 @@
 	l.setRow(id, serverRow{change: change, record: record, version: version, digest: digest})
 	if isChanged {
 		l.events.Emit(clemevent.ServerListed, zap.String("server", id), zap.String("service", record.Service()),
-			zap.String("address", record.Address()), zap.Bool("leaving", record.IsDraining()), zap.Uint64("version", change.Version()))
+			zap.String("address", record.Address()), zap.Bool("leaving", record.IsDraining()), zap.Uint64("version", clementineturn.VersionNumber(change.Version())))
 	}
 }
 
@@ -237,7 +249,7 @@
 	}
 	delete(l.pendingRemovals, id)
 	if l.directory.Remove(id) {
-		l.events.Emit(clemevent.ServerUnlisted, zap.String("server", id), zap.Uint64("view", l.storeVersion))
+		l.events.Emit(clemevent.ServerUnlisted, zap.String("server", id), zap.Uint64("view", clementineturn.VersionNumber(l.storeVersion)))
 	}
 }
 
@@ -333,7 +345,7 @@
 	}
 	if l.storeVersion == share.GetSince() && !l.needsWholeList {
 		l.needsWholeList = true
-		l.events.Emit(clemevent.ServerListDiverged, zap.String("entry", share.GetName()), zap.Uint64("version", l.storeVersion), zap.Uint64("view", share.GetView()))
+		l.events.Emit(clemevent.ServerListDiverged, zap.String("entry", share.GetName()), zap.Uint64("version", clementineturn.VersionNumber(l.storeVersion)), zap.Uint64("view", clementineturn.VersionNumber(share.GetView())))
 	}
 	return false
 }
@@ -352,31 +364,3 @@
 	defer l.mu.Unlock()
 	return l.history.end()
 }
-
-// history tells for which versions of the store the removals after them are
-// known: those after start, except for the versions within the last gap.
-//
-// A read of the whole list shows which of the rows known before it are gone, but
-// not which rows were written and removed since the read before it. Only a peer
-// whose version lies between the two reads may hold such rows.
-type history struct{ start, gapStart, gapEnd uint64 }
-
-// skip records that the list was read whole at the second version, and last
-// known at the first one, which is 0 if it was not known.
-func (h *history) skip(from, to uint64) {
-	if from == 0 {
-		*h = history{start: to}
-		return
-	}
-	if to > from {
-		*h = history{start: h.end(), gapStart: from, gapEnd: to}
-	}
-}
-
-// end returns the version after which every removal is known.
-func (h *history) end() uint64 { return max(h.start, h.gapEnd) }
-
-// covers reports whether every removal after the version is known.
-func (h *history) covers(version uint64) bool {
-	return version >= h.start && (version <= h.gapStart || version >= h.gapEnd)
-}
--- a/clemspread/restore.go
+++ b/clemspread/restore.go
@@ -42,3 +42,33 @@
 	defer s.mu.Unlock()
 	return clementineturn.VersionEra(version) < s.era
 }
+
+// withKnownState returns the change of a row in the whole list. In a restored store the row
+// may be from before the server was known to be draining, gone or started again. The result
+// then has that state, which stays until the server writes the row again.
+func (l *serverList) withKnownState(change clementineturn.Change) clementineturn.Change {
+	old, isKnown := l.rows[change.Key()]
+	if !isKnown || !isOfEarlierEra(old.change.Version(), change.Version()) {
+		return change
+	}
+	record, err := l.decode(change.Key(), change.Value())
+	if err != nil || record.Incarnation() > old.record.Incarnation() {
+		return change
+	}
+	_, isPending := l.pendingRemovals[change.Key()]
+	isGone := old.change.Removed() && !isPending
+	if !isGone && !old.record.IsDraining() && record.Incarnation() == old.record.Incarnation() {
+		return change
+	}
+	return clementineturn.NewChange(clementineturn.ChangeConfig{
+		Key: change.Key(), Value: old.change.Value(), Version: change.Version(), Removed: isGone,
+	})
+}
+
+// deferPendingRemovals gives the servers that are about to be removed until the end of the
+// grace period, since the restored store may have lost their rows once more.
+func (l *serverList) deferPendingRemovals() {
+	for id := range l.pendingRemovals {
+		l.pendingRemovals[id] = l.recoveredAt.Add(rowRecoveryGrace)
+	}
+}
--- a/clemspread/restore_test.go
+++ b/clemspread/restore_test.go
@@ -163,6 +163,69 @@
 	}
 }
 
+// Guards against requests at servers that are known to be draining or gone, whose rows a
+// restored store has from before.
+func TestLeavingServersStayLeavingAfterRestore(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		store.set(clementineturn.SectionServers, "gone", "10.0.0.2:80")
+		store.set(clementineturn.SectionServers, "draining", "10.0.0.3:80")
+		entries := startThree(ctx, n, store)
+		store.restoreAfter(time.Second, func() {
+			store.set(clementineturn.SectionServers, "gone", "")
+			store.set(clementineturn.SectionServers, "draining", "10.0.0.3:80 draining")
+		})
+		requireAlways(t, 3*time.Second, func() bool {
+			for _, e := range entries {
+				for _, record := range e.config.Directory.Records() {
+					if record.ID() == "gone" || record.ID() == "draining" && !record.IsDraining() {
+						return false
+					}
+				}
+			}
+			return true
+		}, "a server is in use again")
+		// Both have started again.
+		store.set(clementineturn.SectionServers, "gone", "10.0.0.2:80")
+		store.set(clementineturn.SectionServers, "draining", "10.0.0.3:80")
+		time.Sleep(2 * time.Second)
+		for _, e := range entries {
+			require.Len(t, e.config.Directory.Records(), 3)
+			for _, record := range e.config.Directory.Records() {
+				require.False(t, record.IsDraining())
+			}
+		}
+	})
+}
+
+// Guards against servers that lose all requests since a restored store lacks their rows,
+// which they write again, and against those that stay in use although they do not.
+func TestServersThatARestoreLosesStayInUse(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		entries := startThree(ctx, n, store)
+		copied := store.copy()
+		store.set(clementineturn.SectionServers, "kept", "10.0.0.2:80")
+		store.set(clementineturn.SectionServers, "lost", "10.0.0.3:80")
+		time.Sleep(2 * time.Second)
+		count := func(want int) func() bool {
+			return func() bool {
+				for _, e := range entries {
+					if e.config.Directory.Len() != want {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		for _, during := range []time.Duration{time.Second, 2 * time.Second} {
+			store.restore(copied)
+			requireAlways(t, during, count(3), "within the grace period")
+		}
+		store.set(clementineturn.SectionServers, "kept", "10.0.0.2:80")
+		time.Sleep(3 * time.Second)
+		requireAlways(t, 10*time.Second, count(2), "after it")
+	})
+}
+
 // Guards against an entry that starts while it cannot reach the restored store, and learns
 // the list and the evacuations from its peers only, also those of before.
 func TestEntryLearnsAcrossRestoreFromPeersOnly(t *testing.T) {
@@ -234,3 +297,45 @@
 		require.True(t, allEvacuated(entries)())
 	})
 }
+
+// Guards against reads of the list of servers without a pause while the store returns a
+// list that is older than the one that the entry has.
+func TestReadsPauseWhileTheListIsOld(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		for range 10 {
+			store.set(clementineturn.SectionServers, "a", "10.0.0.1:80")
+		}
+		n.start(ctx, "a", store)
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		store.version -= 5
+		store.mu.Unlock()
+		store.setHistoryLost(true)
+		calls := store.callCount()
+		time.Sleep(5 * time.Second)
+		require.Less(t, store.callCount()-calls, 60)
+	})
+}
+
+// Guards against a server that is used again since an entry reads the list of a restored
+// store twice: first a peer's, then the store's.
+func TestKnownStateOutlastsSecondRead(t *testing.T) {
+	l := newTestServerList()
+	now := time.Now()
+	l.Apply(newBatch(9, writtenRow("gone", "10.0.0.1:80", 5), writtenRow("draining", "10.0.0.2:80 draining", 8)), true, now, now)
+	l.Apply(newBatch(10, removedRow("gone", 10)), false, now, now)
+	inEra := func(number uint64) uint64 {
+		version, err := clementineturn.NewVersion(1, number)
+		require.NoError(t, err)
+		return version
+	}
+	gone, draining := writtenRow("gone", "10.0.0.1:80", inEra(5)), writtenRow("draining", "10.0.0.2:80", inEra(6))
+	for n := range uint64(3) {
+		require.True(t, l.Apply(newBatch(inEra(7+n), gone, draining), true, now, now))
+		require.Len(t, l.directory.Records(), 1)
+		require.True(t, l.directory.Records()[0].IsDraining())
+	}
+	l.Apply(newBatch(inEra(20), writtenRow("gone", "10.0.0.1:80", inEra(19)), writtenRow("draining", "10.0.0.2:80", inEra(20))), false, now, now)
+	require.Len(t, l.directory.Records(), 2)
+	require.False(t, l.directory.Records()[0].IsDraining() || l.directory.Records()[1].IsDraining())
+}
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -343,7 +343,7 @@
 // nor a peer that passes it on has read it lately. Reads are staggered by the
 // entries' addresses, so that usually one entry reads for all.
 func (s *Syncer) followServers(ctx context.Context) {
-	var retry backoff
+	var retry, reread backoff
 	isStale := false
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -366,6 +366,9 @@
 		}
 		if clementineturn.IsKind(err, clementineturn.KindStale) {
 			isStale = true
+			if !reread.wait(ctx, s.config.Rand) {
+				return
+			}
 			continue
 		}
 		s.recordStoreResult(err)
@@ -378,6 +381,10 @@
 		retry, isStale = backoff{}, false
 		s.operator.recordListRead(now)
 		s.recordEra(batch.Version())
-		s.servers.Apply(batch, isComplete, now, time.Now())
+		if s.servers.Apply(batch, isComplete, now, time.Now()) {
+			reread = backoff{}
+		} else if !reread.wait(ctx, s.config.Rand) {
+			return
+		}
 	}
 }
