clemspread: write this entry's rows again once the store was restored

An entry wrote its row once, at its start, and took quarantines for stored for good. After a restart of all entries they would know neither peers nor quarantines, and read a quarantine again that an operator had lifted since the copy. Callers saw nothing that we know of.

Once the era rises an entry now writes its row again within a second and counts no quarantine as stored; what a peer reports as stored counts if the peer has read from the restored store. A row of entries that misses the reader's own, and a quarantine that was ended since, are repaired at the next read.

TestOwnRowsAreWrittenAgainAfterRestore failed before: the store held no row of two entries.

--- a/clemquarantine/quarantine.go
+++ b/clemquarantine/quarantine.go
@@ -164,7 +164,7 @@
 func (t *Tracker) Adopt(q Quarantine, now time.Time) {
 	t.mu.Lock()
 	defer t.unlock()
-	if t.lastServed(q.Part).After(q.At) || now.Sub(q.LastSeen) > t.config.Term {
+	if t.isRefuted(q) || now.Sub(q.LastSeen) > t.config.Term {
 		return
 	}
 	known := t.quarantines[q.Part]
@@ -178,6 +178,17 @@
 	known.StoredSeen = later(known.StoredSeen, q.StoredSeen)
 }
 
+// IsRefuted reports whether a response with the part succeeded after the part was
+// quarantined.
+func (t *Tracker) IsRefuted(q Quarantine) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isRefuted(q)
+}
+
+// isRefuted is IsRefuted for callers that hold mu.
+func (t *Tracker) isRefuted(q Quarantine) bool { return t.lastServed(q.Part).After(q.At) }
+
 // Lift ends the quarantine of a part as refuted, for an operator, unless it is younger
 // than the order.
 func (t *Tracker) Lift(p Part, ordered, now time.Time) {
@@ -197,3 +208,12 @@
 		q.StoredSeen = later(q.StoredSeen, seen)
 	}
 }
+
+// ForgetStored records that the store may hold none of the quarantines.
+func (t *Tracker) ForgetStored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, q := range t.quarantines {
+		q.StoredSeen = time.Time{}
+	}
+}
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -25,6 +25,9 @@
 	// minCentreWait is the first interval of the same while the data centre of an entry is
 	// not known: while a fleet of one group grows, addresses come without.
 	minCentreWait = time.Second
+	// maxRewriteDelay is the longest time after which an entry writes its row again once it
+	// knows that the store was restored.
+	maxRewriteDelay = time.Second
 	// documentRequestDelay is how long an entry waits for the store to deliver a
 	// configuration version that a peer holds before it requests the document
 	// from the peer: documents are large for the links of the smallest entries.
@@ -60,7 +63,7 @@
 }
 
 // registerAndDiscover writes this entry's row to the store and reads those of
-// its peers at intervals.
+// its peers at intervals and after the store was restored.
 func (s *Syncer) registerAndDiscover(ctx context.Context) {
 	for _, seed := range s.config.Seeds() {
 		s.peers.add(seed, time.Now())
@@ -73,10 +76,10 @@
 		err := s.readQuarantines(ctx)
 		if err == nil && !isWritten {
 			err = s.writeEntry(ctx)
-			isWritten = err == nil
 		}
 		if err == nil {
-			err = s.readEntries(ctx)
+			// A restored store may have lost the row.
+			isWritten, err = s.readEntries(ctx)
 		}
 		s.recordStoreResult(err)
 		if err != nil {
@@ -86,50 +89,64 @@
 			continue
 		}
 		retry = backoff{}
-		if !s.waitForEntryRead(ctx, &centreWait) {
+		isRestored, ok := s.waitForEntryRead(ctx, &centreWait)
+		if !ok {
 			return
 		}
+		isWritten = isWritten && !isRestored
 	}
 }
 
-// waitForEntryRead waits until the rows of entries are to be read again: after the given
-// time, which then doubles, if the data centre of an entry is not known. It returns false
-// when the context ends.
-func (s *Syncer) waitForEntryRead(ctx context.Context, centreWait *time.Duration) bool {
+// waitForEntryRead waits until the rows of entries are to be read again: until the store was
+// restored, or for the given time, which then doubles, if the data centre of an entry is not
+// known. It returns false when the context ends.
+func (s *Syncer) waitForEntryRead(ctx context.Context, centreWait *time.Duration) (isRestored, ok bool) {
 	end := time.Now().Add(entryReadInterval)
 	for time.Now().Before(end) {
-		if !sleep(ctx, min(*centreWait, time.Until(end))) {
-			return false
+		timer := time.NewTimer(min(*centreWait, time.Until(end)))
+		select {
+		case <-timer.C:
+		case <-s.storeRestored:
+			timer.Stop()
+			// Entries learn of it from each other at about the same time.
+			return true, sleep(ctx, time.Duration(s.config.Rand()*float64(maxRewriteDelay)))
+		case <-ctx.Done():
+			timer.Stop()
+			return false, false
 		}
 		if s.peers.lacksCentres() {
 			*centreWait = min(2**centreWait, entryReadInterval)
-			return true
+			return false, true
 		}
 	}
-	return true
+	return false, true
 }
 
-func (s *Syncer) readEntries(ctx context.Context) error {
+// readEntries reads the rows of entries, and reports whether that of this entry is among
+// them.
+func (s *Syncer) readEntries(ctx context.Context) (isListed bool, err error) {
 	batch, err := s.config.Store.Read(ctx, clementineturn.SectionEntries)
 	if err != nil {
-		return err
+		return false, err
 	}
+	s.recordEra(batch.Version())
 	for _, change := range batch.Changes() {
 		var r entryRow
 		if err := json.Unmarshal(change.Value(), &r); err != nil {
 			s.config.Events.Emit(clemevent.EntryInvalid, zap.String("entry", change.Key()), zap.Error(err))
 			continue
 		}
+		isListed = isListed || change.Key() == s.config.Name && r.Address == s.config.Address
 		if s.peers.addAndCheckExpired(r.Address, r.Centre, s.sums.isLost, time.Now()) {
 			if err := s.config.Store.Remove(ctx, clementineturn.SectionEntries, change.Key()); err != nil {
-				return err
+				return isListed, err
 			}
 			s.config.Events.Emit(clemevent.EntryRemoved, zap.String("entry", r.Address), zap.String("name", change.Key()))
 		}
 	}
 	s.knowsEntries.Store(true)
 	s.peers.setListRead(time.Now())
-	return nil
+	return isListed, nil
 }
 
 func (s *Syncer) writeEntry(ctx context.Context) error {
--- a/clemspread/quarantine.go
+++ b/clemspread/quarantine.go
@@ -115,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordEra(batch.Version())
 	for _, change := range batch.Changes() {
 		v, lifted, err := decodeQuarantine(change.Value())
 		now := time.Now()
@@ -127,6 +128,14 @@
 			}
 		case !lifted.IsZero():
 			s.config.Quarantine.Lift(v.Part, lifted, now)
+		case s.config.Quarantine.IsRefuted(v):
+			// A restored store may hold the row as it was before it was lifted.
+			if s.readPosition(now) > 0 {
+				continue
+			}
+			if err := writeQuarantine(ctx, s.config.Store, v, now); err != nil {
+				return err
+			}
 		default:
 			s.config.Quarantine.Adopt(onMonotonicClock(v, now), now)
 		}
@@ -252,7 +261,7 @@
 			Part: clemquarantine.Part{Service: q.GetService(), ID: q.GetPart()}, Crashes: int(q.GetCrashes()),
 			At: now.Add(-decodeAge(q.GetAge())), LastSeen: now.Add(-decodeAge(q.GetIdle())),
 		}
-		if q.GetStored() != nil {
+		if q.GetStored() != nil && !s.isBeforeRestore(share.GetView()) {
 			v.StoredSeen = now.Add(-decodeAge(q.GetStored()))
 		}
 		s.config.Quarantine.Adopt(v, now)
--- a/clemspread/restore.go
+++ b/clemspread/restore.go
@@ -14,8 +14,9 @@
 }
 
 // recordEra records the store's era, as of a version that this entry or a peer has read.
-// If it has risen, the long poll in progress is ended: it is from a version of an earlier
-// era, and the store may never answer it.
+// If it has risen, what the system wrote to the store may be lost: this entry's row and
+// quarantines are written again. A long poll from a version of an earlier era is ended,
+// since the store may never answer it.
 func (s *Syncer) recordEra(version uint64) {
 	if version == 0 {
 		return
@@ -30,6 +31,11 @@
 		return
 	}
 	s.config.Events.Emit(clemevent.StoreRestored, zap.Uint64("era", era), zap.Uint64("before", before))
+	s.config.Quarantine.ForgetStored()
+	select {
+	case s.storeRestored <- struct{}{}:
+	default:
+	}
 	if cancel != nil {
 		s.operator.setRenewing(true)
 		cancel()
--- a/clemspread/restore_test.go
+++ b/clemspread/restore_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	clementineturn "github.com/clementineturn/clementineturn"
+	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemwire"
 )
 
@@ -226,6 +227,48 @@
 	})
 }
 
+// Guards against rows that the entries wrote and a restored store lacks: entries that start
+// later find no peers and no quarantines, and read a lifted quarantine again.
+func TestOwnRowsAreWrittenAgainAfterRestore(t *testing.T) {
+	runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+		empty := store.copy()
+		running, stop := context.WithCancel(ctx)
+		entries := []*Syncer{n.start(running, "a", store), n.start(running, "b", store, "a")}
+		time.Sleep(time.Second)
+		now := time.Now()
+		lifted := clemquarantine.Part{Service: "pool", ID: 0xbeef}
+		for _, part := range []clemquarantine.Part{testPart, lifted} {
+			entries[0].config.Quarantine.Adopt(clemquarantine.Quarantine{Part: part, Crashes: 3, At: now, LastSeen: now}, now)
+		}
+		time.Sleep(2 * time.Second)
+		for _, from := range []storeCopy{empty, store.copy()} {
+			require.NoError(t, LiftQuarantine(ctx, store, lifted, time.Now()))
+			for _, e := range entries {
+				e.config.Quarantine.Lift(lifted, time.Now(), time.Now())
+			}
+			store.restore(from)
+			time.Sleep(5 * time.Second)
+			rows, err := store.Read(ctx, clementineturn.SectionEntries)
+			require.NoError(t, err)
+			require.Len(t, rows.Changes(), len(entries))
+			quarantines, err := ReadQuarantines(ctx, store)
+			require.NoError(t, err)
+			for _, q := range quarantines {
+				require.Equal(t, q.Part == lifted, q.IsLifted)
+			}
+			require.NotEmpty(t, quarantines)
+		}
+		stop()
+		time.Sleep(time.Second)
+		n.leave("a", "b")
+		restarted := n.start(ctx, "e", store)
+		time.Sleep(time.Second)
+		quarantines := restarted.config.Quarantine.Quarantines(time.Now())
+		require.Len(t, quarantines, 1)
+		require.Equal(t, testPart, quarantines[0].Part)
+	})
+}
+
 // Guards against an entry that starts while it cannot reach the restored store, and learns
 // the list and the evacuations from its peers only, also those of before.
 func TestEntryLearnsAcrossRestoreFromPeersOnly(t *testing.T) {
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -101,6 +101,8 @@
 	wasGrouped bool
 	// start is the origin of the clock readings sent to peers.
 	start time.Time
+	// storeRestored receives a value when the store's era has risen.
+	storeRestored chan struct{}
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -136,7 +138,7 @@
 	if c.OnNewConnections == nil {
 		c.OnNewConnections = c.Store
 	}
-	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address, c.Centre), sums: newSumTable(c.Address), evacuations: newEvacuationTable(c), start: time.Now()}
+	return &Syncer{config: c, servers: newServerList(c), peers: newPeerTable(c.Address, c.Centre), sums: newSumTable(c.Address), evacuations: newEvacuationTable(c), start: time.Now(), storeRestored: make(chan struct{}, 1)}
 }
 
 // IsReady reports whether this entry has a configuration, a list of backend servers
