platform, clemroute: an empty list of tenants accepts no key (ROUTE)

Cause: keys were required if there was an organisation, so that a list that is present and empty had the effect of one that is missing. PROTOCOL asks for keys if the manifest contains tenants.

The stand-in tells an empty list from none.

--- a/clemroute/configuration.go
+++ b/clemroute/configuration.go
@@ -17,7 +17,10 @@
 	Routes        []RouteConfig
 	Services      []ServiceConfig
 	Organisations []OrganisationConfig
-	Limits        LimitsConfig
+	// RequiresKeys is set if requests need the API key of an organisation, also if there is
+	// no organisation left. It is implied if there are any.
+	RequiresKeys bool
+	Limits       LimitsConfig
 }
 
 // Configuration is one version of the operators' configuration. It is immutable.
@@ -40,7 +43,7 @@
 	configuration := &Configuration{
 		version: c.Version, document: c.Document, hosts: map[string][]*Route{},
 		services: map[string]*Service{}, byKey: map[string]*Organisation{},
-		limits: NewLimits(c.Limits), requiresKeys: len(c.Organisations) > 0, urgencies: map[string][]urgency{},
+		limits: NewLimits(c.Limits), requiresKeys: c.RequiresKeys || len(c.Organisations) > 0, urgencies: map[string][]urgency{},
 	}
 	if err := c.Limits.validate(); err != nil {
 		return nil, err
@@ -118,8 +121,8 @@
 }
 
 // Authenticate returns the organisation that holds the API key. For an unknown
-// key it returns nil without an error if the route is public or no organisation
-// is configured. Errors: KindUnauthenticated.
+// key it returns nil without an error if the route is public or the configuration requires
+// no keys. Errors: KindUnauthenticated.
 func (c *Configuration) Authenticate(route *Route, key string) (*Organisation, error) {
 	if organisation := c.byKey[key]; organisation != nil {
 		return organisation, nil
--- a/clemstandin/provider_operator.go
+++ b/clemstandin/provider_operator.go
@@ -25,7 +25,8 @@
 	Host     string
 	Routes   []Route
 	Services []string
-	// APIKeys holds the API key of each organisation by its name.
+	// APIKeys holds the API key of each organisation by its name. With nil, requests need
+	// none; with an empty map, no key is valid.
 	APIKeys map[string]string
 	// TimeoutMS and LatencyTargetMS are the timeout and the latency target of every
 	// route without its own, in milliseconds.
@@ -38,7 +39,7 @@
 
 // Configure writes the configuration to the store, as the operator does.
 func (p *Provider) Configure(m ProviderConfiguration) error {
-	var routes, services, tenants []map[string]any
+	var routes, services []map[string]any
 	for _, r := range m.Routes {
 		routes = append(routes, map[string]any{
 			"name": "r" + r.Prefix, "host": m.Host, "prefix": r.Prefix, "route_type": r.Type, "service": r.Service,
@@ -49,10 +50,15 @@
 	for _, name := range m.Services {
 		services = append(services, map[string]any{"name": name, "cold_start_s": m.ColdStartS, "cold_per_s": m.ColdPerS})
 	}
-	for name, key := range m.APIKeys {
-		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{key}})
+	document := map[string]any{"version": m.Version, "routes": routes, "services": services}
+	if m.APIKeys != nil {
+		tenants := []map[string]any{}
+		for name, key := range m.APIKeys {
+			tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{key}})
+		}
+		document["tenants"] = tenants
 	}
-	return p.Put("op", "config", map[string]any{"version": m.Version, "routes": routes, "services": services, "tenants": tenants})
+	return p.Put("op", "config", document)
 }
 
 // PutServer writes the row of a backend server that is ready or draining.
