clemspread: do not write the entry's row again after a failed read

A failed read of the rows of entries counted as a missing row, so that the row was written with each attempt while reads failed.

--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -76,10 +76,13 @@
 		err := s.readQuarantines(ctx)
 		if err == nil && !isWritten {
 			err = s.writeEntry(ctx)
+			isWritten = err == nil
 		}
 		if err == nil {
+			var isListed bool
+			isListed, err = s.readEntries(ctx)
 			// A restored store may have lost the row.
-			isWritten, err = s.readEntries(ctx)
+			isWritten = err != nil || isListed
 		}
 		s.recordStoreResult(err)
 		if err != nil {
