--- a/clemsoak/soak.go
+++ b/clemsoak/soak.go
@@ -180,7 +180,10 @@
 	for _, f := range s.fronts {
 		clientTasks.Go(func() { newProber(s, f).run(clients) })
 	}
+	var restores sync.WaitGroup
+	restores.Go(func() { s.restoreStore(ctx) })
 	s.injectFaults(ctx)
+	restores.Wait()
 	quietFrom := s.awaitRecovery(ctx)
 	stopClients()
 	clientTasks.Wait()
