--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -166,6 +166,8 @@
 func (l *serverList) applyChange(change clementineturn.Change, readAt, now time.Time) {
 	id := change.Key()
 	old, known := l.rows[id]
+	// At the version of a leaving server's row, a restored store may have an earlier state of
+	// it: see withKnownState.
 	isLeaving := old.change.Removed() || old.record.IsDraining()
 	if known && (old.change.Version() > change.Version() || old.change.Version() == change.Version() && isLeaving) {
 		return
