--- a/clemspread/restore_test.go
+++ b/clemspread/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -382,3 +383,28 @@
 	require.Len(t, l.directory.Records(), 2)
 	require.False(t, l.directory.Records()[0].IsDraining() || l.directory.Records()[1].IsDraining())
 }
+
+// Guards against a restore that entries of several groups learn of too late, or that makes
+// all of them read the store for longer.
+func TestGroupsFollowRestoredStore(t *testing.T) {
+	runFleet(t, func(ctx context.Context, f *fleet) {
+		go f.writeHeartbeats(ctx)
+		entries := slices.Collect(maps.Values(f.entries))
+		servers := entries[0].config.Directory.Len()
+		copied := f.store.copy()
+		time.Sleep(copyAge)
+		f.store.set(clementineturn.SectionOperator, "away/east", "{}")
+		time.Sleep(2 * time.Second)
+		require.True(t, allEvacuated(entries, "east")())
+		f.store.restore(copied)
+		requireAlways(t, 3*time.Second, allEvacuated(entries, "east"), "before it is written again")
+		f.store.set(clementineturn.SectionOperator, "away/east", "{}")
+		f.store.set(clementineturn.SectionServers, serverName(7), "")
+		calls := f.store.callCount()
+		requireAlways(t, 2*time.Second, allEvacuated(entries, "east"), "after it was written again")
+		require.Less(t, f.store.callCount()-calls, testFleet+20, "a long poll of each entry, and the reads of one")
+		for _, e := range entries {
+			require.Equal(t, servers-1, e.config.Directory.Len())
+		}
+	})
+}
