clemstandin, clemsoak: names and messages of the restore

A reader of the diff would have stopped at isOthers, and at a soak's line that says restored from a copy of 5s ago after 0.3s. No behaviour changes.

--- a/clemsoak/restore.go
+++ b/clemsoak/restore.go
@@ -35,7 +35,7 @@
 			return
 		}
 		s.faults.add("store restored from a copy")
-		fmt.Fprintf(s.config.Out, "%s seed %d: store restored from a copy of %s ago after %s\n", time.Now().Format("15:04:05.000"), s.config.Seed, age.Round(time.Millisecond), away.Round(time.Millisecond))
+		fmt.Fprintf(s.config.Out, "%s seed %d: store away for %s, then restored from a copy that is %s old\n", time.Now().Format("15:04:05.000"), s.config.Seed, away.Round(time.Millisecond), age.Round(time.Millisecond))
 		end := s.env.storeQuiet.beginFault()
 		s.env.store.SetFailureStatus(http.StatusServiceUnavailable)
 		sleep(ctx, away)
--- a/clemstandin/provider_restore.go
+++ b/clemstandin/provider_restore.go
@@ -27,13 +27,13 @@
 	p.era++
 	p.notifyFeeds()
 	for _, row := range before {
-		if isOthers(row) && row.Version > from.version {
+		if isWrittenByOthers(row) && row.Version > from.version {
 			lost = append(lost, row)
 		}
 	}
 	for _, row := range from.rows {
-		isKept := slices.ContainsFunc(before, func(o ProviderRow) bool { return isSameRow(o, row) })
-		if isOthers(row) && !isKept && !row.Removed {
+		isPresent := slices.ContainsFunc(before, func(o ProviderRow) bool { return isSameRow(o, row) })
+		if isWrittenByOthers(row) && !isPresent && !row.Removed {
 			// Its removal was compacted.
 			row.Removed = true
 			lost = append(lost, row)
@@ -55,9 +55,11 @@
 	}
 }
 
+// isSameRow reports whether two rows have the same table, part and key.
 func isSameRow(a, b ProviderRow) bool {
 	return a.Table == b.Table && a.Part == b.Part && a.Key == b.Key
 }
 
-// isOthers reports whether the operator or a server writes the row, and not an entry.
-func isOthers(row ProviderRow) bool { return row.Table == "op" || row.Table == "servers" }
+// isWrittenByOthers reports whether the operator or a server writes the row, and not
+// an entry.
+func isWrittenByOthers(row ProviderRow) bool { return row.Table == "op" || row.Table == "servers" }
