--- a/clemspread/lag_test.go
+++ b/clemspread/lag_test.go
@@ -1,10 +1,13 @@
 package clemspread
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	clementineturn "github.com/clementineturn/clementineturn"
 )
 
 // A configuration that an entry lacks is logged once, with the first and the highest version
@@ -26,3 +29,37 @@
 	lag.recordPeer(5, 7, "b", start.Add(time.Minute))
 	require.NotNil(t, lag.takeLate(5, start.Add(2*time.Minute)))
 }
+
+// Guards against a configuration that comes into force late at an entry without the store
+// while versions follow each other more quickly than the wait before a request to a peer
+// (issue 55, CONFIG). Two seconds is the bound of the platform's pages.
+func TestConfigurationsInQuickSuccessionReachEntriesWithoutStore(t *testing.T) {
+	const (
+		bound = 2 * time.Second
+		storm = 8 * time.Second
+	)
+	for _, gap := range []time.Duration{80 * time.Millisecond, 200 * time.Millisecond, 280 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			runTest(t, func(ctx context.Context, n *network, store *fakeStore) {
+				for _, name := range []string{"a", "c", "d", "e"} {
+					n.start(ctx, name, store)
+				}
+				hanging := newFakeStore()
+				hanging.setHanging(true)
+				e := n.start(ctx, "b", hanging, "a")
+				time.Sleep(5 * time.Second)
+				inForceBy := map[uint64]time.Time{}
+				for version := uint64(2); version < 2+uint64(storm/gap); version++ {
+					store.set(clementineturn.SectionOperator, "config", string([]byte{'0' + byte(version)}))
+					inForceBy[version] = time.Now().Add(bound)
+					time.Sleep(gap)
+					for acknowledged, by := range inForceBy {
+						if time.Now().After(by) {
+							require.GreaterOrEqual(t, e.config.Table.Version(), acknowledged, "%s after the first change", time.Duration(version-1)*gap)
+						}
+					}
+				}
+			})
+		})
+	}
+}
