clemspread: later versions do not extend the wait for a document (CONFIG)

Callers were refused by an older configuration (401, 403, 404), by an entry that the store's long poll did not reach. Such an entry requests the document from a peer 0.3 s after the peer reported a newer version, and the time was that of the peer's last version: while versions follow each other more quickly, every report began the wait anew, and the entry stayed behind for as long as they did. The class of the fault is a timeout that progress elsewhere restarts.

The wait now counts from the first version of the peer above this entry's own. An entry that the store serves is past it before it ends, so that it requests nothing (TestDocumentsAreSentOnlyOnRequest and the golden messages hold unchanged).

--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -175,7 +175,7 @@
 
 // addRequests adds requests for the rows and the document that the peer has and
 // this entry lacks. A document is only requested once the store has had the
-// time that it usually takes to deliver one.
+// time that it usually takes to deliver one; later versions do not extend the wait.
 func (s *Syncer) addRequests(share *clemwire.Share, peer peerState, age time.Duration, now time.Time) {
 	needsWholeList := s.servers.NeedsWholeList()
 	s.mu.Lock()
@@ -184,7 +184,7 @@
 		share.Lacks, share.Whole, s.rowsRequestedAt = true, needsWholeList, now
 	}
 	version := s.config.Table.Version()
-	if peer.version > version && (version == 0 || now.Sub(peer.versionChangedAt) > documentRequestDelay) && s.mayRequest(s.documentRequestedAt, now) {
+	if peer.version > version && (version == 0 || now.Sub(peer.aheadSince) > documentRequestDelay) && s.mayRequest(s.documentRequestedAt, now) {
 		share.Asks, s.documentRequestedAt = true, now
 		s.lag.recordRequest()
 	}
@@ -242,7 +242,7 @@
 // applyShare applies a peer's report.
 func (s *Syncer) applyShare(share *clemwire.Share) {
 	now := time.Now()
-	if s.peers.recordShare(share, now) {
+	if s.peers.recordShare(share, s.config.Table.Version(), now) {
 		s.config.Events.Emit(clemevent.PeerAvailable, zap.String("entry", share.GetAddress()), zap.String("name", share.GetName()))
 	}
 	s.lag.recordPeer(s.config.Table.Version(), share.GetVersion(), share.GetName(), now)
--- a/clemspread/group_test.go
+++ b/clemspread/group_test.go
@@ -448,7 +448,7 @@
 				table.addAndCheckExpired(fmt.Sprint("b", i), "b", func(groupID) bool { return false }, now)
 			}
 			table.setListRead(now)
-			table.recordShare(&clemwire.Share{Address: "a1", Grouped: true, Centre: "a"}, now)
+			table.recordShare(&clemwire.Share{Address: "a1", Grouped: true, Centre: "a"}, 0, now)
 			// a2 never answers, so that the fleet becomes one group.
 			table.takeDue(now)
 			if table.layout() == nil {
--- a/clemspread/history_test.go
+++ b/clemspread/history_test.go
@@ -101,7 +101,7 @@
 	})
 	syncer.servers = l
 	syncer.peers.add("e2", testStart)
-	syncer.peers.recordShare(&clemwire.Share{Address: "e2", Name: "e2", View: 4, Lacks: true}, testStart)
+	syncer.peers.recordShare(&clemwire.Share{Address: "e2", Name: "e2", View: 4, Lacks: true}, 0, testStart)
 	share := syncer.newShare("e2")
 	require.NotEmpty(t, share.GetRows())
 	for _, row := range share.GetRows() {
--- a/clemspread/roster.go
+++ b/clemspread/roster.go
@@ -60,8 +60,9 @@
 // peerState is what a peer's last message said about the peer.
 type peerState struct {
 	version, storeVersion uint64
-	// versionChangedAt is when the peer first reported its configuration version.
-	versionChangedAt time.Time
+	// aheadSince is when the peer first reported a configuration version above this entry's,
+	// if its version still is.
+	aheadSince time.Time
 	// clock is the last reading of its monotonic clock, which starts at 0.
 	clock time.Duration
 	// wantsDocument is set if the peer requested the configuration's document,
@@ -192,9 +193,9 @@
 	return p.lastSeenAt
 }
 
-// recordShare records the state in a peer's message, and reports whether the
-// peer was new or unreachable before.
-func (t *peerTable) recordShare(share *clemwire.Share, now time.Time) (isNewlyReachable bool) {
+// recordShare records the state in a peer's message to an entry with the given version of
+// the configuration, and reports whether the peer was new or unreachable before.
+func (t *peerTable) recordShare(share *clemwire.Share, ownVersion uint64, now time.Time) (isNewlyReachable bool) {
 	t.add(share.GetAddress(), now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -204,8 +205,8 @@
 	}
 	isNewlyReachable = p.isUnreachable || p.lastSeenAt.IsZero()
 	p.lastSeenAt, p.isUnreachable = now, false
-	if p.version != share.GetVersion() {
-		p.versionChangedAt = now
+	if p.version <= ownVersion && share.GetVersion() > ownVersion {
+		p.aheadSince = now
 	}
 	clock := share.GetClock().AsDuration()
 	if clock < p.clock {
--- a/clemspread/roster_test.go
+++ b/clemspread/roster_test.go
@@ -38,7 +38,7 @@
 		{&clemwire.Share{Address: "c", Version: 1, Leaving: true}, false},
 		{&clemwire.Share{Address: "b", Version: 1}, true},
 	} {
-		peers.recordShare(c.share, now)
+		peers.recordShare(c.share, 0, now)
 		require.Equal(t, c.serves, peers.hasServingPeer(now))
 	}
 	require.False(t, peers.hasServingPeer(now.Add(activeTimeout)))
