--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -26,6 +26,8 @@
 	garbledResponse = "HTTQ/7 what is this\r\n\r\n"
 	// defaultCentre is the data centre of entries, and of servers without another one.
 	defaultCentre = "z"
+	// defaultVersion is the version of the servers' software without another one.
+	defaultVersion = "v1"
 )
 
 // Run is one execution of a request at a backend server.
@@ -68,6 +70,8 @@
 	ID, Service string
 	// Centre is the server's data centre; "" means that of the stand-in's entries.
 	Centre string
+	// Version is that of the server's software; "" means defaultVersion.
+	Version string
 	// Slots is the number of requests that run at once.
 	Slots int
 	// WorkTime is the time that a response takes, or each event of a stream.
@@ -214,7 +218,7 @@
 func (b *Backend) Row(address, state string) map[string]any {
 	row := map[string]any{
 		"service": b.config.Service, "address": address, "zone": cmp.Or(b.config.Centre, defaultCentre), "slots": b.config.Slots, "state": state, "seq": time.Since(b.startedAt).Milliseconds(),
-		"born": b.startedAt.UnixMilli(),
+		"born": b.startedAt.UnixMilli(), "version": b.Version(),
 	}
 	if b.config.ColdTime > 0 {
 		row["cold_remaining_ms"] = b.coldRemaining().Milliseconds()
@@ -222,6 +226,9 @@
 	return row
 }
 
+// Version returns the version of the server's software.
+func (b *Backend) Version() string { return cmp.Or(b.config.Version, defaultVersion) }
+
 func (b *Backend) isSlow(r *http.Request) bool {
 	return b.config.SlowPrefix != "" && strings.HasPrefix(r.URL.Path, b.config.SlowPrefix)
 }
