clempool, platform, clemrouter: log the software version of servers

Events 904, 921 and 922 have the version of each server, 926 that of the one at which the stream goes on, and the request's last line the attempt that it resumes. Event 944 tells of a row without a usable version. No decision changes; the record's digest, which entries compare with entries of earlier versions, stays as it is.

--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -42,6 +42,7 @@
 	ServerColdInvalid     Event = 941
 	ServerListDiverged    Event = 942
 	ConfigurationLate     Event = 943
+	ServerVersionInvalid  Event = 944
 	CentreEvacuated       Event = 950
 	EvacuationWithdrawn   Event = 951
 	EvacuationUnknown     Event = 952
@@ -104,6 +105,7 @@
 	ServerLimitInvalid:    {zapcore.WarnLevel, "backend server limit invalid", "A response states a limit that is no number of requests a second. The last limit stays in force."},
 	LogLinesRateLimited:   {zapcore.WarnLevel, "log lines dropped", "More lines of the event in the of field were logged than the rate limit allows; count is the number of dropped lines."},
 	ConfigurationLate:     {zapcore.WarnLevel, "configuration of peers not in force here", "For a second peers have reported a newer version of the configuration than this entry's, which neither the store nor a peer has delivered. The awaited and newest fields are the first and the highest version that it lacks, requests counts the requests for the document to peers since, store tells whether the store answers this entry. Without requests the store's answers are late; with them, the peers'."},
+	ServerVersionInvalid:  {zapcore.WarnLevel, "version of backend server's software invalid", "The server's row names no version of its software that can be used; the problem field names the field. The server is used, but no stream goes on at it, nor elsewhere if it began there."},
 	CentreEvacuated:       {zapcore.WarnLevel, "data centre evacuated", "The operator evacuates the data centre in the centre field: its backend servers get nothing new, what runs there ends. source is the store or the entry that reported it, version that of the operator's row."},
 	EvacuationWithdrawn:   {zapcore.WarnLevel, "evacuation withdrawn", "The operator's row is gone; the servers of the data centre get new work again. The lasted field is how long this entry knew of the evacuation."},
 	EvacuationUnknown:     {zapcore.WarnLevel, "evacuated data centre unknown", "No listed backend server is in the data centre that the operator evacuates, so that the evacuation has no effect. Compare the name in the key of the row with the listed field."},
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -88,7 +88,7 @@
 func (d *Directory) place(svc *service, candidates candidateSet, found choice, r Request, now time.Time) *Lease {
 	chosen, rank := found.server, found.rank
 	lease := &Lease{
-		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), acquiredAt: now, cold: chosen.cold,
+		directory: d, server: chosen, service: svc, organisation: r.Organisation, pool: chosen.pool, id: chosen.record.ID(), incarnation: chosen.record.Incarnation(), software: chosen.record.SoftwareVersion(), acquiredAt: now, cold: chosen.cold,
 		load: chosen.running + chosen.peerRunning, meanLoad: candidates.meanLoad, rank: rank,
 	}
 	if source := d.cacheSource(svc, chosen, r, now); source != nil {
--- a/clempool/lease.go
+++ b/clempool/lease.go
@@ -19,6 +19,7 @@
 	pool         *clemconn.Pool
 	id           string
 	incarnation  int64
+	software     string
 	acquiredAt   time.Time
 	// cold is that of the server. isReserved is set while the request has a place there as
 	// at a cold server and is not sent yet, sentAt is when it was sent.
@@ -53,6 +54,10 @@
 // id.
 func (l *Lease) Incarnation() int64 { return l.incarnation }
 
+// SoftwareVersion returns the version of the server's software when it was chosen, or "" if it
+// was not known.
+func (l *Lease) SoftwareVersion() string { return l.software }
+
 // ServerHasEnded reports whether the process of a server that broke off a response has
 // ended unplanned: the server is listed and neither
 // draining nor leaving nor evacuated, and refuses connections. If
--- a/clempool/record.go
+++ b/clempool/record.go
@@ -26,6 +26,11 @@
 	Draining bool
 	// Incarnation distinguishes two starts of a server under one id.
 	Incarnation int64
+	// SoftwareVersion is the version of the server's software, or "" if it is not known.
+	// Streams of two versions do not fit together.
+	SoftwareVersion string
+	// SoftwareProblem describes a version that cannot be used, with the name of its field.
+	SoftwareProblem string
 	// Cold is what the row states of how long the server is cold.
 	Cold ColdStatement
 }
@@ -69,6 +74,12 @@
 // one id.
 func (r Record) Incarnation() int64 { return r.config.Incarnation }
 
+// SoftwareVersion returns the version of the server's software, or "" if it is not known.
+func (r Record) SoftwareVersion() string { return r.config.SoftwareVersion }
+
+// SoftwareProblem describes a version that cannot be used, or is "".
+func (r Record) SoftwareProblem() string { return r.config.SoftwareProblem }
+
 // Cold returns what the row states of how long the server is cold.
 func (r Record) Cold() ColdStatement { return r.config.Cold }
 
@@ -82,7 +93,8 @@
 func EqualExceptCold(a, b Record) bool { return a.withoutCold() == b.withoutCold() }
 
 // Digest returns a hash of the record without the statement of how long the server is cold.
-// Entries of different versions compare it, so that it is part of their protocol.
+// Entries of different versions compare it, so that it is part of their protocol: the version
+// of the server's software, which entries of earlier versions do not know, is not in it.
 func (r Record) Digest() uint64 {
 	c := r.config
 	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %t %d", c.ID, c.Service, c.Address, c.Centre, c.Slots, c.Draining, c.Incarnation))
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -173,7 +173,7 @@
 func (q *request) recordAttempt(lease *clempool.Lease, result attemptResult, elapsed time.Duration) {
 	q.triedServers = append(q.triedServers, lease.Server())
 	record := attemptRecord{
-		server: lease.Server(), load: lease.Load(), meanLoad: lease.MeanLoad(), serverRank: lease.Rank(),
+		server: lease.Server(), software: lease.SoftwareVersion(), load: lease.Load(), meanLoad: lease.MeanLoad(), serverRank: lease.Rank(),
 		cachedTokens: lease.CachedTokens(), prefillWait: lease.PrefillWait(), cacheSource: lease.CacheSource(), outcome: result.outcome, elapsed: elapsed, err: result.err,
 	}
 	q.attempts = append(q.attempts, record)
@@ -324,7 +324,7 @@
 	switch {
 	case q.route.Kind() == clemroute.KindStream && response.StatusCode == http.StatusOK:
 		if q.isStarted {
-			q.logResumed(lease.Server())
+			q.logResumed(lease)
 		}
 		result = q.forwardStream(response, responseInfo, arrival, func(events eventSummary) {
 			lease.RecordFirstEvent(time.Now())
--- a/clemrouter/fixture_test.go
+++ b/clemrouter/fixture_test.go
@@ -167,7 +167,7 @@
 		MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }, Dial: f.dial,
 	})
 	for _, id := range []string{"s1", "s2", "s3"} {
-		directory.Put(clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: id, Slots: 8}))
+		directory.Put(clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: id, Slots: 8, SoftwareVersion: "v1"}))
 	}
 	f.router = New(Config{
 		Dialect: testDialect{}, Table: table, Directory: directory,
--- a/clemrouter/record.go
+++ b/clemrouter/record.go
@@ -14,6 +14,7 @@
 // server was chosen and the outcome.
 type attemptRecord struct {
 	server       string
+	software     string
 	load         int
 	meanLoad     float64
 	serverRank   int
@@ -41,6 +42,9 @@
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (r attemptRecord) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
 	encoder.AddString("server", r.server)
+	if r.software != "" {
+		encoder.AddString("software", r.software)
+	}
 	encoder.AddInt("load", r.load)
 	encoder.AddFloat64("mean", r.meanLoad)
 	encoder.AddInt("rank", r.serverRank)
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -272,6 +272,9 @@
 	if q.route != nil {
 		fields = append(fields, zap.String("route", q.route.Name()), zap.String("kind", q.route.Kind().String()))
 	}
+	if resumed := q.requestInfo.ResumedID(); resumed != "" {
+		fields = append(fields, zap.String("resumes", resumed))
+	}
 	if q.eventCount > 0 {
 		fields = append(fields, zap.Int("events", q.eventCount), zap.Duration("first", q.firstEventTime))
 	}
--- a/clemrouter/stream.go
+++ b/clemrouter/stream.go
@@ -167,7 +167,7 @@
 }
 
 // logResumed emits the event for a stream that is resumed at another server.
-func (q *request) logResumed(server string) {
+func (q *request) logResumed(lease *clempool.Lease) {
 	q.router.config.Events.Emit(clemevent.RequestResumed, zap.String("request", q.requestInfo.RequestID()),
-		zap.String("server", server), zap.String("after", q.lastEventID), zap.Int("events", q.eventCount))
+		zap.String("server", lease.Server()), zap.String("software", lease.SoftwareVersion()), zap.String("after", q.lastEventID), zap.Int("events", q.eventCount))
 }
--- a/clemspread/catalogue.go
+++ b/clemspread/catalogue.go
@@ -194,6 +194,9 @@
 	if problem := record.Cold().Problem; problem != "" && (!known || old.record.Cold().Problem != problem) {
 		l.events.Emit(clemevent.ServerColdInvalid, zap.String("server", id), zap.Uint64("version", clementineturn.VersionNumber(change.Version())), zap.String("problem", problem))
 	}
+	if problem := record.SoftwareProblem(); problem != "" && (!known || old.record.SoftwareProblem() != problem) {
+		l.events.Emit(clemevent.ServerVersionInvalid, zap.String("server", id), zap.Uint64("version", clementineturn.VersionNumber(change.Version())), zap.String("problem", problem))
+	}
 	version, isChanged, isColdMoved := change.Version(), false, false
 	isSameRow := old.change.Version() == version || isOfEarlierEra(old.change.Version(), version) && old.record.Incarnation() == record.Incarnation()
 	if known && isSameRow && !old.change.Removed() {
@@ -213,7 +216,7 @@
 	l.setRow(id, serverRow{change: change, record: record, version: version, digest: digest})
 	if isChanged {
 		l.events.Emit(clemevent.ServerListed, zap.String("server", id), zap.String("service", record.Service()),
-			zap.String("address", record.Address()), zap.Bool("leaving", record.IsDraining()), zap.Uint64("version", clementineturn.VersionNumber(change.Version())))
+			zap.String("address", record.Address()), zap.String("software", record.SoftwareVersion()), zap.Bool("leaving", record.IsDraining()), zap.Uint64("version", clementineturn.VersionNumber(change.Version())))
 	}
 }
 
--- a/dialect.go
+++ b/dialect.go
@@ -47,6 +47,9 @@
 	// LastEventID is the id of the last event that the client received of a
 	// stream, or "" if it does not resume one.
 	LastEventID string
+	// ResumedID is the id of the client's attempt that brought the first event of the
+	// stream that this one resumes, or "".
+	ResumedID string
 	// Parts are the prompt's parts in order. The last one is specific to the
 	// request or its session.
 	Parts []PromptPart
@@ -80,6 +83,10 @@
 // stream, or "" if it does not resume one.
 func (r RequestInfo) LastEventID() string { return r.config.LastEventID }
 
+// ResumedID returns the id of the client's attempt that brought the first event of the stream
+// that this one resumes, or "".
+func (r RequestInfo) ResumedID() string { return r.config.ResumedID }
+
 // Parts returns the prompt's parts in order. The last one is specific to the
 // request or its session.
 func (r RequestInfo) Parts() []PromptPart { return r.config.Parts }
