--- a/clemfront/cluster_test.go
+++ b/clemfront/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -43,7 +44,9 @@
 type wordDialect struct{}
 
 func (wordDialect) DecodeRequest(header http.Header) (clementineturn.RequestInfo, error) {
-	c := clementineturn.RequestInfoConfig{RequestID: header.Get("Id"), Timeout: 4 * time.Second, MaxOutputTokens: 24}
+	c := clementineturn.RequestInfoConfig{
+		RequestID: header.Get("Id"), Timeout: 4 * time.Second, MaxOutputTokens: 24, LastEventID: header.Get("After"), ResumedID: header.Get("Resumes"),
+	}
 	for id := range strings.SplitSeq(header.Get("Parts"), ",") {
 		part, err := strconv.ParseUint(id, 16, 64)
 		if err != nil {
@@ -56,7 +59,7 @@
 }
 
 func (wordDialect) EncodeRequest(header http.Header, d clementineturn.Dispatch) http.Header {
-	return http.Header{"Id": header["Id"], "Parts": header["Parts"], "Server": {d.Server()}}
+	return http.Header{"Id": header["Id"], "Parts": header["Parts"], "Server": {d.Server()}, "After": {cmp.Or(d.LastEventID(), header.Get("After"))}}
 }
 
 func (wordDialect) DecodeResponse(status int, header http.Header) clementineturn.ResponseInfo {
@@ -133,9 +136,11 @@
 	cluster *cluster
 	address string
 
-	mu    sync.Mutex
-	id    string
-	conns map[net.Conn]bool
+	mu sync.Mutex
+	id string
+	// version is that of the engine's software.
+	version string
+	conns   map[net.Conn]bool
 	// limit is the limit that the engine states, or "".
 	limit string
 	// arrivals are the times at which requests reached the engine.
@@ -153,7 +158,7 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		e.mu.Lock()
-		id, limit := e.id, ""
+		id, version, limit := e.id, e.version, ""
 		if e.limit != "" {
 			limit = "Limit: " + e.limit + "\r\n"
 		}
@@ -175,9 +180,10 @@
 			e.crash(id)
 			return
 		}
-		for n := range eventsPerReply {
+		after, _ := strconv.Atoi(request.Header.Get("After"))
+		for n := after; n < eventsPerReply; n++ {
 			time.Sleep(eventInterval)
-			event := fmt.Sprintf("id: %d\ndata: x\n\n", n+1)
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, version)
 			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 				return
 			}
@@ -215,8 +221,23 @@
 	id := fmt.Sprintf("s%d", e.cluster.serverCount.Add(1))
 	e.mu.Lock()
 	e.id = id
+	row := e.address + " " + e.version
+	e.mu.Unlock()
+	_ = e.cluster.store.Write(context.Background(), clementineturn.SectionServers, id, []byte(row))
+}
+
+// release replaces the engine by one with another version of the software.
+func (e *engine) release(version string) {
+	e.mu.Lock()
+	id := e.id
+	e.id, e.version = "", version
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+	clear(e.conns)
 	e.mu.Unlock()
-	_ = e.cluster.store.Write(context.Background(), clementineturn.SectionServers, id, []byte(e.address))
+	_ = e.cluster.store.Remove(context.Background(), clementineturn.SectionServers, id)
+	e.start()
 }
 
 // entry is an entry of the cluster.
@@ -248,7 +269,7 @@
 	c := &cluster{t: t, store: newRowStore(), engines: map[string]*engine{}, entries: map[string]*entry{}}
 	require.NoError(t, c.store.Write(t.Context(), clementineturn.SectionOperator, "config", []byte("1")))
 	for n := range engines {
-		e := &engine{cluster: c, address: fmt.Sprintf("10.1.0.%d:80", n+1), conns: map[net.Conn]bool{}}
+		e := &engine{cluster: c, address: fmt.Sprintf("10.1.0.%d:80", n+1), version: "v1", conns: map[net.Conn]bool{}}
 		c.engines[e.address] = e
 		e.start()
 	}
@@ -303,7 +324,8 @@
 }
 
 func decodeClusterServer(id string, value []byte) (clempool.Record, error) {
-	return clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: string(value), Slots: 128}), nil
+	address, version, _ := strings.Cut(string(value), " ")
+	return clempool.NewRecord(clempool.RecordConfig{ID: id, Service: "pool", Address: address, Slots: 128, SoftwareVersion: version}), nil
 }
 
 func decodeClusterConfiguration(document []byte) (*clemroute.Configuration, error) {
