--- a/clemevent/router.go
+++ b/clemevent/router.go
@@ -43,6 +43,7 @@
 	ServerListDiverged    Event = 942
 	ConfigurationLate     Event = 943
 	ServerVersionInvalid  Event = 944
+	OriginInvalid         Event = 945
 	CentreEvacuated       Event = 950
 	EvacuationWithdrawn   Event = 951
 	EvacuationUnknown     Event = 952
@@ -106,6 +107,7 @@
 	LogLinesRateLimited:   {zapcore.WarnLevel, "log lines dropped", "More lines of the event in the of field were logged than the rate limit allows; count is the number of dropped lines."},
 	ConfigurationLate:     {zapcore.WarnLevel, "configuration of peers not in force here", "For a second peers have reported a newer version of the configuration than this entry's, which neither the store nor a peer has delivered. The awaited and newest fields are the first and the highest version that it lacks, requests counts the requests for the document to peers since, store tells whether the store answers this entry. Without requests the store's answers are late; with them, the peers'."},
 	ServerVersionInvalid:  {zapcore.WarnLevel, "version of backend server's software invalid", "The server's row names no version of its software that can be used; the problem field names the field. The server is used, but no stream goes on at it, nor elsewhere if it began there."},
+	OriginInvalid:         {zapcore.WarnLevel, "row of stream origins invalid", "The row does not list which versions of the backend servers' software began streams; the error names the field. It is ignored: some streams that clients resume are refused."},
 	CentreEvacuated:       {zapcore.WarnLevel, "data centre evacuated", "The operator evacuates the data centre in the centre field: its backend servers get nothing new, what runs there ends. source is the store or the entry that reported it, version that of the operator's row."},
 	EvacuationWithdrawn:   {zapcore.WarnLevel, "evacuation withdrawn", "The operator's row is gone; the servers of the data centre get new work again. The lasted field is how long this entry knew of the evacuation."},
 	EvacuationUnknown:     {zapcore.WarnLevel, "evacuated data centre unknown", "No listed backend server is in the data centre that the operator evacuates, so that the evacuation has no effect. Compare the name in the key of the row with the listed field."},
--- a/clemfront/cluster_test.go
+++ b/clemfront/cluster_test.go
@@ -23,6 +23,7 @@
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clembudget"
+	"github.com/clementineturn/clementineturn/clemorigin"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
@@ -245,8 +246,10 @@
 	router     *clemrouter.Router
 	syncer     *clemspread.Syncer
 	quarantine *clemquarantine.Tracker
+	origins    *clemorigin.Tracker
 	stop       context.CancelFunc
-	ended      <-chan error
+	// ended receives a value from each of the syncer and the tracker.
+	ended [2]<-chan error
 }
 
 // cluster is some entries before some engines, all in one process and in virtual
@@ -351,8 +354,11 @@
 	directory := clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: rand.New(rand.NewPCG(5, seed)).Uint64, Dial: c.dial})
 	quarantine := clemquarantine.New(clemquarantine.Config{})
 	e := &entry{quarantine: quarantine}
+	e.origins = clemorigin.New(clemorigin.Config{
+		Name: name, Store: c.store, Directory: directory, Rand: func() float64 { return 0.5 }, Entries: func() int { return e.syncer.EntryCount() },
+	})
 	e.router = clemrouter.New(clemrouter.Config{
-		Dialect: wordDialect{}, Table: table, Directory: directory, Quarantine: quarantine,
+		Dialect: wordDialect{}, Table: table, Directory: directory, Quarantine: quarantine, Origins: e.origins,
 		RetryBudget: clembudget.NewRetryWindow(clembudget.RetryWindowConfig{
 			Length: func() time.Duration { return 10 * time.Second }, Ratio: func() float64 { return 0.2 }, Slack: func() float64 { return 10 },
 		}),
@@ -364,7 +370,7 @@
 	})
 	var ctx context.Context
 	ctx, e.stop = context.WithCancel(context.Background())
-	e.ended = e.syncer.Start(ctx)
+	e.ended = [2]<-chan error{e.syncer.Start(ctx), e.origins.Start(ctx)}
 	c.mu.Lock()
 	c.entries[name] = e
 	c.mu.Unlock()
@@ -377,7 +383,8 @@
 	delete(c.entries, name)
 	c.mu.Unlock()
 	e.stop()
-	<-e.ended
+	<-e.ended[0]
+	<-e.ended[1]
 }
 
 // stopAll ends all entries and waits until nothing runs any more.
--- a/clemfront/front.go
+++ b/clemfront/front.go
@@ -20,6 +20,7 @@
 	"github.com/clementineturn/clementineturn/clemconn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemorigin"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemroute"
@@ -91,7 +92,7 @@
 		func() Config { return c },
 		func() *activeSettings { active := &activeSettings{}; active.Store(settings); return active },
 		func() *clemevent.Sink { return clemevent.NewSink(c.LogOutput) },
-		newEventLogger, clemmetric.New, newTable, newDirectory, newQuarantine, newPeerView, newRetryBudget, newRouter, newStore, newPeers, newSyncer, newBudget, newFront,
+		newEventLogger, clemmetric.New, newTable, newDirectory, newQuarantine, newPeerView, newRetryBudget, newOrigins, newRouter, newStore, newPeers, newSyncer, newBudget, newFront,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			return clementineturn.Errorf(clementineturn.KindInternal, "assembling: %w", dig.RootCause(err))
@@ -243,9 +244,15 @@
 	})
 }
 
-func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, retryBudget *clembudget.RetryWindow, quarantine *clemquarantine.Tracker, v *peerView, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
+func newOrigins(active *activeSettings, store Store, directory *clempool.Directory, v *peerView, events *clemevent.Logger) *clemorigin.Tracker {
+	return clemorigin.New(clemorigin.Config{
+		Name: active.Load().Name(), Store: store, Directory: directory, Entries: v.entryCount, Events: events,
+	})
+}
+
+func newRouter(c Config, table *clemroute.Table, directory *clempool.Directory, retryBudget *clembudget.RetryWindow, quarantine *clemquarantine.Tracker, origins *clemorigin.Tracker, v *peerView, events *clemevent.Logger, metrics *clemmetric.Registry) *clemrouter.Router {
 	return clemrouter.New(clemrouter.Config{
-		Dialect: c.Dialect, Table: table, Directory: directory, RetryBudget: retryBudget, Quarantine: quarantine,
+		Dialect: c.Dialect, Table: table, Directory: directory, RetryBudget: retryBudget, Quarantine: quarantine, Origins: origins,
 		Events: events, Metrics: metrics, NoPeerServes: v.noPeerServes,
 	})
 }
@@ -259,11 +266,12 @@
 	return clemrpc.NewPeers(clemrpc.ClientConfig{Key: peerAuthKey, Dial: clemconn.Dial})
 }
 
-func newSyncer(c Config, active *activeSettings, store Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, quarantine *clemquarantine.Tracker, router *clemrouter.Router, v *peerView, events *clemevent.Logger) *clemspread.Syncer {
+func newSyncer(c Config, active *activeSettings, store Store, peers *clemrpc.Peers, table *clemroute.Table, directory *clempool.Directory, quarantine *clemquarantine.Tracker, origins *clemorigin.Tracker, router *clemrouter.Router, v *peerView, events *clemevent.Logger) *clemspread.Syncer {
 	syncer := clemspread.New(clemspread.Config{
 		Name: active.Load().Name(), Address: active.Load().ControlAddress(), Centre: active.Load().Centre(), Seeds: func() []string { return active.Load().Seeds() },
 		Store: store, Inventory: store, Peers: peers, Table: table, Directory: directory, Quarantine: quarantine, Events: events,
 		OnNewConnections: store.OnNewConnections(), EvacuatedCentre: c.EvacuatedCentre,
+		OnStoreRestored:  origins.StoreRestored,
 		OnEvacuated:      func(centres []string) { directory.SetEvacuated(centres, time.Now()) },
 		ConfigurationKey: c.ConfigurationKey, DecodeConfiguration: c.DecodeConfiguration, DecodeServer: c.DecodeServer,
 		IsDraining: router.IsDraining,
--- a/clemfront/run.go
+++ b/clemfront/run.go
@@ -12,6 +12,7 @@
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemorigin"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemquota"
@@ -57,10 +58,12 @@
 	servers  *clempool.Directory
 	// quarantine holds the prompt parts that crash servers.
 	quarantine *clemquarantine.Tracker
-	peers      *clemrpc.Peers
-	events     *clemevent.Logger
-	sink       *clemevent.Sink
-	metrics    *clemmetric.Registry
+	// origins knows which versions of the servers' software began streams.
+	origins *clemorigin.Tracker
+	peers   *clemrpc.Peers
+	events  *clemevent.Logger
+	sink    *clemevent.Sink
+	metrics *clemmetric.Registry
 	// wasReady is set once the front has been ready.
 	wasReady bool
 	// budget bounds the memory of requests.
@@ -73,9 +76,9 @@
 	endRequests context.CancelCauseFunc
 }
 
-func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry, budget *clemquota.Budget) *front {
+func newFront(c Config, settings *activeSettings, router *clemrouter.Router, syncer *clemspread.Syncer, table *clemroute.Table, servers *clempool.Directory, quarantine *clemquarantine.Tracker, origins *clemorigin.Tracker, peers *clemrpc.Peers, events *clemevent.Logger, sink *clemevent.Sink, metrics *clemmetric.Registry, budget *clemquota.Budget) *front {
 	return &front{
-		config: c, settings: settings, router: router, syncer: syncer, table: table, servers: servers, quarantine: quarantine, peers: peers,
+		config: c, settings: settings, router: router, syncer: syncer, table: table, servers: servers, quarantine: quarantine, origins: origins, peers: peers,
 		events: events, sink: sink, metrics: metrics, budget: budget, probeBudget: clemquota.NewBudget(probeBudget),
 	}
 }
@@ -117,7 +120,7 @@
 		serve(s.server, listener, failed)
 		defer s.server.Close()
 	}
-	synced := f.syncer.Start(ctx)
+	synced, tracked := f.syncer.Start(ctx), f.origins.Start(ctx)
 	f.events.Emit(clemevent.ProcessStarted, zap.String("listen", settings.ListenAddress()), zap.String("control", settings.ControlAddress()))
 	err := f.waitForStop(ctx, failed)
 	if err == nil {
@@ -125,6 +128,7 @@
 	}
 	cancel()
 	<-synced
+	<-tracked
 	f.events.Emit(clemevent.ProcessStopped, zap.Int("running", f.router.ActiveRequests()), zap.Error(err))
 	return err
 }
--- a/clempool/availability.go
+++ b/clempool/availability.go
@@ -300,7 +300,7 @@
 	var reason Availability
 	areEvacuated := true
 	for _, s := range svc.servers {
-		if slices.Contains(r.Tried, s.record.ID()) {
+		if r.excludes(s) {
 			continue
 		}
 		a := s.closed(now)
--- a/clempool/candidates.go
+++ b/clempool/candidates.go
@@ -1,7 +1,6 @@
 package clempool
 
 import (
-	"slices"
 	"time"
 
 	clementineturn "github.com/clementineturn/clementineturn"
@@ -86,7 +85,7 @@
 		if server.isCold = figures.Limit > 0 && server.cold.isCold(figures, now); server.isCold {
 			unavailable++
 			unavailableLoad += load
-			if slices.Contains(r.Tried, server.record.ID()) {
+			if r.excludes(server) {
 				continue
 			}
 			if wait := server.cold.wait(d.coldShare(server, figures, now), now); wait != 0 {
@@ -105,7 +104,7 @@
 			openLoad += load
 			ownLoad += server.running
 		}
-		if slices.Contains(r.Tried, server.record.ID()) {
+		if r.excludes(server) {
 			continue
 		}
 		untried = append(untried, server)
--- a/clempool/choose.go
+++ b/clempool/choose.go
@@ -31,12 +31,21 @@
 	Organisation string
 	// Tried are the ids of the servers that the request was already sent to.
 	Tried []string
+	// AcceptsSoftware, if set, reports whether a server with the version of its software may
+	// take the request. It is called with the directory locked.
+	AcceptsSoftware func(version string) bool
 	// OwnTarget, OnTimeBy, Deadline and Bytes are those of clemwait.Request.
 	OwnTarget          time.Duration
 	OnTimeBy, Deadline time.Time
 	Bytes              int
 }
 
+// excludes reports whether the request must not be sent to the server: it was already, or the
+// server has another version of the software than is needed.
+func (r Request) excludes(s *server) bool {
+	return slices.Contains(r.Tried, s.record.ID()) || r.AcceptsSoftware != nil && !r.AcceptsSoftware(s.record.SoftwareVersion())
+}
+
 // Acquire chooses a server for the request and counts the request there. It
 // fails with KindOverloaded or KindUnavailable, both of which say that the
 // request was not run.
--- a/clempool/coldshare.go
+++ b/clempool/coldshare.go
@@ -121,7 +121,7 @@
 	var first *server
 	var reason Availability
 	for _, s := range svc.servers {
-		if slices.Contains(r.Tried, s.record.ID()) || s.closedState(now) != StateOpen {
+		if r.excludes(s) || s.closedState(now) != StateOpen {
 			continue
 		}
 		a := d.coldAvailability(s, now)
--- a/clempool/directory.go
+++ b/clempool/directory.go
@@ -85,8 +85,10 @@
 	entriesAt atomic.Pointer[time.Time]
 
 	// mu guards everything below.
-	mu       sync.Mutex
-	servers  map[string]*server
+	mu      sync.Mutex
+	servers map[string]*server
+	// changes counts the changes of the servers and their records.
+	changes  uint64
 	services map[string]*service
 	// peers holds the latest report of each peer. The peer counts of a server
 	// are the sums over them. nextExpiry is no later than the first time at
@@ -254,6 +256,7 @@
 	if old != nil && old.record.Address() == record.Address() && old.record.Service() == record.Service() &&
 		old.record.Incarnation() == record.Incarnation() {
 		old.record = record
+		d.changes++
 		old.evacuatedSince = d.evacuated[record.Centre()]
 		return true
 	}
@@ -274,6 +277,7 @@
 		added.addPeerStats(stats.servers[record.ID()], 1)
 	}
 	d.servers[record.ID()] = added
+	d.changes++
 	svc := d.services[record.Service()]
 	if svc == nil {
 		svc = &service{name: record.Service(), usage: map[string]*organisationUsage{}, users: map[string]time.Time{}}
@@ -297,6 +301,7 @@
 		return false
 	}
 	delete(d.servers, id)
+	d.changes++
 	old.cold.unlistedAt = time.Now()
 	d.unlisted[id] = old.cold
 	d.fleet.byName = nil
@@ -306,6 +311,20 @@
 	return true
 }
 
+// Changes returns a number that rises with each change of the servers or their records.
+func (d *Directory) Changes() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changes
+}
+
+// ListReadAt returns the last time at which the list of servers was known to be up to date.
+func (d *Directory) ListReadAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listReadAt
+}
+
 // Len returns the number of servers.
 func (d *Directory) Len() int {
 	d.mu.Lock()
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -85,6 +85,7 @@
 // selection returns the criteria by which a server is chosen.
 func (q *request) selection() clempool.Request {
 	criteria := clempool.Request{Service: q.service, Organisation: q.organisation, Tried: q.triedServers, Idempotent: q.route.IsIdempotent(), Target: q.shortestTarget, Rank: q.rank}
+	criteria.AcceptsSoftware = q.softwareFilter()
 	if parts := q.requestInfo.Parts(); q.route.Affinity() && len(parts) > 0 {
 		criteria.Prefix, criteria.PromptTokens = parts[:max(len(parts)-1, 1)], q.requestInfo.PromptTokens()
 		return criteria
@@ -101,6 +102,9 @@
 	run := q.router.runTimes.Start(q.route.Name(), q.estimateTime(), time.Now())
 	defer func() { run.End(false, time.Now()) }()
 	var best attemptResult
+	if err := q.findOrigin(ctx); err != nil {
+		return err
+	}
 	lease, err := q.acquireOrWait(ctx, q.selection())
 	if err != nil {
 		return err
@@ -137,8 +141,12 @@
 // nextLease returns a place at another server after an attempt failed, or nil if
 // there is none or the request must not be retried.
 func (q *request) nextLease(ctx context.Context, result attemptResult) *clempool.Lease {
-	if result.next != nil {
-		return result.next
+	if next := result.next; next != nil {
+		if accepts := q.softwareFilter(); accepts == nil || accepts(next.SoftwareVersion()) {
+			return next
+		}
+		// Events of the attempt came after the place was taken.
+		next.Release(clempool.OutcomeWithdrawn, nil, time.Now())
 	}
 	if !q.mayRetry(ctx, result) {
 		return nil
@@ -327,6 +335,7 @@
 			q.logResumed(lease)
 		}
 		result = q.forwardStream(response, responseInfo, arrival, func(events eventSummary) {
+			q.recordOrigin(lease)
 			lease.RecordFirstEvent(time.Now())
 			stall.progress(events.endsWithID)
 			watch.Progress(time.Now())
--- a/clemrouter/router.go
+++ b/clemrouter/router.go
@@ -4,6 +4,7 @@
 package clemrouter
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/clementineturn/clementineturn/clembudget"
 	"github.com/clementineturn/clementineturn/clemevent"
 	"github.com/clementineturn/clementineturn/clemmetric"
+	"github.com/clementineturn/clementineturn/clemorigin"
 	"github.com/clementineturn/clementineturn/clempool"
 	"github.com/clementineturn/clementineturn/clemquarantine"
 	"github.com/clementineturn/clementineturn/clemquota"
@@ -52,6 +54,9 @@
 	Quarantine *clemquarantine.Tracker
 	Events     *clemevent.Logger
 	Metrics    *clemmetric.Registry
+	// Origins knows which versions of the servers' software began streams. If it is nil the
+	// router keeps a tracker of its own, without a store.
+	Origins *clemorigin.Tracker
 	// NoPeerServes reports whether no other entry is known to serve requests; nil
 	// means that some do.
 	NoPeerServes func() bool
@@ -81,6 +86,9 @@
 	if c.Quarantine == nil {
 		c.Quarantine = clemquarantine.New(clemquarantine.Config{})
 	}
+	if c.Origins == nil {
+		c.Origins = clemorigin.New(clemorigin.Config{Directory: c.Directory})
+	}
 	return &Router{config: c, stalls: clembudget.NewStallTracker(), patience: newPatienceTracker(), runTimes: clembudget.NewRunTimeTracker(), serverLabels: clemmetric.NewLabelLimiter(maxServerLabels), classLabels: clemmetric.NewLabelLimiter(maxClassLabels)}
 }
 
@@ -151,6 +159,13 @@
 	// event that was sent has an id.
 	mayContinue bool
 	eventCount  int
+	// stream identifies the stream, also if another request began it.
+	stream clemorigin.Key
+	// resumedVersion is the version of the servers' software that began the stream that the
+	// client resumes, or "".
+	resumedVersion string
+	// lastServer is the server whose events were sent last.
+	lastServer string
 }
 
 // serve authenticates and routes the request, reads its body and dispatches it.
@@ -184,7 +199,9 @@
 			q.priorityClass = strconv.Itoa(q.priority)
 		}
 	}
-	q.service = q.route.PickService(xxhash.Sum64String(requestInfo.RequestID()))
+	began := cmp.Or(requestInfo.ResumedID(), requestInfo.RequestID())
+	q.service = q.route.PickService(xxhash.Sum64String(began))
+	q.stream = clemorigin.NewKey(q.organisation, began)
 	q.setPrecedence(configuration)
 	q.deadline = q.arrived.Add(effectiveTimeout(requestInfo.Timeout(), q.route.Timeout()))
 	if err := q.checkDraining(q.arrived); err != nil {
--- a/clemspread/restore.go
+++ b/clemspread/restore.go
@@ -32,6 +32,9 @@
 	}
 	s.config.Events.Emit(clemevent.StoreRestored, zap.Uint64("era", era), zap.Uint64("before", before))
 	s.config.Quarantine.ForgetStored()
+	if s.config.OnStoreRestored != nil {
+		s.config.OnStoreRestored()
+	}
 	select {
 	case s.storeRestored <- struct{}{}:
 	default:
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -72,6 +72,8 @@
 	// OnEvacuated, if set, is called with the evacuated data centres in order after each
 	// change. Calls are made one at a time and must not call the Syncer.
 	OnEvacuated func(centres []string)
+	// OnStoreRestored, if set, is called when the store was found restored from a copy.
+	OnStoreRestored func()
 	// OnNewConnections is a client of the store that opens a connection for each call.
 	// If it is nil Store is used.
 	OnNewConnections clementineturn.Store
--- a/store.go
+++ b/store.go
@@ -20,6 +20,9 @@
 	// SectionQuarantines holds a row for each prompt part that crashes backend
 	// servers, which entries write.
 	SectionQuarantines
+	// SectionOrigins holds a row for each process of an entry, which the process writes, with
+	// the versions of the backend servers' software that began streams.
+	SectionOrigins
 )
 
 // ChangeConfig describes a Change to construct.
