clemsoak, clemstandin: several software versions, and clients that take streams up

The soak had one software version and no client that took a stream up, so that it could not break ORDER over a client's tries. The events of the stand-in's streams name their server's version; a fault makes the servers that start later run a new one; clients of resumable streams take them up twice after a cut or a refusal, on any entry. The promise: no stream has events of two versions.

--- a/clemsoak/client.go
+++ b/clemsoak/client.go
@@ -36,6 +36,9 @@
 	// at most maxVersionAge versions before the newest.
 	olderVersionShare = 0.3
 	maxVersionAge     = 6
+	// maxTakeUps is how often a client takes a stream up that has broken off, after takeUpDelay.
+	maxTakeUps  = 2
+	takeUpDelay = 30 * time.Millisecond
 )
 
 // client sends requests over connections that it reuses as long as they last.
@@ -71,18 +74,47 @@
 	}
 	for sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(pause))) {
 		r := c.nextRequest()
-		c.soak.observer.recordSent(r)
-		start := time.Now()
-		// A request in progress is completed, so that its response can be checked.
-		response := r.call.Do(context.WithoutCancel(ctx), c.http, host)
-		c.soak.observer.checkResponse(r, response)
-		c.checkShutdown(r, response, start)
+		response := c.send(ctx, r)
+		for n := 1; n <= maxTakeUps && c.mayTakeUp(r, response); n++ {
+			sleep(ctx, takeUpDelay)
+			r = r.takeUp(n)
+			response = c.send(ctx, r)
+		}
 		if response.RetryAfter > 0 {
 			sleep(ctx, min(response.RetryAfter, time.Duration(maxRetryDelayShare*float64(r.kind.timeout()))))
 		}
 	}
 }
 
+// send sends a request and checks its response.
+func (c *client) send(ctx context.Context, r *sentRequest) clemstandin.ClientResponse {
+	c.soak.observer.recordSent(r)
+	start := time.Now()
+	// A request in progress is completed, so that its response can be checked.
+	response := r.call.Do(context.WithoutCancel(ctx), c.http, host)
+	c.soak.observer.checkResponse(r, response)
+	c.checkShutdown(r, response, start)
+	return response
+}
+
+// mayTakeUp reports whether the client takes up the stream: it has some events, and its
+// connection broke or the take-up was refused.
+func (c *client) mayTakeUp(r *sentRequest, response clemstandin.ClientResponse) bool {
+	return r.kind == kindResumableStream && r.stream.events > 0 && r.stream.events < r.kind.events() && r.call.Timeout != shortTimeout &&
+		(response.Err != nil || impliesNotRun(response.Status))
+}
+
+// takeUp returns the client's nth request for the rest of the stream.
+func (r *sentRequest) takeUp(n int) *sentRequest {
+	next := &sentRequest{call: r.call, organisation: r.organisation, kind: r.kind, sentAt: time.Now(), entry: r.entry, stream: r.stream}
+	if r.call.ResumedID == "" {
+		next.call.ResumedID = r.call.RequestID
+	}
+	next.call.RequestID = fmt.Sprintf("%s-%d", next.call.ResumedID, n)
+	next.call.LastEventID = fmt.Sprint(r.stream.events)
+	return next
+}
+
 // nextRequest returns a random request.
 func (c *client) nextRequest() *sentRequest {
 	total := 0
@@ -111,7 +143,7 @@
 		request.PromptPrefix = fmt.Sprintf("%x:%d,%x:%d,%x:%d", 1+chat%3, sharedTokens, 100+chat, chatTokens, c.rng.Uint32(), chatTokens)
 		request.TokenCounts = fmt.Sprintf("%d,%d", sharedTokens+2*chatTokens, 8*k.events())
 	}
-	return &sentRequest{call: request, organisation: c.organisation, kind: k, sentAt: time.Now(), entry: c.entry.Load}
+	return &sentRequest{call: request, organisation: c.organisation, kind: k, sentAt: time.Now(), entry: c.entry.Load, stream: &receivedStream{}}
 }
 
 // checkShutdown checks that an entry that is shutting down responded to a request
--- a/clemsoak/fault.go
+++ b/clemsoak/fault.go
@@ -70,6 +70,7 @@
 	{"server restarted at once", 4, false, restartServer},
 	{"server replaced", 5, true, replaceServer},
 	{"server sick", 6, false, impairServer},
+	{"software released", 2, true, releaseSoftware},
 	{"server rests", 4, true, restServer},
 	{"configuration changed", 6, true, changeConfiguration},
 	{"configurations in series", 2, true, changeInSeries},
@@ -304,6 +305,14 @@
 	return nil
 }
 
+// releaseSoftware makes the servers that start from now on run a new version of the software.
+func releaseSoftware(_ context.Context, s *Soak, _ *rand.Rand) func() {
+	s.env.mu.Lock()
+	defer s.env.mu.Unlock()
+	s.env.release++
+	return nil
+}
+
 func impairServer(_ context.Context, s *Soak, rng *rand.Rand) func() {
 	slot := s.env.slots[rng.IntN(len(s.env.slots))]
 	share := maxErrorShare * rng.Float64()
--- a/clemsoak/soak_test.go
+++ b/clemsoak/soak_test.go
@@ -55,9 +55,22 @@
 			r.kind = kindResumableStream
 			o.recordRunStart(run("r", "a"))
 			response := whole("r", "a")
-			response.Body = "id: 1\ndata: r 1\n\nid: 3\ndata: r 3\n\n"
+			response.Body = "id: 1\ndata: r 1 v1\n\nid: 3\ndata: r 3 v1\n\n"
 			o.checkResponse(r, response)
 		},
+		PromiseOneVersion: func(o *observer, r *sentRequest) {
+			r.kind = kindResumableStream
+			o.recordRunStart(run("r", "a"))
+			response := whole("r", "a")
+			response.Body, response.Err = "id: 1\ndata: r 1 v1\n\n", io.ErrUnexpectedEOF
+			o.checkResponse(r, response)
+			rest := r.takeUp(1)
+			o.recordSent(rest)
+			o.recordRunStart(run("r-1", "b"))
+			response = whole("r-1", "b")
+			response.Body, response.Err = "id: 2\ndata: r-1 2 v2\n\n", io.ErrUnexpectedEOF
+			o.checkResponse(rest, response)
+		},
 		PromiseGenuineRequests: func(o *observer, _ *sentRequest) {
 			foreign := run("r", "a")
 			foreign.Organisation = "another"
@@ -82,7 +95,7 @@
 	} {
 		t.Run(string(promise), func(t *testing.T) {
 			o := newObserver()
-			r := &sentRequest{call: clemstandin.ClientRequest{RequestID: "r"}, organisation: "o", kind: kindUnsafe}
+			r := &sentRequest{call: clemstandin.ClientRequest{RequestID: "r"}, organisation: "o", kind: kindUnsafe, stream: &receivedStream{}}
 			o.recordSent(r)
 			breaks(o, r)
 			o.checkTotals(bounds, time.Now())
--- a/clemsoak/witness.go
+++ b/clemsoak/witness.go
@@ -22,6 +22,7 @@
 	PromiseTrueRefusals        Promise = "refusals are true"
 	PromiseIntactResponses     Promise = "answers are whole and their own"
 	PromiseStreamOrder         Promise = "streams are in order"
+	PromiseOneVersion          Promise = "streams are of one software version"
 	PromiseGenuineRequests     Promise = "servers run what clients asked"
 	PromiseNoRollback          Promise = "configuration never goes back"
 	PromiseTimelyConfiguration Promise = "configuration in time"
@@ -41,7 +42,7 @@
 
 // Promises lists all promises in the order of reports.
 var Promises = []Promise{
-	PromiseAtMostOnce, PromiseTrueRefusals, PromiseIntactResponses, PromiseStreamOrder, PromiseGenuineRequests, PromiseNoRollback, PromiseTimelyConfiguration, PromiseKeyRevocation,
+	PromiseAtMostOnce, PromiseTrueRefusals, PromiseIntactResponses, PromiseStreamOrder, PromiseOneVersion, PromiseGenuineRequests, PromiseNoRollback, PromiseTimelyConfiguration, PromiseKeyRevocation,
 	PromiseServerDrain, PromiseEvacuation, PromiseAnnouncedEnd, PromiseRest, PromiseRetryBudget, PromiseLoadBound, PromiseFairness, PromiseRecovery, PromiseNoCrash, PromiseGracefulShutdown, PromiseColdServers,
 }
 
@@ -82,9 +83,19 @@
 	entry func() *front
 	// status is the status of the response, or 0 if there was none.
 	status int
+	// stream is what the client has of the stream, over all requests for it.
+	stream *receivedStream
 	served bool
 }
 
+// receivedStream is what a client has received of a stream.
+type receivedStream struct {
+	// events is the number of events, and versions holds the versions of the servers' software
+	// that sent them, in order.
+	events   int
+	versions []string
+}
+
 // arrival is a request that reached a backend server.
 type arrival struct {
 	at      time.Time
@@ -283,12 +294,18 @@
 	events := strings.Split(response.Body, "\n\n")
 	rest := events[len(events)-1]
 	events = events[:len(events)-1]
-	for n, event := range events {
-		want := fmt.Sprintf("id: %d\ndata: %s %d", n+1, r.call.RequestID, n+1)
-		o.checkLocked(PromiseStreamOrder, event == want, "%s got %q in place of %q", r.call.RequestID, event, want)
+	for _, event := range events {
+		r.stream.events++
+		want := fmt.Sprintf("id: %d\ndata: %s %d ", r.stream.events, r.call.RequestID, r.stream.events)
+		version, isNext := strings.CutPrefix(event, want)
+		o.checkLocked(PromiseStreamOrder, isNext, "%s got %q in place of %q", r.call.RequestID, event, want)
+		if !slices.Contains(r.stream.versions, version) {
+			r.stream.versions = append(r.stream.versions, version)
+		}
 	}
-	isComplete := len(events) == r.kind.events() && rest == ""
-	o.checkLocked(PromiseStreamOrder, response.Err != nil || isComplete, "%s ended as complete after %d of %d events and %q", r.call.RequestID, len(events), r.kind.events(), rest)
+	o.checkLocked(PromiseOneVersion, len(r.stream.versions) < 2, "%s, which resumes %q, got events of the versions %q", r.call.RequestID, r.call.ResumedID, r.stream.versions)
+	isComplete := r.stream.events == r.kind.events() && rest == ""
+	o.checkLocked(PromiseStreamOrder, response.Err != nil || isComplete, "%s ended as complete after %d of %d events and %q", r.call.RequestID, r.stream.events, r.kind.events(), rest)
 	return response.Err == nil && isComplete
 }
 
--- a/clemsoak/world.go
+++ b/clemsoak/world.go
@@ -102,7 +102,9 @@
 
 	mu          sync.Mutex
 	serverCount int
-	version     int
+	// release is the version of the software of the servers that start from now on.
+	release int
+	version int
 	// acknowledgedAt is when the store acknowledged the version; in the future as long as
 	// it has not.
 	acknowledgedAt time.Time
@@ -191,12 +193,16 @@
 	e.mu.Lock()
 	e.serverCount++
 	n := e.serverCount
+	version := fmt.Sprintf("v%d", e.release)
+	if id != "" {
+		version = s.server.Version()
+	}
 	e.mu.Unlock()
 	if id == "" {
 		id = fmt.Sprintf("i-%03d", n)
 	}
 	config := clemstandin.BackendConfig{
-		ID: id, Service: s.service, Centre: s.centre, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
+		ID: id, Service: s.service, Centre: s.centre, Version: version, Slots: appSlots, WorkTime: callTime, SlowPrefix: kinds[kindSlow].prefix, SlowTime: slowTime, Seed: e.config.Seed + uint64(n),
 		OnRunEnded: e.observer.recordRunEnd,
 		ColdTime:   coldTime, OnColdRequest: func(server string, inLastSecond int) { e.checkCold(s, server, inLastSecond) },
 	}
--- a/clemstandin/provider_backend.go
+++ b/clemstandin/provider_backend.go
@@ -416,7 +416,8 @@
 }
 
 // stream sends the events after the one from which the request resumes. The id
-// of an event is its number, counted from 1, and its data names the request.
+// of an event is its number, counted from 1, and its data names the request and the version of
+// the server's software.
 func (b *Backend) stream(w http.ResponseWriter, r *http.Request, run Run) {
 	drawn := b.drawFaults()
 	if drawn.ErrorRatio > 0 {
@@ -434,7 +435,7 @@
 			b.endRun(run, 0)
 			return
 		}
-		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, run.RequestID, n)
+		event := fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, run.RequestID, n, b.Version())
 		if n == middle && drawn.ResetRatio+drawn.TruncatedRatio+drawn.GarbledRatio > 0 {
 			b.endRun(run, 0)
 			_, _ = io.WriteString(w, event[:len(event)/2])
--- a/clemstandin/provider_visitor.go
+++ b/clemstandin/provider_visitor.go
@@ -18,6 +18,9 @@
 	// prompt. TokenCounts is the value of X-Token-Counts, the tokens of the prompt
 	// and the maximum in the response. Both are empty without a prompt.
 	PromptPrefix, TokenCounts string
+	// LastEventID is the id of the last event of a stream that the client takes up, and
+	// ResumedID the id of the request that brought its first one. Both are empty otherwise.
+	LastEventID, ResumedID string
 }
 
 // ClientResponse is the response that a client received.
@@ -54,6 +57,10 @@
 		request.Header.Set("X-Prompt-Prefix", r.PromptPrefix)
 		request.Header.Set("X-Token-Counts", r.TokenCounts)
 	}
+	if r.ResumedID != "" {
+		request.Header.Set("Last-Event-Id", r.LastEventID)
+		request.Header.Set("Resumes", r.ResumedID)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return ClientResponse{Err: err}
