clemorigin: a list of servers that is old shows no version alone (ORDER)

While the store did not answer, a take-up went on at the only version that the entry knew if its list was older than 1.5 s, on the grounds that nobody could read the store then. An entry that is cut off sees the same: its peers may have learned of another version meanwhile and begun the stream there, so that it would be joined. The list must now have been read since the request came, which a peer does for an entry that the store refuses, within the second for which such a take-up waits. TestLookupsWithoutStore failed before: the first take-up while the store is away went on.

--- a/clemorigin/store.go
+++ b/clemorigin/store.go
@@ -28,9 +28,6 @@
 	// maxReadWait how long one read is waited for.
 	maxSettleTime = time.Second
 	maxReadWait   = 700 * time.Millisecond
-	// outageThreshold is the age of the list of servers from which on no entry can read the
-	// store.
-	outageThreshold = 1500 * time.Millisecond
 	// rereadInterval is the interval at which the rows are read without a client that resumes
 	// a stream, to remove old ones. refreshInterval is the interval at which a process writes
 	// its row again, and rowExpiry the age at which others remove it.
--- a/clemorigin/tracker.go
+++ b/clemorigin/tracker.go
@@ -341,18 +341,18 @@
 			return Origin{}, clementineturn.Refuse(clementineturn.KindUnavailable, "the stream began at an unknown version of service %s", service)
 		case found == answerKnown, found == answerSingle && (isRead || t.isListCurrent(began)):
 			return origin, nil
-		case ctx.Err() != nil, time.Since(began) > t.settleTime():
+		case ctx.Err() != nil, time.Since(began) > maxSettleTime, found == answerUnknown && time.Since(began) > t.settleTime():
 			return Origin{}, clementineturn.Refuse(clementineturn.KindUnavailable, "it is not known which version of service %s began the stream", service)
 		}
 	}
 }
 
 // isListCurrent reports whether the list of servers shows that there was one version only at
-// the given time: it was read since, or nobody can read it. What there was before the start of
-// this process only the rows show.
+// the given time: it was read since, by a peer if the store refuses this entry. What there was
+// before the start of this process only the rows show.
 func (t *Tracker) isListCurrent(at time.Time) bool {
 	readAt := t.config.Directory.ListReadAt()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.readVersion > 0 && (readAt.After(at) || time.Since(readAt) > outageThreshold)
+	return t.readVersion > 0 && readAt.After(at)
 }
--- a/clemorigin/tracker_test.go
+++ b/clemorigin/tracker_test.go
@@ -221,20 +221,26 @@
 	})
 }
 
-// While the store is away a stream of the only version goes on. After a restart of the entry
-// it does not, since another version may have been in service before.
+// While the store refuses an entry, a stream of the only version goes on if peers pass on the
+// list of servers. After a restart of the entry it does not, since another version may have
+// been in service before, nor if nobody reads the list, since one may have come into service.
 func TestLookupsWithoutStore(t *testing.T) {
 	runTest(t, func(w *world) {
 		w.servers = []clempool.RecordConfig{listed("s1", "v1")}
 		tracker, stop := w.start("a")
 		time.Sleep(5 * time.Second)
 		w.store.setDown(true)
+		_, err := tracker.Find(w.ctx, 1, "pool")
+		require.Error(t, err)
+		readList := func() { tracker.config.Directory.ListRead(time.Now()) }
+		defer time.AfterFunc(800*time.Millisecond, readList).Stop()
 		origin, err := tracker.Find(w.ctx, 1, "pool")
 		require.NoError(t, err)
 		require.Equal(t, Origin{"pool", "v1"}, origin)
 		stop()
 		tracker, stop = w.start("a")
 		time.Sleep(5 * time.Second)
+		defer time.AfterFunc(800*time.Millisecond, readList).Stop()
 		_, err = tracker.Find(w.ctx, 1, "pool")
 		require.Error(t, err)
 		w.store.setDown(false)
