clemorigin: bound the rows of large fleets

At 1,700 entries rows of 4,000 streams each would take 270 MB in every entry. The rows of all live entries have at most 65,536 streams, and an entry keeps at most 131,072 of those that it read (TestKnownRowsAreBounded).

--- a/clemorigin/row.go
+++ b/clemorigin/row.go
@@ -14,6 +14,10 @@
 	// maxRowStreams bounds the streams of a row, which take 11 bytes each: the platform's rows
 	// have at most 64 kB.
 	maxRowStreams = 4000
+	// maxFleetStreams bounds the streams of the rows of all live entries together, and
+	// maxKnownStreams those of the rows that an entry keeps: some megabytes.
+	maxFleetStreams = 65536
+	maxKnownStreams = 2 * maxFleetStreams
 	// maxRowVersions bounds the software versions of a service in a row.
 	maxRowVersions = 64
 )
--- a/clemorigin/store.go
+++ b/clemorigin/store.go
@@ -204,12 +204,34 @@
 			}
 		}
 	}
+	t.boundRows()
 	if isComplete && !isOwnListed && !t.written.at.IsZero() {
 		t.written.isLost = true
 	}
 	t.readVersion = max(t.readVersion, batch.Version())
 }
 
+// boundRows forgets the streams of the rows that were read longest ago while there are too
+// many. The caller holds mu.
+func (t *Tracker) boundRows() {
+	known := 0
+	for _, r := range t.rows {
+		known += len(r.origins)
+	}
+	for known > maxKnownStreams {
+		oldest := ""
+		for key, r := range t.rows {
+			if len(r.origins) > 0 && (oldest == "" || r.changedAt.Before(t.rows[oldest].changedAt)) {
+				oldest = key
+			}
+		}
+		r := t.rows[oldest]
+		known -= len(r.origins)
+		r.origins = nil
+		t.rows[oldest] = r
+	}
+}
+
 // removeExpiredRows removes the rows of processes that have long ended, from the memory of
 // this entry and, by one entry at a time in the mean, from the store.
 func (t *Tracker) removeExpiredRows(ctx context.Context) {
@@ -320,7 +342,8 @@
 // The caller holds mu.
 func (t *Tracker) ownOrigins(now time.Time) map[Key]Origin {
 	own := map[Key]Origin{}
-	for i := len(t.expiry) - 1; i >= 0 && len(own) < maxRowStreams && now.Sub(t.expiry[i].at) <= memoryTime; i-- {
+	most := min(maxRowStreams, maxFleetStreams/int(t.entries()))
+	for i := len(t.expiry) - 1; i >= 0 && len(own) < most && now.Sub(t.expiry[i].at) <= memoryTime; i-- {
 		if s := t.streams[t.expiry[i].key]; s != nil && t.isMixed(s.origin.Service) {
 			own[t.expiry[i].key] = s.origin
 		}
--- a/clemorigin/tracker_test.go
+++ b/clemorigin/tracker_test.go
@@ -305,6 +305,32 @@
 	}
 }
 
+// The streams of other processes that an entry keeps are bounded, those of the rows that it
+// read first go first.
+func TestKnownRowsAreBounded(t *testing.T) {
+	runTest(t, func(*world) {
+		tracker := New(Config{Directory: clempool.New(clempool.Config{})})
+		for n := range maxKnownStreams/maxRowStreams + 3 {
+			origins := map[Key]Origin{}
+			for i := range maxRowStreams {
+				origins[Key(n*maxRowStreams+i)] = Origin{"pool", "v1"}
+			}
+			value, err := encodeRow(nil, origins)
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+			change := clementineturn.NewChange(clementineturn.ChangeConfig{Key: fmt.Sprint(n), Value: value, Version: uint64(n + 1)})
+			tracker.apply(clementineturn.NewBatch([]clementineturn.Change{change}, uint64(n+1)), false, time.Now())
+		}
+		known := 0
+		for _, r := range tracker.rows {
+			known += len(r.origins)
+		}
+		require.LessOrEqual(t, known, maxKnownStreams)
+		require.Empty(t, tracker.rows["0"].origins)
+		require.Len(t, tracker.rows[fmt.Sprint(maxKnownStreams/maxRowStreams+2)].origins, maxRowStreams)
+	})
+}
+
 // The memory for streams is bounded by their number and by time.
 func TestStreamsAreForgotten(t *testing.T) {
 	runTest(t, func(*world) {
