clemorigin, clemspread: messages between entries name new streams (LOST)

Callers whose streams an ended entry had begun were refused when they took them up at another one: the streams were in no row yet.

While a service has several versions the next three messages of the state exchange name each new stream, and the peers that get them write it to their rows. No call is added. Fleets with one version send the same messages as before (golden files).

--- a/clemfront/cluster_test.go
+++ b/clemfront/cluster_test.go
@@ -366,7 +366,8 @@
 	e.syncer = clemspread.New(clemspread.Config{
 		Name: name, Address: name, Seeds: func() []string { return []string{entryName(0)} }, Store: c.store, Peers: c, Table: table, Directory: directory, Quarantine: quarantine,
 		Rand: func() float64 { return 0.5 }, ConfigurationKey: "config", DecodeConfiguration: decodeClusterConfiguration, DecodeServer: decodeClusterServer,
-		IsDraining: func() bool { return false },
+		IsDraining:  func() bool { return false },
+		TakeOrigins: e.origins.TakeMessage, RecordOrigins: e.origins.RecordMessage,
 	})
 	var ctx context.Context
 	ctx, e.stop = context.WithCancel(context.Background())
--- a/clemorigin/tracker.go
+++ b/clemorigin/tracker.go
@@ -95,6 +95,8 @@
 	readVersion uint64
 	// readers get the result of the next read.
 	readers []chan bool
+	// unsent holds the streams that messages to peers have still to name.
+	unsent []unsentStream
 	// written describes this process's row.
 	written writtenRow
 }
@@ -218,6 +220,13 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.record(key, origin, server, now)
+	t.queueMessage(key, t.streams[key].origin)
+}
+
+// record records the origin of a stream. The server is "" if a peer reported it. The caller
+// holds mu.
+func (t *Tracker) record(key Key, origin Origin, server string, now time.Time) {
 	s := t.streams[key]
 	switch {
 	case s == nil:
--- a/clemspread/exchange.go
+++ b/clemspread/exchange.go
@@ -170,6 +170,9 @@
 	}
 	s.addQuarantine(share, peer, now)
 	share.Evacuations = s.evacuations.Messages()
+	if s.config.TakeOrigins != nil {
+		share.Origins = s.config.TakeOrigins()
+	}
 	return share
 }
 
@@ -266,6 +269,9 @@
 		s.servers.ApplyShare(share, transit, now)
 	}
 	s.applyQuarantine(share, now)
+	if s.config.RecordOrigins != nil && len(share.GetOrigins()) > 0 {
+		s.config.RecordOrigins(share.GetOrigins())
+	}
 	for _, k := range share.GetKept() {
 		s.config.Directory.AddPeerCacheUpdates(k.GetServer(), k.GetParts(), now)
 	}
--- a/clemspread/spread.go
+++ b/clemspread/spread.go
@@ -74,6 +74,10 @@
 	OnEvacuated func(centres []string)
 	// OnStoreRestored, if set, is called when the store was found restored from a copy.
 	OnStoreRestored func()
+	// TakeOrigins, if set, returns what a message to a peer says of the origins of streams,
+	// and RecordOrigins records what a peer's message says of them.
+	TakeOrigins   func() []*clemwire.StreamOrigin
+	RecordOrigins func(origins []*clemwire.StreamOrigin)
 	// OnNewConnections is a client of the store that opens a connection for each call.
 	// If it is nil Store is used.
 	OnNewConnections clementineturn.Store
