clemrouter: a resumed stream that breaks off again goes by what is known now

Within one answer the version of a resumed stream was the one found at its start, also after the entry had learned that the server had restarted with another version. Both kinds of streams ask the tracker now.

--- a/clemorigin/tracker.go
+++ b/clemorigin/tracker.go
@@ -101,7 +101,8 @@
 	written writtenRow
 }
 
-// stream is a stream that this entry began or resumed.
+// stream is a stream that this entry began or resumed, or that a peer reported. The server is
+// then "".
 type stream struct {
 	origin Origin
 	server string
--- a/clemrouter/origin.go
+++ b/clemrouter/origin.go
@@ -46,12 +46,12 @@
 // request may run, or nil if it may at all: what two versions write does not fit together.
 func (q *request) softwareFilter() func(version string) bool {
 	switch {
+	case q.isStarted && q.route.Resumable():
+		return q.router.config.Origins.Resume(q.stream)
 	case q.isResumed():
 		return func(version string) bool { return version == q.resumedVersion }
 	case q.route.Kind() != clemroute.KindStream || !q.route.Resumable():
 		return nil
-	case q.isStarted:
-		return q.router.config.Origins.Resume(q.stream)
 	}
 	return q.router.config.Origins.Begin(q.service)
 }
