clemorigin: rows have only streams that clients may still resume (LOST)

A row leaves out streams that the client has wholly, and after 10 s those that peers reported. TestRowsHaveOnlyStreamsThatMayBeResumed.

--- a/clemorigin/store.go
+++ b/clemorigin/store.go
@@ -338,13 +338,18 @@
 	return own
 }
 
-// ownOrigins returns the origins of the latest streams of the services with several versions.
-// The caller holds mu.
+// ownOrigins returns the origins of the latest streams of the services with several versions
+// that clients may still resume. Rows must be short: small entries read all of them over
+// links of 10 Mbit/s. The caller holds mu.
 func (t *Tracker) ownOrigins(now time.Time) map[Key]Origin {
 	own := map[Key]Origin{}
 	most := min(maxRowStreams, maxFleetStreams/int(t.entries()))
 	for i := len(t.expiry) - 1; i >= 0 && len(own) < most && now.Sub(t.expiry[i].at) <= memoryTime; i-- {
-		if s := t.streams[t.expiry[i].key]; s != nil && t.isMixed(s.origin.Service) {
+		s := t.streams[t.expiry[i].key]
+		if s == nil || s.hasEnded || s.server == "" && now.Sub(s.at) > reportedTime {
+			continue
+		}
+		if t.isMixed(s.origin.Service) {
 			own[t.expiry[i].key] = s.origin
 		}
 	}
--- a/clemorigin/tracker.go
+++ b/clemorigin/tracker.go
@@ -34,7 +34,10 @@
 	// markWait is how long streams begin at servers of a version only if the store has a row
 	// that lists it, provided that there are others.
 	markWait = time.Second
-	keySize  = 8
+	// reportedTime is how long a row names a stream that a peer reported: the peer writes it
+	// itself unless it has ended.
+	reportedTime = 10 * time.Second
+	keySize      = 8
 )
 
 // Key identifies a stream by the organisation and the request that began it.
@@ -107,6 +110,8 @@
 	origin Origin
 	server string
 	at     time.Time
+	// hasEnded is set once the client has the whole stream.
+	hasEnded bool
 }
 
 type expiringStream struct {
@@ -237,7 +242,7 @@
 		// Two requests with one id: nobody can tell which of them is resumed.
 		s.origin.Version = ""
 	}
-	s.server, s.at = server, now
+	s.server, s.at, s.hasEnded = server, now, false
 	t.written.hasUnwritten = true
 	t.expiry = append(t.expiry, expiringStream{key, now})
 	for len(t.expiry) > maxStreams || len(t.expiry) > 0 && now.Sub(t.expiry[0].at) > memoryTime {
@@ -248,6 +253,15 @@
 	}
 }
 
+// End records that a client has a stream wholly, so that rows need not name it.
+func (t *Tracker) End(key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.streams[key]; s != nil {
+		s.hasEnded = true
+	}
+}
+
 // Begin returns a filter of the versions at which a stream of the service may begin now, or
 // nil if it may at all. A version that no row in the store lists yet is left out for a while:
 // after a restart of all entries nobody would know that there were streams of it.
--- a/clemorigin/tracker_test.go
+++ b/clemorigin/tracker_test.go
@@ -13,6 +13,7 @@
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clempool"
+	"github.com/clementineturn/clementineturn/clemwire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -192,6 +193,36 @@
 	})
 }
 
+// Guards against rows that take too long to read for small entries: they have neither streams
+// that clients have wholly nor, for long, those that peers reported.
+func TestRowsHaveOnlyStreamsThatMayBeResumed(t *testing.T) {
+	runTest(t, func(w *world) {
+		w.servers = []clempool.RecordConfig{listed("s1", "v1"), listed("s2", "v2")}
+		tracker, stop := w.start("a")
+		defer stop()
+		time.Sleep(time.Second)
+		for n := range 100 {
+			tracker.Record(Key(n), Origin{"pool", "v1"}, "s1")
+			if n > 0 {
+				tracker.End(Key(n))
+			}
+		}
+		tracker.RecordMessage([]*clemwire.StreamOrigin{{Service: "pool", Version: "v2", Streams: []uint64{1000}}})
+		written := func() map[Key]Origin {
+			time.Sleep(time.Second)
+			batch, err := w.store.Read(w.ctx, clementineturn.SectionOrigins)
+			require.NoError(t, err)
+			r, err := decodeRow(batch.Changes()[0].Value())
+			require.NoError(t, err)
+			return r.origins
+		}
+		require.Equal(t, map[Key]Origin{0: {"pool", "v1"}, 1000: {"pool", "v2"}}, written())
+		time.Sleep(reportedTime)
+		tracker.Record(Key(1), Origin{"pool", "v1"}, "s1")
+		require.Equal(t, map[Key]Origin{0: {"pool", "v1"}, 1: {"pool", "v1"}}, written())
+	})
+}
+
 // Streams of which it is not known at which version they began do not go on.
 func TestUnknownOrigins(t *testing.T) {
 	runTest(t, func(w *world) {
--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -113,7 +113,11 @@
 	for lease != nil {
 		result := q.attempt(ctx, lease)
 		if result.isFinal {
-			run.End(result.outcome == clempool.OutcomeServed && result.err == nil, time.Now())
+			isServed := result.outcome == clempool.OutcomeServed && result.err == nil
+			run.End(isServed, time.Now())
+			if isServed {
+				q.router.config.Origins.End(q.stream)
+			}
 			return result.err
 		}
 		if result.errorResponse != nil || best.errorResponse == nil {
