--- a/clemorigin/tracker.go
+++ b/clemorigin/tracker.go
@@ -270,28 +270,22 @@
 	t.scan(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	accepted, isAnyLeftOut := map[string]bool{}, false
+	accepted, leftOut := map[string]bool{}, 0
 	for name, v := range t.services[service] {
-		if v.isListed {
-			accepted[name] = v.isMarked || now.Sub(v.firstAt) > markWait
-			isAnyLeftOut = isAnyLeftOut || !accepted[name]
+		switch {
+		case !v.isListed:
+		case v.isMarked || now.Sub(v.firstAt) > markWait:
+			accepted[name] = true
+		default:
+			leftOut++
 		}
 	}
-	if !isAnyLeftOut || !hasTrue(accepted) {
+	if leftOut == 0 || len(accepted) == 0 {
 		return nil
 	}
 	return func(version string) bool { return accepted[version] }
 }
 
-func hasTrue(set map[string]bool) bool {
-	for _, isIn := range set {
-		if isIn {
-			return true
-		}
-	}
-	return false
-}
-
 // Resume returns a filter of the version at which a stream that this entry has begun may go
 // on. A stream of an unknown version goes on nowhere.
 func (t *Tracker) Resume(key Key) func(version string) bool {
