clemrouter: the stall timer does not read what the request writes

The timer chooses the next server while the request forwards events, and the filter of software versions read the request's isStarted there: a data race (TestStalledStream- StaysAtItsVersion under the race detector, beside load). The timer knows itself whether events were sent. Races of the clemrouter tests for streams: none after it.

--- a/clemrouter/attempt.go
+++ b/clemrouter/attempt.go
@@ -82,10 +82,11 @@
 	return parts[:max(len(parts)-1, 0)]
 }
 
-// selection returns the criteria by which a server is chosen.
-func (q *request) selection() clempool.Request {
+// selection returns the criteria by which a server is chosen, before or after events were
+// sent.
+func (q *request) selection(isStarted bool) clempool.Request {
 	criteria := clempool.Request{Service: q.service, Organisation: q.organisation, Tried: q.triedServers, Idempotent: q.route.IsIdempotent(), Target: q.shortestTarget, Rank: q.rank}
-	criteria.AcceptsSoftware = q.softwareFilter()
+	criteria.AcceptsSoftware = q.softwareFilter(isStarted)
 	if parts := q.requestInfo.Parts(); q.route.Affinity() && len(parts) > 0 {
 		criteria.Prefix, criteria.PromptTokens = parts[:max(len(parts)-1, 1)], q.requestInfo.PromptTokens()
 		return criteria
@@ -105,7 +106,7 @@
 	if err := q.findOrigin(ctx); err != nil {
 		return err
 	}
-	lease, err := q.acquireOrWait(ctx, q.selection())
+	lease, err := q.acquireOrWait(ctx, q.selection(q.isStarted))
 	if err != nil {
 		return err
 	}
@@ -146,7 +147,7 @@
 // there is none or the request must not be retried.
 func (q *request) nextLease(ctx context.Context, result attemptResult) *clempool.Lease {
 	if next := result.next; next != nil {
-		if accepts := q.softwareFilter(); accepts == nil || accepts(next.SoftwareVersion()) {
+		if accepts := q.softwareFilter(q.isStarted); accepts == nil || accepts(next.SoftwareVersion()) {
 			return next
 		}
 		// Events of the attempt came after the place was taken.
@@ -155,7 +156,7 @@
 	if !q.mayRetry(ctx, result) {
 		return nil
 	}
-	lease, err := q.acquire(q.selection(), time.Now())
+	lease, err := q.acquire(q.selection(q.isStarted), time.Now())
 	if err != nil {
 		q.returnDelay = clementineturn.AsError(err).RetryAfter()
 		return nil
--- a/clemrouter/origin.go
+++ b/clemrouter/origin.go
@@ -43,10 +43,11 @@
 }
 
 // softwareFilter returns a filter of the versions of the servers' software at which the
-// request may run, or nil if it may at all: what two versions write does not fit together.
-func (q *request) softwareFilter() func(version string) bool {
+// request may run, or nil if it may at all: what two versions write does not fit together. It
+// is told whether events were sent, as the stall timer must not read that from the request.
+func (q *request) softwareFilter(isStarted bool) func(version string) bool {
 	switch {
-	case q.isStarted && q.route.Resumable():
+	case isStarted && q.route.Resumable():
 		return q.router.config.Origins.Resume(q.stream)
 	case q.isResumed():
 		return func(version string) bool { return version == q.resumedVersion }
--- a/clemrouter/stall.go
+++ b/clemrouter/stall.go
@@ -42,9 +42,9 @@
 	since              time.Time
 	allowance, minimum time.Duration
 	waits              *clembudget.WaitEstimate
-	// hasStarted is set once events of a stream arrived, hasEnded once the attempt is
-	// over.
-	hasStarted, hasEnded bool
+	// wasStarted is set if events of the stream were sent before the attempt, hasStarted once
+	// events arrived, hasEnded once the attempt is over.
+	wasStarted, hasStarted, hasEnded bool
 	// isMovable is set if another server can send what is still missing.
 	isMovable bool
 	// next is the place at another server for which the attempt was ended.
@@ -53,7 +53,7 @@
 
 // newStallTimer starts the timer of the next attempt.
 func (q *request) newStallTimer(ctx context.Context, lease *clempool.Lease) *stallTimer {
-	t := &stallTimer{request: q, lease: lease, since: time.Now(), isMovable: !q.isStarted || q.mayContinue}
+	t := &stallTimer{request: q, lease: lease, since: time.Now(), wasStarted: q.isStarted, isMovable: !q.isStarted || q.mayContinue}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.minimum = time.Duration(plainFirstByteFactor * float64(q.route.LatencyTarget()))
 	if q.route.Kind() == clemroute.KindStream {
@@ -125,7 +125,7 @@
 		return
 	}
 	if t.isMovable {
-		t.next = t.request.reserveNext(t.lease, now)
+		t.next = t.request.reserveNext(t.lease, t.wasStarted || t.hasStarted, now)
 	}
 	if t.next == nil {
 		t.timer.Reset(t.minimum)
@@ -150,11 +150,11 @@
 
 // reserveNext takes a place for the request at another server than that of the
 // lease, and returns nil if there is none or no retry is allowed.
-func (q *request) reserveNext(lease *clempool.Lease, now time.Time) *clempool.Lease {
+func (q *request) reserveNext(lease *clempool.Lease, isStarted bool, now time.Time) *clempool.Lease {
 	if q.deadline.Sub(now) < minRetryTime || len(q.triedServers)+1 >= maxServersTried {
 		return nil
 	}
-	criteria := q.selection()
+	criteria := q.selection(isStarted)
 	criteria.Tried = append(criteria.Tried[:len(criteria.Tried):len(criteria.Tried)], lease.Server())
 	if q.isSuspect() {
 		return nil
