clemorigin: call a store that refuses less often

While the store refused calls, each entry repeated its read and its write each 0.1 s: calls are priced, refused ones too, and the entry's other loops back off. The pause now doubles up to 0.5 s after failures. TestRefusingStoreIsCalledSeldom failed before: 100 reads in 10 s, where 24 are allowed.

--- a/clemorigin/store.go
+++ b/clemorigin/store.go
@@ -28,6 +28,9 @@
 	// maxReadWait how long one read is waited for.
 	maxSettleTime = time.Second
 	maxReadWait   = 700 * time.Millisecond
+	// maxFailurePause bounds the pause after a failed call, which doubles from that after a
+	// successful one. It is shorter than maxReadWait, so that each take-up has a read.
+	maxFailurePause = 500 * time.Millisecond
 	// rereadInterval is the interval at which the rows are read without a client that resumes
 	// a stream, to remove old ones. refreshInterval is the interval at which a process writes
 	// its row again, and rowExpiry the age at which others remove it.
@@ -117,6 +120,7 @@
 	ticker := time.NewTicker(minReadInterval)
 	defer ticker.Stop()
 	var readAt, attemptedAt time.Time
+	pause := t.readInterval()
 	for {
 		select {
 		case <-ctx.Done():
@@ -126,7 +130,7 @@
 		case <-t.wake:
 		}
 		now := time.Now()
-		if now.Sub(attemptedAt) < t.readInterval() {
+		if now.Sub(attemptedAt) < pause {
 			continue
 		}
 		t.mu.Lock()
@@ -135,9 +139,9 @@
 		if !isDue && now.Sub(readAt) < rereadInterval {
 			continue
 		}
-		attemptedAt = now
+		attemptedAt, pause = now, max(t.readInterval(), min(2*pause, maxFailurePause))
 		if t.readOnce(ctx) {
-			readAt = now
+			readAt, pause = now, t.readInterval()
 		}
 		t.removeExpiredRows(ctx)
 	}
@@ -264,6 +268,7 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	var attemptedAt time.Time
+	pause := t.writeInterval()
 	for {
 		select {
 		case <-ctx.Done():
@@ -272,11 +277,13 @@
 		}
 		now := time.Now()
 		t.scan(now)
-		if !t.needsWrite(now) || now.Sub(attemptedAt) < t.writeInterval() {
+		if !t.needsWrite(now) || now.Sub(attemptedAt) < pause {
 			continue
 		}
-		attemptedAt = now
-		t.writeOnce(ctx, now)
+		attemptedAt, pause = now, max(t.writeInterval(), min(2*pause, maxFailurePause))
+		if t.writeOnce(ctx, now) {
+			pause = t.writeInterval()
+		}
 	}
 }
 
@@ -297,8 +304,8 @@
 	return !w.at.IsZero() && (w.isLost || now.Sub(w.at) > refreshInterval) || isMixed && w.hasUnwritten
 }
 
-// writeOnce writes the row.
-func (t *Tracker) writeOnce(ctx context.Context, now time.Time) {
+// writeOnce writes the row, and reports whether that succeeded.
+func (t *Tracker) writeOnce(ctx context.Context, now time.Time) bool {
 	t.mu.Lock()
 	versions, origins := t.ownVersions(now), t.ownOrigins(now)
 	t.written.hasUnwritten, t.written.isLost = false, false
@@ -311,7 +318,7 @@
 	defer t.mu.Unlock()
 	if err != nil {
 		t.written.hasUnwritten, t.written.isLost = true, !t.written.at.IsZero()
-		return
+		return false
 	}
 	t.written.at = now
 	for service, names := range versions {
@@ -321,6 +328,7 @@
 			}
 		}
 	}
+	return true
 }
 
 // ownVersions returns the versions that this process has seen in service. Those that it knows
--- a/clemorigin/tracker_test.go
+++ b/clemorigin/tracker_test.go
@@ -139,6 +139,22 @@
 	}
 }
 
+// A store that refuses calls gets few of them, also from an entry that starts then or lacks a
+// row with a new version.
+func TestRefusingStoreIsCalledSeldom(t *testing.T) {
+	runTest(t, func(w *world) {
+		w.servers = []clempool.RecordConfig{listed("s1", "v1"), listed("s2", "v2")}
+		w.store.setDown(true)
+		_, stop := w.start("a")
+		time.Sleep(10 * time.Second)
+		reads, writes, _ := w.store.count()
+		stop()
+		// Two a second, and some before the pause is at its longest.
+		require.LessOrEqual(t, reads, 24)
+		require.LessOrEqual(t, writes, 24)
+	})
+}
+
 // Many clients that take streams up at once share the reads of the store.
 func TestLookupsShareReads(t *testing.T) {
 	runTest(t, func(w *world) {
