--- a/clemorigin/row.go
+++ b/clemorigin/row.go
@@ -24,10 +24,11 @@
 
 // row is what one process of an entry has written to the store.
 type row struct {
-	// version is the store's version of the row, changedAt when this entry first read it, or
-	// its own row's last writing.
+	// version is the store's version of the row, changedAt when this entry first read it.
+	// isRemoved is set if the store has the row no more.
 	version   uint64
 	changedAt time.Time
+	isRemoved bool
 	origins   map[Key]Origin
 	// versions holds the software versions of each service that were in service.
 	versions map[string][]string
--- a/clemorigin/store.go
+++ b/clemorigin/store.go
@@ -193,7 +193,14 @@
 			continue
 		}
 		known, isKnown := t.rows[change.Key()]
-		if change.Removed() || isKnown && change.Version() <= known.version {
+		if change.Removed() {
+			if isKnown {
+				known.isRemoved = true
+				t.rows[change.Key()] = known
+			}
+			continue
+		}
+		if isKnown && change.Version() <= known.version {
 			continue
 		}
 		r, err := decodeRow(change.Value())
@@ -236,14 +243,18 @@
 	}
 }
 
-// removeExpiredRows removes the rows of processes that have long ended, from the memory of
-// this entry and, by one entry at a time in the mean, from the store.
+// removeExpiredRows removes the rows of processes that have long ended from the store, by one
+// entry in the mean. The others forget a row once they have read that it was removed.
 func (t *Tracker) removeExpiredRows(ctx context.Context) {
 	now := time.Now()
 	t.mu.Lock()
 	var expired []string
 	for key, r := range t.rows {
-		if now.Sub(r.changedAt) > rowExpiry {
+		switch {
+		case now.Sub(r.changedAt) <= rowExpiry:
+		case r.isRemoved:
+			delete(t.rows, key)
+		default:
 			expired = append(expired, key)
 		}
 	}
--- a/clemorigin/tracker_test.go
+++ b/clemorigin/tracker_test.go
@@ -24,6 +24,7 @@
 	rows          map[string]clementineturn.Change
 	version       uint64
 	reads, writes int
+	removals      int
 	isDown        bool
 }
 
@@ -40,11 +41,11 @@
 	}
 	var changes []clementineturn.Change
 	for _, change := range s.rows {
-		if change.Version() > after {
+		if change.Version() > after && (after > 0 || !change.Removed()) {
 			changes = append(changes, change)
 		}
 	}
-	return clementineturn.NewBatch(changes, max(s.version, 1)), nil
+	return clementineturn.NewBatch(changes, s.version+1), nil
 }
 
 func (s *memoryStore) Write(_ context.Context, _ clementineturn.Section, key string, value []byte) error {
@@ -62,14 +63,21 @@
 func (s *memoryStore) Remove(_ context.Context, _ clementineturn.Section, key string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.rows, key)
+	s.removals++
+	s.version++
+	s.rows[key] = clementineturn.NewChange(clementineturn.ChangeConfig{Key: key, Version: s.version + 1, Removed: true})
 	return nil
 }
 
 func (s *memoryStore) count() (reads, writes, rows int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reads, s.writes, len(s.rows)
+	for _, change := range s.rows {
+		if !change.Removed() {
+			rows++
+		}
+	}
+	return s.reads, s.writes, rows
 }
 
 func (s *memoryStore) setDown(isDown bool) {
@@ -84,15 +92,18 @@
 	store   *memoryStore
 	servers []clempool.RecordConfig
 	entries int
+	// random is the number that entries draw.
+	random float64
 }
 
 // start starts a process of an entry. The result ends it.
 func (w *world) start(name string) (*Tracker, func()) {
+	random := w.random
 	directory := clempool.New(clempool.Config{MaxLoadFactor: func() float64 { return 2 }, Rand: func() uint64 { return 0 }})
 	for _, s := range w.servers {
 		directory.Put(clempool.NewRecord(s))
 	}
-	t := New(Config{Name: name, Store: w.store, Directory: directory, Entries: func() int { return max(w.entries, 1) }, Rand: func() float64 { return 0 }})
+	t := New(Config{Name: name, Store: w.store, Directory: directory, Entries: func() int { return max(w.entries, 1) }, Rand: func() float64 { return random }})
 	ctx, cancel := context.WithCancel(w.ctx)
 	ended := t.Start(ctx)
 	return t, func() { cancel(); <-ended }
@@ -391,3 +402,26 @@
 		require.Len(t, tracker.streams, 1)
 	})
 }
+
+// Guards against entries that keep, and remove again, a row that another one has removed.
+func TestRowThatAnotherEntryRemovedIsForgotten(t *testing.T) {
+	runTest(t, func(w *world) {
+		w.servers = []clempool.RecordConfig{listed("s1", "v1")}
+		_, stop := w.start("ended")
+		time.Sleep(time.Second)
+		stop()
+		w.entries = 2
+		first, stopFirst := w.start("a")
+		w.random = 0.9
+		second, stopSecond := w.start("b")
+		time.Sleep(2 * rowExpiry)
+		w.store.mu.Lock()
+		removals := w.store.removals
+		w.store.mu.Unlock()
+		stopFirst()
+		stopSecond()
+		require.Equal(t, 1, removals)
+		require.Len(t, first.rows, 1)
+		require.Len(t, second.rows, 1)
+	})
+}
