--- a/clemorigin/store.go
+++ b/clemorigin/store.go
@@ -305,7 +305,7 @@
 	isMixed := false
 	for service, versions := range t.services {
 		for _, v := range versions {
-			if v.isListed && !v.isMarked {
+			if v.isListed && !v.isInRow {
 				return true
 			}
 		}
@@ -335,7 +335,7 @@
 	for service, names := range versions {
 		for _, name := range names {
 			if v := t.services[service][name]; v != nil {
-				v.isMarked = true
+				v.isInRow = true
 			}
 		}
 	}
--- a/clemorigin/tracker.go
+++ b/clemorigin/tracker.go
@@ -31,9 +31,9 @@
 	// restartLag is the time within which the row of a restarted server shows the restart:
 	// three heartbeats.
 	restartLag = 4 * time.Second
-	// markWait is how long streams begin at servers of a version only if the store has a row
+	// rowWait is how long streams begin at servers of a version only if the store has a row
 	// that lists it, provided that there are others.
-	markWait = time.Second
+	rowWait = time.Second
 	// reportedTime is how long a row names a stream that a peer reported: the peer writes it
 	// itself unless it has ended.
 	reportedTime = 10 * time.Second
@@ -89,8 +89,9 @@
 	expiry []expiringStream
 	// services holds the software versions of each service that are or were in service.
 	services map[string]map[string]*softwareVersion
-	// servers holds the known servers, as of the directory's change number scannedChanges.
-	servers        map[string]clempool.Record
+	// serverVersions holds the software version of each known server by its id, as of the
+	// directory's change number scannedChanges.
+	serverVersions map[string]string
 	scannedChanges uint64
 	// rows holds the rows of other processes by their keys.
 	rows map[string]row
@@ -125,8 +126,8 @@
 	// this entry's list last had a server of it. isListed is set if the list has one.
 	firstAt, lastAt, listedAt time.Time
 	isListed                  bool
-	// isMarked is set if the row of this process lists it.
-	isMarked bool
+	// isInRow is set if the row of this process lists it.
+	isInRow bool
 }
 
 // New returns a tracker that knows no streams.
@@ -137,7 +138,7 @@
 	process := strconv.FormatUint(rand.Uint64(), 36)
 	return &Tracker{
 		config: c, rowKey: c.Name + "/" + process, wake: make(chan struct{}, 1),
-		streams: map[Key]*stream{}, services: map[string]map[string]*softwareVersion{}, servers: map[string]clempool.Record{}, rows: map[string]row{},
+		streams: map[Key]*stream{}, services: map[string]map[string]*softwareVersion{}, serverVersions: map[string]string{}, rows: map[string]row{},
 	}
 }
 
@@ -145,7 +146,7 @@
 func (t *Tracker) scan(now time.Time) {
 	changes := t.config.Directory.Changes()
 	t.mu.Lock()
-	isCurrent := changes == t.scannedChanges && len(t.servers) > 0
+	isCurrent := changes == t.scannedChanges && len(t.serverVersions) > 0
 	t.mu.Unlock()
 	var records []clempool.Record
 	if !isCurrent {
@@ -179,15 +180,15 @@
 			v.isListed = false
 		}
 	}
-	servers := make(map[string]clempool.Record, len(records))
+	known := t.serverVersions
+	t.serverVersions = make(map[string]string, len(records))
 	for _, r := range records {
-		servers[r.ID()] = r
+		t.serverVersions[r.ID()] = r.SoftwareVersion()
 		t.addVersion(r.Service(), r.SoftwareVersion(), now).isListed = true
-		if old, isKnown := t.servers[r.ID()]; isKnown && old.SoftwareVersion() != r.SoftwareVersion() {
+		if before, isKnown := known[r.ID()]; isKnown && before != r.SoftwareVersion() {
 			t.doubtStreams(r.ID(), now)
 		}
 	}
-	t.servers = servers
 }
 
 // addVersion returns a version of a service, which is in service now. The caller holds mu.
@@ -274,7 +275,7 @@
 	for name, v := range t.services[service] {
 		switch {
 		case !v.isListed:
-		case v.isMarked || now.Sub(v.firstAt) > markWait:
+		case v.isInRow || now.Sub(v.firstAt) > rowWait:
 			accepted[name] = true
 		default:
 			leftOut++
@@ -308,8 +309,10 @@
 	answerSingle
 )
 
-// find returns the origin of a stream of the service, as far as known. The caller holds mu.
+// find returns the origin of a stream of the service, as far as known.
 func (t *Tracker) find(key Key, service string) (Origin, answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var found []Origin
 	if s := t.streams[key]; s != nil {
 		found = append(found, s.origin)
@@ -342,17 +345,12 @@
 func (t *Tracker) Find(ctx context.Context, key Key, service string) (Origin, error) {
 	began := time.Now()
 	for {
-		now := time.Now()
-		t.scan(now)
-		t.mu.Lock()
+		t.scan(time.Now())
 		origin, found := t.find(key, service)
-		t.mu.Unlock()
 		isRead := false
 		if found != answerKnown {
 			isRead = t.awaitRead(ctx)
-			t.mu.Lock()
 			origin, found = t.find(key, service)
-			t.mu.Unlock()
 		}
 		switch {
 		case found != answerUnknown && origin.Version == "":
