--- a/clemrouter/origin.go
+++ b/clemrouter/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	clementineturn "github.com/clementineturn/clementineturn"
 	"github.com/clementineturn/clementineturn/clemorigin"
@@ -25,23 +26,14 @@
 	if err != nil {
 		return err
 	}
-	if !q.hasTarget(origin.Service) {
+	isTarget := func(t clemroute.Target) bool { return t.Service() == origin.Service }
+	if !slices.ContainsFunc(q.route.Targets(), isTarget) {
 		return clementineturn.Refuse(clementineturn.KindUnavailable, "the stream began at service %s, to which the route sends no requests", origin.Service)
 	}
 	q.service, q.resumedVersion = origin.Service, origin.Version
 	return nil
 }
 
-// hasTarget reports whether the route sends requests to the service.
-func (q *request) hasTarget(service string) bool {
-	for _, t := range q.route.Targets() {
-		if t.Service() == service {
-			return true
-		}
-	}
-	return false
-}
-
 // softwareFilter returns a filter of the versions of the servers' software at which the
 // request may run, or nil if it may at all: what two versions write does not fit together. It
 // is told whether events were sent, as the stall timer must not read that from the request.
